--- /dev/null
+++ b/Makefile
@@ -0,0 +1,28 @@
+# Everything a fresh machine with Python 3.11 needs: `make demo` and `make test`.
+PYTHON ?= python3.11
+VENV := .venv
+BIN := $(VENV)/bin
+READY := $(VENV)/.ready
+
+.PHONY: setup demo test format lint check
+
+$(READY): requirements-dev.lock
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install --quiet --requirement requirements-dev.lock
+	touch $(READY)
+
+setup: $(READY)
+
+demo: $(READY)
+	$(BIN)/python -m plantainhitch demo
+
+test: $(READY)
+	$(BIN)/python -m tests.run
+
+format: $(READY)
+	$(BIN)/ruff format .
+	$(BIN)/ruff check --fix .
+
+lint: $(READY)
+	$(BIN)/ruff format --check .
+	$(BIN)/ruff check .
--- /dev/null
+++ b/plantainhitch/__init__.py
@@ -0,0 +1,3 @@
+"""Dispatcher of sub-second tasks for fleets of unequal instances."""
+
+__version__ = "0.1.0"
--- /dev/null
+++ b/plantainhitch/commands/__init__.py
@@ -0,0 +1,1 @@
+"""The command line, one module for each command."""
--- /dev/null
+++ b/plantainhitch/commands/main.py
@@ -0,0 +1,51 @@
+"""The command line: names each command and the module that holds it.
+
+Modules are imported when their command runs, so an agent doesn't load what only
+an entry uses.
+"""
+
+import importlib
+import sys
+
+import fire
+
+# Command name -> (module, function) below this package.
+COMMANDS = {
+    "agent": ("agent", "agent"),
+    "cancel": ("cancel", "cancel"),
+    "check": ("check", "check"),
+    "classes": ("classes", "Classes"),
+    "demo": ("demo", "demo"),
+    "endpoints": ("endpoints", "Endpoints"),
+    "entry": ("entry", "entry"),
+    "load": ("load", "load"),
+    "standin": ("standin", "StandIn"),
+    "status": ("status", "status"),
+    "submit": ("submit", "submit"),
+}
+EXIT_USAGE = 2
+
+
+def _load(name):
+    module_name, attribute = COMMANDS[name]
+    module = importlib.import_module(f".{module_name}", __package__)
+    return getattr(module, attribute)
+
+
+def main(arguments=None):
+    """Run the command named first in ``arguments``; return the exit code."""
+    words = sys.argv[1:] if arguments is None else list(arguments)
+    if not words or words[0] not in COMMANDS:
+        names = ", ".join(sorted(COMMANDS))
+        print(f"usage: plantainhitch COMMAND ...; commands: {names}", file=sys.stderr)
+        return EXIT_USAGE
+    name = words[0]
+    result = fire.Fire(
+        {name: _load(name)}, command=words, name="plantainhitch", serialize=_silent
+    )
+    return result if isinstance(result, int) else 0
+
+
+def _silent(result):
+    """Print nothing of a command's exit code."""
+    return "" if isinstance(result, int) or result is None else result
--- /dev/null
+++ b/plantainhitch/coordination/__init__.py
@@ -0,0 +1,1 @@
+"""The decisions: submissions, placement, admission, membership, configuration."""
--- /dev/null
+++ b/plantainhitch/outcomes.py
@@ -0,0 +1,68 @@
+"""Outcomes of a task, as values.
+
+``NotRun`` is a proof: it is given only by a process that would have started the
+task and now never will. Where a start can't be ruled out, the outcome is
+``Unknown``.
+"""
+
+import enum
+from dataclasses import dataclass
+
+
+class Reason(enum.StrEnum):
+    """Why a task has not succeeded; the values are stable codes."""
+
+    ANSWER_TOO_LARGE = "answer_too_large"
+    BAD_ANSWER = "bad_answer"
+    CANCELLED = "cancelled"
+    CLASS_UNKNOWN = "class_unknown"
+    DRAINING = "draining"
+    ENDPOINT_FAILED = "endpoint_failed"
+    ENDPOINT_LOST = "endpoint_lost"
+    ENDPOINT_REFUSED = "endpoint_refused"
+    EXPIRED = "expired"
+    NO_CONFIGURATION = "no_configuration"
+    NO_FIT = "no_fit"
+    NO_GRANT = "no_grant"
+    OVERLOADED = "overloaded"
+    OWNER_LOST = "owner_lost"
+    OWNER_UNREACHABLE = "owner_unreachable"
+    QUOTA = "quota"
+    STALE_START = "stale_start"
+    STORE_DOWN = "store_down"
+    TASK_FAILED = "task_failed"
+    TIMED_OUT = "timed_out"
+    WRONG_INCARNATION = "wrong_incarnation"
+
+
+@dataclass(frozen=True, slots=True)
+class NotRun:
+    """The task has not run and never will under this attempt."""
+
+    reason: Reason
+    retry_after_ms: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class Succeeded:
+    """The endpoint answered; ``body`` is its whole answer, one JSON value."""
+
+    body: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class Failed:
+    """The task ran and failed; ``detail`` is for people."""
+
+    reason: Reason
+    detail: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class Unknown:
+    """The task may or may not have run."""
+
+    reason: Reason
+
+
+Outcome = NotRun | Succeeded | Failed | Unknown
--- /dev/null
+++ b/plantainhitch/protocol/__init__.py
@@ -0,0 +1,1 @@
+"""Messages between processes, their codec, and the models at the border."""
--- /dev/null
+++ b/plantainhitch/protocol/messages.py
@@ -0,0 +1,201 @@
+"""Typed messages between the system's processes.
+
+``Envelope`` is what a frame carries beside its message. Times are milliseconds
+on the sender's clock.
+"""
+
+from dataclasses import dataclass, field
+from typing import NamedTuple
+
+from ..outcomes import Outcome
+
+PROTOCOL_VERSION = 1
+ROLE_ENTRY = "entry"
+ROLE_AGENT = "agent"
+ANY_CLASS = ""
+
+
+class TaskKey(NamedTuple):
+    """One attempt at one task: (submission id, task index, attempt number)."""
+
+    submission: bytes
+    index: int
+    attempt: int
+
+
+@dataclass(slots=True)
+class Hello:
+    """First message on a link, sent by both sides."""
+
+    role: str
+    incarnation: bytes
+    name: str
+    zone: str = ""
+    protocol_version: int = PROTOCOL_VERSION
+    configuration_version: int = 0
+
+
+@dataclass(slots=True)
+class AgentStatus:
+    """What an agent says of its endpoint: capacity and readiness."""
+
+    endpoint: str
+    slots: int
+    cores: int = 0
+    memory_mb: int = 0
+    accelerators: int = 0
+    draining: bool = False
+    ready: bool = True
+    rack: str = ""
+
+
+@dataclass(slots=True)
+class Start:
+    """An order to start one task; it uses one granted credit."""
+
+    key: TaskKey
+    class_name: str
+    body: bytes
+    timeout_ms: int
+    traceparent: str = ""
+
+
+@dataclass(slots=True)
+class StartBatch:
+    """The starts of one placement round for one agent."""
+
+    starts: list[Start]
+
+
+@dataclass(slots=True)
+class Report:
+    """The outcome of one attempt; ``run_ms`` is the time at the endpoint."""
+
+    key: TaskKey
+    outcome: Outcome
+    run_ms: int = 0
+
+
+@dataclass(slots=True)
+class Credit:
+    """A number of slots, for one class or for any (``ANY_CLASS``)."""
+
+    class_name: str
+    count: int
+
+
+@dataclass(slots=True)
+class ReportBatch:
+    """Reports, numbered per link, with the credits granted in their place."""
+
+    number: int
+    reports: list[Report]
+    grants: list[Credit] = field(default_factory=list)
+
+
+@dataclass(slots=True)
+class GrantBatch:
+    """Credits that the agent grants to the entry."""
+
+    credits: list[Credit]
+
+
+@dataclass(slots=True)
+class Recall:
+    """The agent asks for unused credits back."""
+
+    credits: list[Credit]
+
+
+@dataclass(slots=True)
+class Returned:
+    """The entry gives unused credits back."""
+
+    credits: list[Credit]
+
+
+@dataclass(slots=True)
+class Demand:
+    """Tasks that wait at the entry, for each class; replaces the last demand."""
+
+    credits: list[Credit]
+
+
+@dataclass(slots=True)
+class CancelBatch:
+    """Attempts that are to stop."""
+
+    keys: list[TaskKey]
+
+
+@dataclass(slots=True)
+class Resolve:
+    """Ask for the outcome of attempts sent on an earlier link.
+
+    The agent answers each finished one with a report, keeps silent on running
+    ones until they finish, and reports NotRun for each one it never saw; from
+    then on it refuses that attempt.
+    """
+
+    keys: list[TaskKey]
+
+
+@dataclass(slots=True)
+class Configuration:
+    """One version of the class document, as JSON."""
+
+    version: int
+    document: bytes
+
+
+@dataclass(slots=True)
+class Heartbeat:
+    """Keeps an idle link alive and its stamps fresh."""
+
+
+@dataclass(slots=True)
+class Call:
+    """An entry passes a caller's operation to the entry that owns the id."""
+
+    number: int
+    operation: str
+    submission: bytes
+    wait_ms: int
+    body: bytes
+
+
+@dataclass(slots=True)
+class Reply:
+    """The answer to a ``Call``: an HTTP status and a JSON body."""
+
+    number: int
+    status: int
+    body: bytes
+
+
+Message = (
+    Hello
+    | AgentStatus
+    | StartBatch
+    | ReportBatch
+    | GrantBatch
+    | Recall
+    | Returned
+    | Demand
+    | CancelBatch
+    | Resolve
+    | Configuration
+    | Heartbeat
+    | Call
+    | Reply
+)
+
+
+@dataclass(slots=True)
+class Envelope:
+    """A message with the stamps and the acknowledgement of its frame."""
+
+    message: Message
+    stamp_ms: int = 0
+    echo_ms: int = 0
+    ack: int = 0
--- /dev/null
+++ b/plantainhitch/protocol/wire.capnp
@@ -0,0 +1,102 @@
+@0xc1f2b3a495867758;
+# Frames between the processes of plantainhitch. Each frame is preceded by its
+# length as an unsigned 32-bit big-endian number of bytes.
+
+struct Frame {
+  stampMs @0 :UInt64;   # the sender's clock
+  echoMs @1 :UInt64;    # the newest stamp received from the other side, 0: none
+  ack @2 :UInt64;       # the newest report batch number received
+  union {
+    hello @3 :Hello;
+    starts @4 :List(Start);
+    reports @5 :ReportBatch;
+    grants @6 :List(Credit);
+    recall @7 :List(Credit);
+    returned @8 :List(Credit);
+    demand @9 :List(Credit);
+    cancels @10 :List(TaskKey);
+    resolve @11 :List(TaskKey);
+    configuration @12 :Configuration;
+    heartbeat @13 :Void;
+    status @14 :AgentStatus;
+    call @15 :Call;
+    reply @16 :Reply;
+  }
+}
+
+struct Hello {
+  role @0 :Text;
+  incarnation @1 :Data;
+  name @2 :Text;
+  zone @3 :Text;
+  protocolVersion @4 :UInt32;
+  configurationVersion @5 :UInt64;
+}
+
+struct AgentStatus {
+  endpoint @0 :Text;
+  slots @1 :UInt32;
+  cores @2 :UInt32;
+  memoryMb @3 :UInt32;
+  accelerators @4 :UInt32;
+  draining @5 :Bool;
+  ready @6 :Bool;
+  rack @7 :Text;
+}
+
+struct TaskKey {
+  submission @0 :Data;
+  index @1 :UInt32;
+  attempt @2 :UInt32;
+}
+
+struct Start {
+  submission @0 :Data;
+  index @1 :UInt32;
+  attempt @2 :UInt32;
+  className @3 :Text;
+  timeoutMs @4 :UInt32;
+  traceparent @5 :Text;
+  body @6 :Data;
+}
+
+struct Report {
+  submission @0 :Data;
+  index @1 :UInt32;
+  attempt @2 :UInt32;
+  kind @3 :UInt8;         # 0 not run, 1 succeeded, 2 failed, 3 unknown
+  reason @4 :Text;
+  retryAfterMs @5 :UInt32;
+  runMs @6 :UInt32;
+  body @7 :Data;          # the answer, or the detail of a failure
+}
+
+struct ReportBatch {
+  number @0 :UInt64;
+  reports @1 :List(Report);
+  grants @2 :List(Credit);
+}
+
+struct Credit {
+  className @0 :Text;     # empty: any class
+  count @1 :UInt32;
+}
+
+struct Configuration {
+  version @0 :UInt64;
+  document @1 :Data;
+}
+
+struct Call {
+  number @0 :UInt64;
+  operation @1 :Text;
+  submission @2 :Data;
+  waitMs @3 :UInt32;
+  body @4 :Data;
+}
+
+struct Reply {
+  number @0 :UInt64;
+  status @1 :UInt16;
+  body @2 :Data;
+}
--- /dev/null
+++ b/plantainhitch/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Small replacements for the platform and for endpoints, with faults."""
--- /dev/null
+++ b/plantainhitch/state/__init__.py
@@ -0,0 +1,1 @@
+"""Data that the decisions keep: ids, class definitions, estimates, windows."""
--- /dev/null
+++ b/plantainhitch/state/members.py
@@ -0,0 +1,57 @@
+"""Members: entries and agents as they are registered in the platform's table."""
+
+from dataclasses import dataclass
+
+import msgspec
+
+
+class MemberRecord(msgspec.Struct, forbid_unknown_fields=False):
+    """The JSON value of a member's row; the key is ``role/incarnation``."""
+
+    role: str
+    incarnation: str
+    name: str
+    zone: str
+    region: str
+    rack: str
+    link: str
+    http: str
+    left: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class Member:
+    """One incarnation of an entry or an agent; addresses are ``IP:port``.
+
+    ``left`` is True once the incarnation has deregistered: it will start
+    nothing any more.
+    """
+
+    role: str
+    incarnation: bytes
+    name: str
+    zone: str
+    region: str
+    rack: str
+    link: str
+    http: str
+    left: bool = False
+
+    @property
+    def key(self):
+        """The key of the member's row."""
+        return f"{self.role}/{self.incarnation.hex()}"
+
+    @classmethod
+    def from_json(cls, data):
+        """Return the member in a row's value; raise ValueError where it is bad."""
+        record = msgspec.json.decode(data, type=MemberRecord)
+        fields = msgspec.structs.asdict(record)
+        fields["incarnation"] = bytes.fromhex(record.incarnation)
+        return cls(**fields)
+
+    def to_json(self):
+        """Return the value of the member's row."""
+        fields = {name: getattr(self, name) for name in self.__slots__}
+        fields["incarnation"] = self.incarnation.hex()
+        return msgspec.json.encode(MemberRecord(**fields))
--- /dev/null
+++ b/plantainhitch/transport/__init__.py
@@ -0,0 +1,1 @@
+"""Sockets, frames, HTTP servers and clients."""
--- /dev/null
+++ b/plantainhitch/transport/links.py
@@ -0,0 +1,158 @@
+"""Links: framed TCP connections between the system's own processes.
+
+A ``Link`` is owned by one task. It writes envelopes, fills in stamps and echoes,
+and hands each message it receives to the ``on_message`` function of its owner.
+"""
+
+import asyncio
+import struct
+from dataclasses import dataclass
+
+from ..protocol import codec, messages as m
+
+LENGTH = struct.Struct(">I")
+MAX_FRAME_BYTES = 32 * 1024 * 1024
+HEARTBEAT_MS = 3_000
+SILENCE_LIMIT_MS = 10_000
+# A peer that reads so slowly that this much is waiting for it is cut off.
+MAX_UNSENT_BYTES = 64 * 1024 * 1024
+
+
+@dataclass(frozen=True, slots=True)
+class LinkClosed:
+    """Why a link ended; ``bad_frame`` when the peer sent an unreadable frame."""
+
+    detail: str
+    bad_frame: bool = False
+
+
+class Link:
+    """One framed connection; use ``run`` in the task that owns it."""
+
+    def __init__(self, reader, writer, clock, *, dead_after_ms=SILENCE_LIMIT_MS):
+        self._reader = reader
+        self._writer = writer
+        self._clock = clock
+        self._dead_after_ms = dead_after_ms
+        self._last_sent_ms = clock.now_ms()
+        self._last_heard_ms = clock.now_ms()
+        self._peer_stamp_ms = 0
+        self._ack = 0
+        self._sent_frames = 0
+        self._sent_bytes = 0
+        self._close_detail = ""
+
+    @property
+    def peer_stamp_ms(self):
+        """The newest stamp received from the peer, on the peer's clock."""
+        return self._peer_stamp_ms
+
+    @property
+    def last_heard_ms(self):
+        """When a frame last came from the peer, on our clock."""
+        return self._last_heard_ms
+
+    @property
+    def sent_frames(self):
+        """Frames written so far, heartbeats included."""
+        return self._sent_frames
+
+    @property
+    def sent_bytes(self):
+        """Bytes written so far."""
+        return self._sent_bytes
+
+    @property
+    def is_open(self):
+        """Whether ``send`` still writes."""
+        return not self._writer.is_closing()
+
+    def acknowledge(self, number):
+        """Carry ``number`` as the newest report batch seen in later frames."""
+        self._ack = max(self._ack, number)
+
+    def send(self, message):
+        """Write a message; return False, with nothing written, on a closed link."""
+        if self._writer.is_closing():
+            return False
+        if self._writer.transport.get_write_buffer_size() > MAX_UNSENT_BYTES:
+            self.close("the peer reads too slowly")
+            return False
+        data = codec.encode(
+            m.Envelope(message, self._clock.now_ms(), self._peer_stamp_ms, self._ack)
+        )
+        self._writer.writelines((LENGTH.pack(len(data)), data))
+        self._sent_frames += 1
+        self._sent_bytes += LENGTH.size + len(data)
+        self._last_sent_ms = self._clock.now_ms()
+        return True
+
+    def close(self, detail="closed here"):
+        """Close the connection; ``run`` then returns."""
+        self._close_detail = self._close_detail or detail
+        self._writer.close()
+
+    async def run(self, on_message):
+        """Receive until the link ends; return a ``LinkClosed``.
+
+        ``on_message(envelope)`` is called for every frame but heartbeats.
+        """
+        beat = asyncio.create_task(self._beat())
+        try:
+            return await self._receive(on_message)
+        finally:
+            beat.cancel()
+            self._writer.close()
+
+    async def receive_one(self):
+        """Return the next envelope, a ``BadFrame``, or a ``LinkClosed``."""
+        try:
+            head = await self._reader.readexactly(LENGTH.size)
+            (length,) = LENGTH.unpack(head)
+            if length > MAX_FRAME_BYTES:
+                return codec.BadFrame(f"frame of {length} bytes")
+            data = await self._reader.readexactly(length)
+        except (OSError, asyncio.IncompleteReadError) as error:
+            return LinkClosed(self._close_detail or str(error) or "reset")
+        envelope = codec.decode(data)
+        if isinstance(envelope, m.Envelope):
+            self._last_heard_ms = self._clock.now_ms()
+            self._peer_stamp_ms = envelope.stamp_ms
+        return envelope
+
+    async def _receive(self, on_message):
+        while True:
+            received = await self.receive_one()
+            match received:
+                case LinkClosed():
+                    return received
+                case codec.BadFrame(detail):
+                    return LinkClosed(detail, bad_frame=True)
+                case m.Envelope(message=m.Heartbeat(), ack=0):
+                    continue
+            on_message(received)
+
+    async def _beat(self):
+        while True:
+            await self._clock.sleep_ms(HEARTBEAT_MS / 2)
+            now_ms = self._clock.now_ms()
+            if now_ms - self._last_heard_ms > self._dead_after_ms:
+                self.close(f"silent for {now_ms - self._last_heard_ms} ms")
+                return
+            if now_ms - self._last_sent_ms >= HEARTBEAT_MS / 2:
+                self.send(m.Heartbeat())
+
+
+async def connect(address, clock):
+    """Return a ``Link`` to ``address``; raise OSError where none can be had."""
+    reader, writer = await asyncio.open_connection(address.host, address.port)
+    return Link(reader, writer, clock)
+
+
+async def listen(address, clock, on_link):
+    """Serve links at ``address``: run ``await on_link(link)`` for each one."""
+
+    async def accept(reader, writer):
+        await on_link(Link(reader, writer, clock))
+
+    return await asyncio.start_server(accept, address.host, address.port)
--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of plantainhitch, run by ``python -m tests.run``."""
--- /dev/null
+++ b/tests/test_codec.py
@@ -0,0 +1,51 @@
+"""Messages survive the way through a frame; bad bytes become values."""
+
+import unittest
+
+from plantainhitch.outcomes import Failed, NotRun, Reason, Succeeded, Unknown
+from plantainhitch.protocol import codec, messages as m
+
+KEY = m.TaskKey(b"i" * 40, 3, 1)
+CREDITS = [m.Credit("render", 2), m.Credit(m.ANY_CLASS, 1)]
+
+SAMPLES = [
+    m.Hello("entry", b"x" * 16, "entry-1", "zone-a", 1, 7),
+    m.AgentStatus("endpoint-1", 8, 16, 65536, 1, True, False, "rack-1"),
+    m.StartBatch([m.Start(KEY, "render", b'{"a":1}', 800, "00-ab-cd-01")]),
+    m.ReportBatch(
+        4,
+        [
+            m.Report(KEY, Succeeded(b"[1]"), 55),
+            m.Report(KEY, NotRun(Reason.DRAINING, 20)),
+            m.Report(KEY, Failed(Reason.TASK_FAILED, "no such widget"), 9),
+            m.Report(KEY, Unknown(Reason.ENDPOINT_LOST)),
+        ],
+        CREDITS,
+    ),
+    m.GrantBatch(CREDITS),
+    m.Recall(CREDITS),
+    m.Returned(CREDITS),
+    m.Demand(CREDITS),
+    m.CancelBatch([KEY]),
+    m.Resolve([KEY, KEY]),
+    m.Configuration(3, b"{}"),
+    m.Heartbeat(),
+    m.Call(9, "submit", b"i" * 40, 100, b"{}"),
+    m.Reply(9, 200, b"{}"),
+]
+
+
+class CodecTests(unittest.TestCase):
+    """Round trips and bad input."""
+
+    def test_round_trip(self):
+        for message in SAMPLES:
+            with self.subTest(kind=type(message).__name__):
+                envelope = m.Envelope(message, 12, 11, 5)
+                self.assertEqual(codec.decode(codec.encode(envelope)), envelope)
+
+    def test_bad_bytes_are_a_value(self):
+        whole = codec.encode(m.Envelope(SAMPLES[2]))
+        for data in (b"", b"\xff" * 64, whole[:24], b"GET / HTTP/1.1\r\n\r\n"):
+            with self.subTest(data=data[:8]):
+                self.assertIsInstance(codec.decode(data), codec.BadFrame)
