--- a/plantainhitch/protocol/codec.py
+++ b/plantainhitch/protocol/codec.py
@@ -4,7 +4,6 @@
 closes that link and no other.
 """
 
-import enum
 from dataclasses import dataclass
 from pathlib import Path
 
@@ -19,7 +18,7 @@
 TRAVERSAL_LIMIT_WORDS = 64 * 1024 * 1024
 
 
-class Kind(enum.IntEnum):
+class Kind:
     """The kinds of outcome as numbers on the wire."""
 
     NOT_RUN = 0
