--- a/plantainhitch/protocol/codec.py
+++ b/plantainhitch/protocol/codec.py
@@ -87,6 +87,8 @@
             _write_reports(frame.init("reports"), message)
         case m.Heartbeat():
             frame.heartbeat = None
+        case m.Drain(draining):
+            frame.drain = draining
         case m.Hello():
             _write_hello(frame.init("hello"), message)
         case m.AgentStatus():
@@ -120,6 +122,8 @@
             return _read_reports(frame.reports)
         case "heartbeat":
             return m.Heartbeat()
+        case "drain":
+            return m.Drain(frame.drain)
         case "hello":
             return _read_hello(frame.hello)
         case "status":
--- a/plantainhitch/protocol/messages.py
+++ b/plantainhitch/protocol/messages.py
@@ -148,6 +148,13 @@
     document: bytes
 
 
+@dataclass(slots=True)
+class Drain:
+    """An operator's order to the agent: refuse new starts, or take them again."""
+
+    draining: bool
+
+
 @dataclass(slots=True)
 class Heartbeat:
     """Keeps an idle link alive and its stamps fresh."""
@@ -185,6 +192,7 @@
     | CancelBatch
     | Resolve
     | Configuration
+    | Drain
     | Heartbeat
     | Call
     | Reply
--- a/plantainhitch/protocol/wire.capnp
+++ b/plantainhitch/protocol/wire.capnp
@@ -21,6 +21,7 @@
     status @14 :AgentStatus;
     call @15 :Call;
     reply @16 :Reply;
+    drain @17 :Bool;
   }
 }
 
--- a/tests/test_codec.py
+++ b/tests/test_codec.py
@@ -29,6 +29,7 @@
     m.CancelBatch([KEY]),
     m.Resolve([KEY, KEY]),
     m.Configuration(3, b"{}"),
+    m.Drain(True),
     m.Heartbeat(),
     m.Call(9, "submit", b"i" * 40, 100, b"{}"),
     m.Reply(9, 200, b"{}"),
