--- /dev/null
+++ b/plantainhitch/loadgen/workloads.py
@@ -0,0 +1,133 @@
+"""Models of the work that the served systems send, drawn from a seed.
+
+Run times are milliseconds on an endpoint of speed 1; an endpoint of speed 2 needs
+half of it. A class's arrivals are stated as its share of the offered work, so a
+mix keeps its proportions at any load.
+"""
+
+import functools
+import math
+import random
+from dataclasses import dataclass
+
+SHORTEST_TASK_MS = 50
+LONGEST_COMMON_TASK_MS = 1_000
+SLOWEST_TASKS_MS = (2_000, 6_000)
+LARGEST_DECLARED_ERROR = 5.0
+
+
+@dataclass(frozen=True, slots=True)
+class TaskTimes:
+    """Run times: lognormal within 50 ms to 1 s, a few of several seconds."""
+
+    median_ms: float = 200.0
+    sigma: float = 0.7
+    slow_share: float = 0.01
+
+    def draw(self, random_source):
+        """Return one run time in ms."""
+        if random_source.random() < self.slow_share:
+            return random_source.uniform(*SLOWEST_TASKS_MS)
+        drawn = random_source.lognormvariate(math.log(self.median_ms), self.sigma)
+        return min(max(drawn, SHORTEST_TASK_MS), LONGEST_COMMON_TASK_MS)
+
+
+@dataclass(frozen=True, slots=True)
+class ClassModel:
+    """A class's share of the work, its task times, job sizes and target.
+
+    Job sizes are log-uniform from ``smallest_job`` to ``largest_job`` tasks.
+    The target reads as in ``state.classes.ClassDefinition``.
+    """
+
+    name: str
+    share: float
+    times: TaskTimes
+    smallest_job: int
+    largest_job: int
+    answers_within_ms: int
+    quantile: float
+    claims_at_least: float
+    repeatable: bool = False
+
+    def draw_job(self, random_source):
+        """Return a job's ``PlannedTask`` tuple."""
+        return self.draw_tasks(random_source, self._draw_size(random_source))
+
+    def draw_tasks(self, random_source, count):
+        """Return ``count`` tasks with run times and off declarations."""
+        return tuple(
+            PlannedTask.draw(index, self.times, random_source) for index in range(count)
+        )
+
+    def _draw_size(self, random_source):
+        low, high = math.log(self.smallest_job), math.log(self.largest_job + 1)
+        size = int(math.exp(random_source.uniform(low, high)))
+        return min(max(size, self.smallest_job), self.largest_job)
+
+
+@dataclass(frozen=True, slots=True)
+class PlannedTask:
+    """One task: its true run time, and what its caller declares, in ms."""
+
+    index: int
+    run_ms: float
+    declared_ms: int
+
+    @classmethod
+    def draw(cls, index, times, random_source):
+        """Return a task whose declaration is off by up to 5 times either way."""
+        run_ms = times.draw(random_source)
+        error = LARGEST_DECLARED_ERROR ** random_source.uniform(-1.0, 1.0)
+        return cls(index, run_ms, max(1, round(run_ms * error)))
+
+
+@dataclass(frozen=True, slots=True)
+class Mix:
+    """Classes that share the offered work; the shares add up to 1."""
+
+    name: str
+    classes: tuple[ClassModel, ...]
+
+    def model(self, class_name):
+        """Return the model called ``class_name``."""
+        for model in self.classes:
+            if model.name == class_name:
+                return model
+        raise ValueError(f"no class {class_name!r} in the mix {self.name!r}")
+
+    @property
+    def by_urgency(self):
+        """The classes, the least time to answer first."""
+        return sorted(self.classes, key=lambda model: model.answers_within_ms)
+
+
+TICKMARK = Mix(
+    "tickmark",
+    (
+        ClassModel("sync", 0.30, TaskTimes(150, 0.6), 10, 100, 3_000, 0.99, 0.35),
+        ClassModel("ping", 0.20, TaskTimes(80, 0.4, 0.0), 1, 10, 5_000, 0.99, 0.15),
+        ClassModel("render", 0.50, TaskTimes(220, 0.7), 1, 40, 8_000, 0.95, 0.30, True),
+    ),
+)
+
+CANEGROVE = Mix(
+    "canegrove",
+    (
+        ClassModel("freight", 0.15, TaskTimes(180, 0.5), 1, 4, 3_000, 0.99, 0.20),
+        ClassModel("quote", 0.55, TaskTimes(250, 0.7), 1, 100, 4_000, 0.99, 0.40, True),
+        ClassModel("stock", 0.30, TaskTimes(120, 0.6), 1, 50, 8_000, 0.95, 0.20, True),
+    ),
+)
+
+MIXES = {mix.name: mix for mix in (TICKMARK, CANEGROVE)}
+
+
+@functools.cache
+def mean_job_work_ms(model, seed=0, samples=2_000):
+    """Return the mean work of the class's jobs in ms on an endpoint of speed 1."""
+    random_source = random.Random(f"mean work of {model.name} by {seed}")
+    total = sum(
+        task.run_ms for _ in range(samples) for task in model.draw_job(random_source)
+    )
+    return total / samples
