--- a/plantainhitch/clock.py
+++ b/plantainhitch/clock.py
@@ -17,6 +17,13 @@
         """Return the milliseconds since an arbitrary fixed origin."""
         return time.monotonic_ns() // NS_PER_MS
 
+    def wall_ms(self):
+        """Return the milliseconds since the Unix epoch, by the instance's clock.
+
+        For times that are kept or compared across processes; never for durations.
+        """
+        return time.time_ns() // NS_PER_MS
+
     async def sleep_ms(self, duration_ms):
         """Suspend the calling task for ``duration_ms`` milliseconds."""
         await asyncio.sleep(duration_ms / 1000)
@@ -32,6 +39,10 @@
         """Return the time that has been set."""
         return self._now_ms
 
+    def wall_ms(self):
+        """Return the time that has been set."""
+        return self._now_ms
+
     def advance(self, duration_ms):
         """Move the clock forward by ``duration_ms`` milliseconds."""
         if duration_ms < 0:
--- /dev/null
+++ b/plantainhitch/coordination/keys.py
@@ -0,0 +1,295 @@
+"""Binds callers' own keys to submission ids, one conditional write for many.
+
+A key's row holds the id that it is bound to, the digest of the content and when
+it was bound. The row is written on condition that there is none, before anything
+starts; so of all entries that are sent the same key, one binds it and the others
+find that binding. Rules:
+
+* A binding holds for ``RETENTION_MS``. After that the key is refused as expired
+  until its row has been deleted (``KeySweeper``), at least ``SWEEP_MARGIN_MS``
+  later; only then is it free to be bound anew.
+* A write whose effect is unknown is tried again as it was: if the first one took
+  effect, the conflict shows our own row.
+* A refusal because of the store never says "not run". This call starts nothing,
+  but an earlier or a concurrent call with the same key may have been bound, which
+  can't be ruled out without the table.
+"""
+
+import asyncio
+import hashlib
+from dataclasses import dataclass, field
+
+import msgspec
+from returns.result import Failure, Success
+
+from ..logs import get_logger
+from ..protocol.errors import ErrorCode, Refusal
+from ..transport.platform import ABSENT, TABLE_KEYS, FaultKind, Write
+from .backoff import Backoff
+
+HOUR_MS = 60 * 60 * 1_000
+RETENTION_MS = 24 * HOUR_MS
+SWEEP_MARGIN_MS = HOUR_MS
+MAX_KEYS_PER_WRITE = 200
+MAX_WAITING_KEYS = 10_000
+# How long to find out whether a write took effect.
+SETTLE_LIMIT_MS = 10_000
+RETRY_AFTER_MS = 1_000
+# Writes of one entry: one by one while there are few, then batched.
+WRITES_PER_S = 5
+WRITE_BURST = 20
+KEY_HASH_BYTES = 32
+MAX_SWEEP_ROWS = 500
+
+log = get_logger("keys")
+
+
+class BindingModel(msgspec.Struct):
+    """The value of a key's row; ``bound_ms`` is wall time."""
+
+    submission: str
+    digest: str
+    bound_ms: int
+
+
+@dataclass(frozen=True, slots=True)
+class Binding:
+    """What a key is bound to; ``is_new`` where this call bound it."""
+
+    submission: bytes
+    digest: bytes
+    is_new: bool
+
+
+@dataclass(slots=True)
+class _Waiting:
+    """A key on its way to the table, with all calls that wait for it."""
+
+    row_key: str
+    submission: bytes
+    digest: bytes
+    value: bytes
+    calls: list = field(default_factory=list)
+
+
+def key_hash(key):
+    """Return the row key of a caller's key."""
+    return hashlib.blake2b(key.encode(), digest_size=KEY_HASH_BYTES).hexdigest()
+
+
+class KeyBinder:
+    """Binds keys for one entry; its own task does the writing, one at a time."""
+
+    def __init__(self, platform, clock):
+        self._platform = platform
+        self._clock = clock
+        self._waiting = {}
+        self._under_way = {}
+        self._writer = None
+        self._tokens = float(WRITE_BURST)
+        self._tokens_at_ms = clock.now_ms()
+
+    @property
+    def waiting(self):
+        """Keys that wait for the table."""
+        return len(self._waiting) + len(self._under_way)
+
+    async def bind(self, key, digest, submission):
+        """Bind ``key`` to ``submission``, or find what it is bound to.
+
+        Return Success(Binding) or Failure(Refusal). Bytes are the digest of the
+        content and the raw id; the id must be fresh and unused.
+        """
+        row_key = key_hash(key)
+        call = _Call(submission, digest, asyncio.get_running_loop().create_future())
+        waiting = self._under_way.get(row_key) or self._waiting.get(row_key)
+        if waiting is None:
+            if self.waiting >= MAX_WAITING_KEYS:
+                return Failure(_refusal(ErrorCode.OVERLOADED, "too many keys wait"))
+            waiting = self._new_waiting(row_key, submission, digest)
+        waiting.calls.append(call)
+        if self._writer is None:
+            self._writer = asyncio.create_task(self._write_all())
+        return await call.answer
+
+    async def aclose(self):
+        """Stop; calls that wait are refused."""
+        if self._writer is not None:
+            self._writer.cancel()
+            await asyncio.gather(self._writer, return_exceptions=True)
+
+    def _new_waiting(self, row_key, submission, digest):
+        model = BindingModel(submission.hex(), digest.hex(), self._clock.wall_ms())
+        waiting = _Waiting(row_key, submission, digest, msgspec.json.encode(model))
+        self._waiting[row_key] = waiting
+        return waiting
+
+    async def _write_all(self):
+        """Write batches until no key waits."""
+        try:
+            while self._waiting:
+                await self._take_token()
+                await self._write_batch()
+        finally:
+            self._writer = None
+            for waiting in (*self._under_way.values(), *self._waiting.values()):
+                _refuse(waiting, _outcome_unknown())
+            self._under_way.clear()
+            self._waiting.clear()
+
+    async def _write_batch(self):
+        for row_key in list(self._waiting)[:MAX_KEYS_PER_WRITE]:
+            self._under_way[row_key] = self._waiting.pop(row_key)
+        deadline_ms = self._clock.now_ms() + SETTLE_LIMIT_MS
+        backoff = Backoff()
+        may_be_applied = False
+        while self._under_way:
+            writes = [
+                Write(waiting.row_key, waiting.value, ABSENT)
+                for waiting in self._under_way.values()
+            ]
+            match await self._platform.write(TABLE_KEYS, writes):
+                case Success(_):
+                    self._finish_written()
+                    return
+                case Failure(fault) if self._finish_bound(fault.rows):
+                    # The others of the batch go on without those bound already.
+                    continue
+                case Failure(fault):
+                    may_be_applied |= fault.kind is not FaultKind.NOT_APPLIED
+            wait_ms = backoff.next_ms()
+            if not may_be_applied:
+                self._refuse_batch(_store_down())
+            elif self._clock.now_ms() + wait_ms > deadline_ms:
+                self._refuse_batch(_outcome_unknown())
+            else:
+                await self._clock.sleep_ms(wait_ms)
+
+    def _finish_written(self):
+        for waiting in self._under_way.values():
+            self._answer(waiting, waiting.value)
+        self._under_way.clear()
+
+    def _finish_bound(self, rows):
+        """Answer the keys whose rows a conflict shows; return how many."""
+        bound = [row for row in rows if row.key in self._under_way]
+        for row in bound:
+            self._answer(self._under_way.pop(row.key), row.value)
+        return len(bound)
+
+    def _refuse_batch(self, refusal):
+        log.warning("keys not bound", count=len(self._under_way), why=refusal.message)
+        for waiting in self._under_way.values():
+            _refuse(waiting, refusal)
+        self._under_way.clear()
+
+    def _answer(self, waiting, value):
+        """Answer all calls for a key whose row holds ``value``."""
+        model = msgspec.json.decode(value, type=BindingModel)
+        is_expired = self._clock.wall_ms() - model.bound_ms > RETENTION_MS
+        for call in waiting.calls:
+            if not call.answer.done():
+                call.answer.set_result(_judge(call, model, is_expired))
+
+    async def _take_token(self):
+        """Wait until a write is within the entry's rate."""
+        while True:
+            now_ms = self._clock.now_ms()
+            earned = (now_ms - self._tokens_at_ms) * WRITES_PER_S / 1000
+            self._tokens = min(WRITE_BURST, self._tokens + earned)
+            self._tokens_at_ms = now_ms
+            if self._tokens >= 1:
+                self._tokens -= 1
+                return
+            await self._clock.sleep_ms(1000 / WRITES_PER_S)
+
+
+@dataclass(frozen=True, slots=True)
+class _Call:
+    """One call of ``bind`` and the future of its answer."""
+
+    submission: bytes
+    digest: bytes
+    answer: asyncio.Future
+
+
+class KeySweeper:
+    """Deletes the rows of keys whose retention has ended.
+
+    Rows are written once, so the order of their changes is that of their age, and
+    a sweep stops at the first one that is still held. Any number of entries may
+    sweep: the deletions are conditional.
+    """
+
+    def __init__(self, platform, clock):
+        self._platform = platform
+        self._clock = clock
+        self._revision = ABSENT
+
+    async def sweep(self):
+        """Delete up to ``MAX_SWEEP_ROWS`` rows; return how many were deleted."""
+        found = await self._platform.changes(TABLE_KEYS, self._revision, MAX_SWEEP_ROWS)
+        match found:
+            case Failure(_):
+                return 0
+            case Success(changes):
+                expired = [row for row in changes.rows if self._is_free(row)]
+        if not expired:
+            self._pass_over(changes)
+            return 0
+        writes = [Write(row.key, None, row.revision) for row in expired]
+        match await self._platform.write(TABLE_KEYS, writes):
+            case Success(_):
+                return len(writes)
+        return 0
+
+    def _is_free(self, row):
+        if row.value is None:
+            return False
+        model = msgspec.json.decode(row.value, type=BindingModel)
+        age_ms = self._clock.wall_ms() - model.bound_ms
+        return age_ms > RETENTION_MS + SWEEP_MARGIN_MS
+
+    def _pass_over(self, changes):
+        """Go on after rows that have all been deleted."""
+        if changes.rows and all(row.value is None for row in changes.rows):
+            self._revision = changes.revision
+
+
+def _judge(call, model, is_expired):
+    """Return the result of one call, given its key's binding."""
+    if is_expired:
+        message = "the key's retention has ended; nothing is started under it"
+        return Failure(Refusal(ErrorCode.ANSWER_EXPIRED, message))
+    submission = bytes.fromhex(model.submission)
+    digest = bytes.fromhex(model.digest)
+    if digest != call.digest:
+        message = "the key was used with another content; nothing is started"
+        return Failure(Refusal(ErrorCode.KEY_CONFLICT, message, not_run=True))
+    return Success(Binding(submission, digest, submission == call.submission))
+
+
+def _refuse(waiting, refusal):
+    for call in waiting.calls:
+        if not call.answer.done():
+            call.answer.set_result(Failure(refusal))
+
+
+def _refusal(code, message):
+    return Refusal(code, message, retry_after_ms=RETRY_AFTER_MS)
+
+
+def _store_down():
+    message = (
+        "the platform's table can't be reached; this call starts nothing, "
+        "but an earlier one with the same key may have"
+    )
+    return _refusal(ErrorCode.STORE_DOWN, message)
+
+
+def _outcome_unknown():
+    message = (
+        "whether the key is bound is unknown; this call starts nothing, ask again "
+        "with the same key"
+    )
+    return _refusal(ErrorCode.STORE_DOWN, message)
--- /dev/null
+++ b/plantainhitch/coordination/membership.py
@@ -0,0 +1,310 @@
+"""Which entries and agents there are, from the platform's table.
+
+A process writes its row once when it joins and once when it leaves, and renews it
+once a day. Entries follow the table by asking what changed since the revision
+they know, and keep what they know while the store is down. A silent member is
+never taken for dead: see ``Membership.is_proved_dead``.
+"""
+
+import itertools
+from dataclasses import replace
+
+from returns.result import Failure, Success
+
+from ..logs import get_logger
+from ..protocol.errors import ErrorCode, Refusal
+from ..protocol.messages import ROLE_AGENT, ROLE_ENTRY
+from ..state.members import Member
+from ..transport.platform import ABSENT, TABLE_MEMBERS, FaultKind, Write
+from .backoff import Backoff, poll
+
+REFRESH_MS = 1_000
+PAGE_ROWS = 1_000
+DAY_MS = 24 * 60 * 60 * 1_000
+RENEWAL_MS = DAY_MS
+# A row that has left, or hasn't been renewed, for this long is deleted.
+ROW_RETENTION_MS = 7 * DAY_MS
+MAX_GARBAGE_ROWS = 100
+LEAVE_LIMIT_MS = 5_000
+DRAIN_PREFIX = "drain/"
+_ROLE_PREFIXES = (f"{ROLE_ENTRY}/", f"{ROLE_AGENT}/")
+
+log = get_logger("membership")
+
+
+class Membership:
+    """The members as far as known, and this process's own registration.
+
+    ``region`` drops the agents of other regions, which an entry has no use for.
+    ``on_change()`` is called after a refresh that changed anything.
+    """
+
+    def __init__(self, platform, clock, *, region=None, on_change=None, backoff=None):
+        self._platform = platform
+        self._clock = clock
+        self._region = region
+        self._on_change = on_change
+        self._backoff = backoff or Backoff()
+        self._revision = 0
+        self._members = {}
+        self._row_revisions = {}
+        self._learned_ms = {}
+        self._proved_dead = set()
+        self._drained = frozenset()
+        self._own = None
+        self._own_revision = ABSENT
+        self._is_current = False
+        self._is_disowned = False
+
+    @property
+    def member(self):
+        """This process as it is registered, or None."""
+        return self._own
+
+    @property
+    def is_current(self):
+        """Whether the last refresh reached the table."""
+        return self._is_current
+
+    @property
+    def is_disowned(self):
+        """Whether another process proved, at our address, that we are gone.
+
+        It stays so: the process should end and join again as a new incarnation.
+        """
+        return self._is_disowned
+
+    @property
+    def revision(self):
+        """The table revision up to which changes are known."""
+        return self._revision
+
+    @property
+    def drained(self):
+        """Names of the endpoints that operators have drained."""
+        return self._drained
+
+    def agents(self, region):
+        """Return the agents of a region that have not left."""
+        return self._present(ROLE_AGENT, region)
+
+    def entries(self, region):
+        """Return the entries of a region that have not left."""
+        return self._present(ROLE_ENTRY, region)
+
+    def owner(self, incarnation):
+        """Return the entry of that incarnation, left or not, or None."""
+        member = self._members.get(incarnation)
+        return member if member is not None and member.role == ROLE_ENTRY else None
+
+    def is_proved_dead(self, incarnation):
+        """Return whether the incarnation will certainly start nothing any more.
+
+        Either it deregistered, or another one answered at its address. Silence,
+        a closed port or a deleted row prove nothing.
+        """
+        member = self._members.get(incarnation)
+        if member is not None and member.left:
+            return True
+        return incarnation in self._proved_dead
+
+    def seen_at(self, address, incarnation, dialled_ms=None):
+        """Note that ``incarnation`` answered at ``address``, an ``IP:port``.
+
+        ``dialled_ms`` is when the connection was begun, on this clock (now where
+        left out). Members that were learned of only after that may have taken the
+        address over since, so the answer proves nothing about them.
+        """
+        dialled_ms = self._clock.now_ms() if dialled_ms is None else dialled_ms
+        self._proved_dead.discard(incarnation)
+        for member in self._members.values():
+            if member.link != address or member.incarnation == incarnation:
+                continue
+            if self._learned_ms[member.incarnation] <= dialled_ms:
+                self._proved_dead.add(member.incarnation)
+
+    async def register(self, member):
+        """Write this process's row; try again until it stands.
+
+        The row must not exist before, so a lost reply shows as a conflict with
+        our own row, and a delayed duplicate can't undo a later change.
+        """
+        self._own = replace(member, renewed_ms=self._clock.wall_ms())
+        while not await self._write_own(ABSENT):
+            await self._clock.sleep_ms(self._backoff.next_ms())
+        self._backoff.reset()
+
+    async def deregister(self, limit_ms=LEAVE_LIMIT_MS):
+        """Mark this process's row as left; return whether that is certain.
+
+        Call it when nothing will be started any more. Unconditional, because it
+        is final: a duplicate that comes late changes nothing.
+        """
+        if self._own is None:
+            return True
+        self._own = replace(self._own, left=True, renewed_ms=self._clock.wall_ms())
+        write = Write(self._own.key, self._own.to_json())
+        deadline_ms = self._clock.now_ms() + limit_ms
+        while True:
+            match await self._platform.write(TABLE_MEMBERS, [write]):
+                case Success():
+                    return True
+            wait_ms = self._backoff.next_ms()
+            if self._clock.now_ms() + wait_ms > deadline_ms:
+                return False
+            await self._clock.sleep_ms(wait_ms)
+
+    async def renew(self):
+        """Renew this process's row when it is due; return False on a fault."""
+        own = self._own
+        if own is None or own.left or self._is_disowned:
+            return True
+        if self._clock.wall_ms() - own.renewed_ms < RENEWAL_MS:
+            return True
+        self._own = replace(own, renewed_ms=self._clock.wall_ms())
+        if await self._write_own(self._own_revision):
+            return True
+        self._own = own
+        return False
+
+    async def refresh(self):
+        """Take in what changed in the table; return whether it was reached."""
+        has_changed = False
+        while True:
+            found = await self._platform.changes(
+                TABLE_MEMBERS, self._revision, PAGE_ROWS
+            )
+            match found:
+                case Failure(fault):
+                    self._note_fault(fault)
+                    return False
+                case Success(changes):
+                    for row in changes.rows:
+                        self._apply(row)
+                    has_changed = has_changed or bool(changes.rows)
+                    self._revision = changes.revision
+            if len(changes.rows) < PAGE_ROWS:
+                break
+        self._is_current = True
+        if has_changed and self._on_change is not None:
+            self._on_change()
+        return True
+
+    async def run(self):
+        """Refresh and renew for ever; never returns."""
+        await poll(self._clock, REFRESH_MS, self._refresh_and_renew)
+
+    async def set_drained(self, name, draining):
+        """Store an operator's order on an endpoint: None, or a Refusal."""
+        value = b"1" if draining else None
+        write = Write(DRAIN_PREFIX + name, value)
+        written = await self._platform.write(TABLE_MEMBERS, [write])
+        match written:
+            case Failure(fault):
+                is_certain = fault.kind is FaultKind.NOT_APPLIED
+                message = (
+                    "the order was not stored" if is_certain else "outcome unknown"
+                )
+                return Refusal(ErrorCode.STORE_DOWN, message, not_run=is_certain)
+        self._set_drained(name, draining)
+        return None
+
+    async def collect_garbage(self):
+        """Delete old rows and publish proofs of death; return how many rows.
+
+        Any entry may do this at any time: the writes are conditional on the rows
+        as known, and at most ``MAX_GARBAGE_ROWS`` are written in a call.
+        """
+        writes = list(itertools.islice(self._garbage(), MAX_GARBAGE_ROWS))
+        if not writes:
+            return 0
+        match await self._platform.write(TABLE_MEMBERS, writes):
+            case Success():
+                return len(writes)
+        return 0
+
+    def _present(self, role, region):
+        return [
+            member
+            for member in self._members.values()
+            if member.role == role and member.region == region and not member.left
+        ]
+
+    async def _refresh_and_renew(self):
+        return await self.refresh() and await self.renew()
+
+    async def _write_own(self, expected_revision):
+        """Write the own row; return whether it now stands."""
+        write = Write(self._own.key, self._own.to_json(), expected_revision)
+        match await self._platform.write(TABLE_MEMBERS, [write]):
+            case Success(revision):
+                self._own_revision = revision
+                return True
+            case Failure(fault) if fault.kind is FaultKind.CONFLICT:
+                return self._compare_own(fault.rows[0], write.value)
+            case Failure(fault):
+                log.warning("own row not written", kind=fault.kind, why=fault.detail)
+        return False
+
+    def _compare_own(self, row, value):
+        """Return whether the row found in place of our write is that write."""
+        if row.value is None:
+            self._own_revision = ABSENT
+            return False
+        self._own_revision = row.revision
+        if Member.from_json(row.value).left:
+            log.critical("others hold this process for dead", key=row.key)
+            self._is_disowned = True
+        return row.value == value
+
+    def _note_fault(self, fault):
+        if self._is_current:
+            log.warning("membership can't be read", kind=fault.kind, why=fault.detail)
+        self._is_current = False
+
+    def _apply(self, row):
+        if row.key.startswith(DRAIN_PREFIX):
+            name = row.key.removeprefix(DRAIN_PREFIX)
+            self._set_drained(name, row.value is not None)
+        elif row.key.startswith(_ROLE_PREFIXES):
+            self._apply_member(row)
+
+    def _apply_member(self, row):
+        if row.value is None:
+            self._forget(bytes.fromhex(row.key.partition("/")[2]))
+            return
+        try:
+            member = Member.from_json(row.value)
+        except (ValueError, TypeError) as error:
+            log.error("unreadable member row", key=row.key, why=str(error))
+            return
+        if self._is_of_interest(member):
+            self._members[member.incarnation] = member
+            self._row_revisions[member.incarnation] = row.revision
+            self._learned_ms.setdefault(member.incarnation, self._clock.now_ms())
+
+    def _is_of_interest(self, member):
+        if member.role == ROLE_ENTRY or self._region is None:
+            return True
+        return member.region == self._region
+
+    def _forget(self, incarnation):
+        self._members.pop(incarnation, None)
+        self._row_revisions.pop(incarnation, None)
+        self._learned_ms.pop(incarnation, None)
+        self._proved_dead.discard(incarnation)
+
+    def _set_drained(self, name, draining):
+        change = frozenset((name,))
+        self._drained = self._drained | change if draining else self._drained - change
+
+    def _garbage(self):
+        now_ms = self._clock.wall_ms()
+        for incarnation, member in self._members.items():
+            revision = self._row_revisions[incarnation]
+            age_ms = now_ms - member.renewed_ms if member.renewed_ms else 0
+            if age_ms > ROW_RETENTION_MS:
+                yield Write(member.key, None, revision)
+            elif incarnation in self._proved_dead and not member.left:
+                left = replace(member, left=True, renewed_ms=now_ms)
+                yield Write(member.key, left.to_json(), revision)
--- a/plantainhitch/standins/platform.py
+++ b/plantainhitch/standins/platform.py
@@ -13,6 +13,7 @@
 from litestar import Litestar, Request, Response, get, post, put
 from litestar.exceptions import ClientException, HTTPException, NotFoundException
 
+from ..transport.addresses import Address
 from ..transport.platform_models import (
     ChangesModel,
     ConflictModel,
@@ -21,7 +22,6 @@
     TransactionModel,
     WrittenModel,
 )
-from ..transport.addresses import Address
 from .table import Counters, Faults, TableService, WriteConflict
 
 HTTP_UNAVAILABLE = 503
--- a/plantainhitch/state/classes.py
+++ b/plantainhitch/state/classes.py
@@ -4,7 +4,9 @@
 of the document.
 """
 
-from dataclasses import dataclass, field
+from dataclasses import asdict, dataclass, field
+
+import msgspec
 
 NO_VERSION = 0
 
@@ -47,3 +49,66 @@
     author: str
     classes: dict[str, ClassDefinition] = field(default_factory=dict)
     teams: dict[str, TeamQuota] = field(default_factory=dict)
+
+    @classmethod
+    def from_json(cls, data):
+        """Return the document in ``data``; raise ValueError where it is bad."""
+        model = msgspec.json.decode(data, type=DocumentModel)
+        classes = [ClassDefinition(**_fields(item)) for item in model.classes]
+        teams = [TeamQuota(**_fields(item)) for item in model.teams]
+        return cls(
+            version=model.version,
+            change_id=model.change_id,
+            author=model.author,
+            classes={item.name: item for item in classes},
+            teams={item.name: item for item in teams},
+        )
+
+    def to_json(self):
+        """Return the document as JSON; equal documents give equal bytes."""
+        classes = sorted(self.classes.values(), key=lambda item: item.name)
+        teams = sorted(self.teams.values(), key=lambda item: item.name)
+        model = DocumentModel(
+            version=self.version,
+            change_id=self.change_id,
+            author=self.author,
+            classes=[ClassModel(**asdict(item)) for item in classes],
+            teams=[TeamModel(**asdict(item)) for item in teams],
+        )
+        return msgspec.json.encode(model)
+
+
+class ClassModel(msgspec.Struct):
+    """The JSON form of a ``ClassDefinition``."""
+
+    name: str
+    answers_within_ms: int
+    quantile: float = 0.99
+    claims_at_least: float = 0.0
+    repeatable: bool = False
+    team: str = ""
+    cores: int = 0
+    memory_mb: int = 0
+    accelerators: int = 0
+    timeout_ms: int = 60_000
+
+
+class TeamModel(msgspec.Struct):
+    """The JSON form of a ``TeamQuota``."""
+
+    name: str
+    holds_at_most: float = 1.0
+
+
+class DocumentModel(msgspec.Struct):
+    """The JSON form of a ``ClassDocument``."""
+
+    version: int
+    change_id: str
+    author: str
+    classes: list[ClassModel] = []
+    teams: list[TeamModel] = []
+
+
+def _fields(model):
+    return msgspec.structs.asdict(model)
--- a/plantainhitch/state/members.py
+++ b/plantainhitch/state/members.py
@@ -17,6 +17,7 @@
     link: str
     http: str
     left: bool = False
+    renewed_ms: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -24,7 +25,7 @@
     """One incarnation of an entry or an agent; addresses are ``IP:port``.
 
     ``left`` is True once the incarnation has deregistered: it will start
-    nothing any more.
+    nothing any more. ``renewed_ms`` is the wall time of the row's last renewal.
     """
 
     role: str
@@ -36,6 +37,7 @@
     link: str
     http: str
     left: bool = False
+    renewed_ms: int = 0
 
     @property
     def key(self):
--- a/plantainhitch/transport/platform.py
+++ b/plantainhitch/transport/platform.py
@@ -76,8 +76,11 @@
         """Return Success(Row or None) or Failure(PlatformFault)."""
         raise NotImplementedError
 
-    async def changes(self, table, since_revision):
-        """Return Success(Changes) or Failure(PlatformFault)."""
+    async def changes(self, table, since_revision, limit=None):
+        """Return Success(Changes) or Failure(PlatformFault).
+
+        With a ``limit`` of rows, the revision in the answer is where to go on.
+        """
         raise NotImplementedError
 
     async def write(self, table, writes):
--- a/plantainhitch/transport/platform_http.py
+++ b/plantainhitch/transport/platform_http.py
@@ -13,6 +13,7 @@
 import msgspec
 from returns.result import Failure, Success
 
+from .platform import FaultKind, Platform, PlatformFault
 from .platform_models import (
     ChangesModel,
     ConflictModel,
@@ -21,7 +22,6 @@
     WriteModel,
     WrittenModel,
 )
-from .platform import FaultKind, Platform, PlatformFault
 
 MAX_CONNECTIONS = 8
 IDLE_CONNECTION_S = 30
--- /dev/null
+++ b/tests/test_keys.py
@@ -0,0 +1,119 @@
+"""Keys are bound once, whatever is lost; nothing starts before that."""
+
+import asyncio
+import random
+import unittest
+
+from returns.result import Success
+
+from plantainhitch.clock import ManualClock
+from plantainhitch.coordination.keys import (
+    MAX_KEYS_PER_WRITE,
+    RETENTION_MS,
+    SWEEP_MARGIN_MS,
+    Binding,
+    KeyBinder,
+    KeySweeper,
+)
+from plantainhitch.protocol.errors import ErrorCode
+from plantainhitch.standins.table import Faults, MemoryPlatform, TableService
+
+DIGEST = b"digest"
+
+
+class KeyBinderTest(unittest.IsolatedAsyncioTestCase):
+    """One entry's binder under faults."""
+
+    def setUp(self):
+        self.clock = ManualClock(1_000)
+        self.platform = MemoryPlatform(self.clock)
+        self.binder = KeyBinder(self.platform, self.clock)
+
+    async def test_concurrent_keys_share_a_write(self):
+        await self.binder.bind("taken", DIGEST, b"first")
+        self.platform.counters.writes = 0
+        keys = ["taken", *(f"k{n}" for n in range(MAX_KEYS_PER_WRITE - 1))]
+        results = await asyncio.gather(
+            *(self.binder.bind(key, DIGEST, key.encode()) for key in keys)
+        )
+        self.assertEqual(results[0], Success(Binding(b"first", DIGEST, False)))
+        for key, result in zip(keys[1:], results[1:], strict=True):
+            self.assertEqual(result, Success(Binding(key.encode(), DIGEST, True)))
+        self.assertEqual(self.platform.counters.writes, 2)
+
+    async def test_same_key_twice_at_once(self):
+        first, second, other = await asyncio.gather(
+            self.binder.bind("k", DIGEST, b"a"),
+            self.binder.bind("k", DIGEST, b"b"),
+            self.binder.bind("k", b"other", b"c"),
+        )
+        self.assertEqual(first, Success(Binding(b"a", DIGEST, True)))
+        self.assertEqual(second, Success(Binding(b"a", DIGEST, False)))
+        self.assertIs(other.failure().code, ErrorCode.KEY_CONFLICT)
+
+    async def test_lost_reply_is_settled(self):
+        for faults in (Faults(lose_replies=2), Faults(lose_requests=2)):
+            with self.subTest(faults=faults):
+                self.platform.set_faults(faults)
+                key = repr(faults)
+                bound = await self.binder.bind(key, DIGEST, b"id")
+                self.assertEqual(bound, Success(Binding(b"id", DIGEST, True)))
+
+    async def test_store_down_claims_nothing_about_earlier_calls(self):
+        for faults in (Faults(outage=True), Faults(lose_requests=10_000)):
+            with self.subTest(faults=faults):
+                self.platform.set_faults(faults)
+                refusal = (await self.binder.bind("k", DIGEST, b"id")).failure()
+                self.assertIs(refusal.code, ErrorCode.STORE_DOWN)
+                self.assertFalse(refusal.not_run)
+
+    async def test_expired_key_is_refused_until_swept(self):
+        await self.binder.bind("k", DIGEST, b"old")
+        sweeper = KeySweeper(self.platform, self.clock)
+        self.clock.advance(RETENTION_MS)
+        again = await self.binder.bind("k", DIGEST, b"new")
+        self.assertEqual(again, Success(Binding(b"old", DIGEST, False)))
+        self.clock.advance(1)
+        expired = (await self.binder.bind("k", DIGEST, b"new")).failure()
+        self.assertIs(expired.code, ErrorCode.ANSWER_EXPIRED)
+        self.assertEqual(await sweeper.sweep(), 0)
+        self.clock.advance(SWEEP_MARGIN_MS)
+        self.assertEqual(await sweeper.sweep(), 1)
+        rebound = await self.binder.bind("k", DIGEST, b"new")
+        self.assertEqual(rebound, Success(Binding(b"new", DIGEST, True)))
+        self.assertEqual(await sweeper.sweep(), 0)
+
+
+class RaceTest(unittest.IsolatedAsyncioTestCase):
+    """Several entries bind the same keys at once."""
+
+    async def test_entries_agree_on_every_key(self):
+        for seed in (1, 2, 3):
+            with self.subTest(seed=seed):
+                await self.race(random.Random(seed))
+
+    async def race(self, rng):
+        tables = TableService()
+        bound = {}
+        for number in range(60):
+            binders = []
+            for _ in range(3):
+                platform = MemoryPlatform(ManualClock(), tables)
+                lost, dropped = rng.randrange(3), rng.randrange(2)
+                platform.set_faults(Faults(lose_replies=lost, lose_requests=dropped))
+                binders.append(KeyBinder(platform, ManualClock()))
+            results = await asyncio.gather(
+                *(
+                    binder.bind(f"key{number}", DIGEST, rng.randbytes(8))
+                    for binder in binders
+                )
+            )
+            ids = {result.unwrap().submission for result in results}
+            self.assertEqual(len(ids), 1)
+            new = [result for result in results if result.unwrap().is_new]
+            self.assertEqual(len(new), 1)
+            bound[number] = ids.pop()
+        binder = KeyBinder(MemoryPlatform(ManualClock(), tables), ManualClock())
+        for number, submission in bound.items():
+            again = await binder.bind(f"key{number}", DIGEST, b"late")
+            self.assertEqual(again, Success(Binding(submission, DIGEST, False)))
--- /dev/null
+++ b/tests/test_table.py
@@ -0,0 +1,104 @@
+"""The in-memory table against a naive model, and its faults."""
+
+import unittest
+
+from hypothesis import given, settings, strategies as st
+from returns.result import Success
+
+from plantainhitch.standins.table import (
+    Faults,
+    MemoryPlatform,
+    Table,
+    WriteConflict,
+)
+from plantainhitch.transport.platform import ABSENT, FaultKind, Row, Write
+
+KEYS = st.sampled_from("abc")
+WRITES = st.lists(
+    st.tuples(KEYS, st.sampled_from([None, b"1", b"2"]), st.sampled_from("ncwx")),
+    min_size=1,
+    max_size=3,
+    unique_by=lambda write: write[0],
+)
+
+
+class NaiveTable:
+    """All transactions in a list; everything is worked out from it anew."""
+
+    def __init__(self):
+        self.log = []
+
+    def last(self, key):
+        """Return (value, revision) of the key's last change."""
+        for number in range(len(self.log), 0, -1):
+            if key in self.log[number - 1]:
+                return self.log[number - 1][key], number
+        return None, 0
+
+    def changes(self, since):
+        changed = {key for change in self.log[since:] for key in change}
+        return {Row(key, *self.last(key)) for key in changed}
+
+    def write(self, writes):
+        for write in writes:
+            value, revision = self.last(write.key)
+            found = 0 if value is None else revision
+            if write.expected_revision not in (None, found):
+                return False
+        self.log.append({write.key: write.value for write in writes})
+        return True
+
+
+class DifferentialTest(unittest.TestCase):
+    """Random transactions on both tables."""
+
+    @settings(max_examples=150, derandomize=True, deadline=None, database=None)
+    @given(st.lists(WRITES, max_size=12), st.integers(0, 12), st.integers(1, 4))
+    def test_against_naive_table(self, transactions, since, limit):
+        table, naive = Table(), NaiveTable()
+        for transaction in transactions:
+            writes = [
+                Write(key, value, self._expected(naive, key, condition))
+                for key, value, condition in transaction
+            ]
+            result = table.write(writes)
+            self.assertEqual(isinstance(result, WriteConflict), not naive.write(writes))
+        self.assertEqual(table.revision, len(naive.log))
+        self.assertEqual(set(table.changes(since).rows), naive.changes(since))
+        self.assertEqual(self._paged(table, since, limit), naive.changes(since))
+
+    @staticmethod
+    def _expected(naive, key, condition):
+        value, revision = naive.last(key)
+        current = ABSENT if value is None else revision
+        return {"n": None, "c": current, "w": current + 1, "x": ABSENT}[condition]
+
+    @staticmethod
+    def _paged(table, since, limit):
+        """Collect all changes in pages, as a reader of a long table does."""
+        rows = set()
+        while True:
+            page = table.changes(since, limit)
+            rows.update(page.rows)
+            if len(page.rows) < limit:
+                return rows
+            since = page.revision
+
+
+class FaultTest(unittest.IsolatedAsyncioTestCase):
+    """Faults of the in-memory platform."""
+
+    async def test_lost_reply_lost_request_and_outage(self):
+        platform = MemoryPlatform()
+        platform.set_faults(Faults(lose_requests=1, lose_replies=1))
+        for expected_revision in (0, 1):
+            failed = await platform.write("t", [Write("k", b"v", ABSENT)])
+            self.assertEqual(failed.failure().kind, FaultKind.UNKNOWN)
+            self.assertEqual(platform.table("t").revision, expected_revision)
+        conflict = (await platform.write("t", [Write("k", b"w", ABSENT)])).failure()
+        self.assertEqual(conflict.rows, (Row("k", b"v", 1),))
+        platform.set_faults(Faults(outage=True))
+        failed = await platform.write("t", [Write("k", None)])
+        self.assertEqual(failed.failure().kind, FaultKind.NOT_APPLIED)
+        platform.set_faults(Faults())
+        self.assertEqual(await platform.read("t", "k"), Success(Row("k", b"v", 1)))
