Search a model of ownership and start, and one of callers' keys

The first model has an owner, a second entry, an agent with credits, memory and restarts, an endpoint, and a network that loses, copies, delays and reorders frames.

The model now has the rule that a forgotten, unacknowledged attempt turns these answers into Unknown; forgetting it silently is one of the planted faults.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 BIN := $(VENV)/bin
 READY := $(VENV)/.ready
 
-.PHONY: setup demo test format lint check
+.PHONY: setup demo test format lint check model-check
 
 $(READY): requirements-dev.lock
 	$(PYTHON) -m venv $(VENV)
@@ -26,3 +26,6 @@
 lint: $(READY)
 	$(BIN)/ruff format --check .
 	$(BIN)/ruff check .
+
+model-check: $(READY)
+	$(BIN)/python -m plantainhitch.verify
--- /dev/null
+++ b/plantainhitch/verify/starts.py
@@ -0,0 +1,81 @@
+"""The model of ownership and start: who may start a task, and what may be said.
+
+A caller submits a job to its owner, and asks another entry where the owner is
+paused or dead. The owner holds credits on a link to one agent; the agent keeps the
+attempts that it accepted or refused; the endpoint begins a run for each request
+that reaches it. Frames can be delayed past their validity, arrive in any order
+and twice, or be lost together with their link. The owner and the agent pause,
+die and come back.
+"""
+
+from .agent_steps import agent_fault_steps, agent_steps, forget_steps, network_steps
+from .owner_steps import owner_fault_steps, owner_steps, second_entry_steps
+from .states import Fault, Job, Limits, Owner, Phase, State, Task
+
+
+class StartModel:
+    """The model with ``tasks`` tasks in its one job, and perhaps a planted fault."""
+
+    def __init__(self, tasks=1, fault=Fault.NONE, limits=None):
+        self._tasks = tasks
+        self._fault = fault
+        self._limits = limits or Limits()
+
+    @property
+    def fault(self):
+        """The planted fault."""
+        return self._fault
+
+    def initial(self):
+        """Return the state before anything has happened."""
+        zeros = (0,) * self._tasks
+        return State(
+            owner=Owner.UP,
+            job=Job.UNSEEN,
+            tasks=(Task(),) * self._tasks,
+            session=0,
+            session_incarnation=0,
+            credits=0,
+            incarnation=1,
+            agent_paused=0,
+            agent_credits=(),
+            memories=(),
+            forgot=0,
+            frames=(),
+            posted=zeros,
+            starts=zeros,
+            told_not_run=zeros,
+            told=Job.UNSEEN,
+            taken_over=0,
+            limits=self._limits,
+        )
+
+    def steps(self, state):
+        """Yield every ``(label, next state)``."""
+        yield from owner_steps(state, self._fault)
+        yield from agent_steps(state, self._fault)
+        yield from network_steps(state)
+        yield from forget_steps(state, self._fault)
+        yield from second_entry_steps(state, self._fault)
+        yield from owner_fault_steps(state)
+        yield from agent_fault_steps(state)
+
+    def second_start(self, state):
+        """Return which task has started twice, or an empty text."""
+        for index, starts in enumerate(state.starts):
+            if starts > 1:
+                return f"task {index} started {starts} times"
+        return ""
+
+    def violation(self, state):
+        """Return which promise the state breaks, or an empty text."""
+        detail = self.second_start(state)
+        if detail:
+            return detail
+        for index, starts in enumerate(state.starts):
+            if starts and state.told_not_run[index]:
+                return f"task {index} ran, and the caller was told that it did not"
+        phases = [task.phase for task in state.tasks]
+        if state.told == Job.COMPLETE and set(phases) != {Phase.SUCCEEDED}:
+            return "a partial answer was marked complete"
+        return ""
--- /dev/null
+++ b/tests/test_verify.py
@@ -0,0 +1,82 @@
+"""The checked models: ours holds to the stated depth, planted faults are found."""
+
+import unittest
+
+from plantainhitch.verify.keys import KeyFault, KeyModel
+from plantainhitch.verify.search import search
+from plantainhitch.verify.starts import StartModel
+from plantainhitch.verify.states import Fault, Limits
+
+FAULT_DEPTH = 14
+KEY_DEPTH = 40
+
+
+class _AllStates:
+    """Counts a model's states with the states themselves, not with hashes."""
+
+    def __init__(self, model):
+        self._model = model
+
+    def count(self, depth):
+        seen = frontier = {self._model.initial()}
+        for _ in range(depth):
+            frontier = {
+                following
+                for state in frontier
+                for _, following in self._model.steps(state)
+            } - seen
+            seen = seen | frontier
+        return len(seen)
+
+
+class StartModelTests(unittest.TestCase):
+    """Ownership and start."""
+
+    def test_ours_holds(self):
+        for tasks, depth in ((1, 12), (2, 9)):
+            with self.subTest(tasks=tasks):
+                result = search(StartModel(tasks), depth)
+                self.assertIsNone(result.violation)
+                self.assertEqual(result.depth, depth)
+                self.assertGreater(result.states, 5_000)
+
+    def test_hashes_hide_no_state(self):
+        result = search(StartModel(), 10)
+        self.assertEqual(result.states, _AllStates(StartModel()).count(10))
+
+    def test_each_planted_fault_is_found(self):
+        for fault in Fault:
+            if fault is Fault.NONE:
+                continue
+            with self.subTest(fault=fault.value):
+                tasks = 2 if fault is Fault.PARTIAL_ANSWER else 1
+                result = search(StartModel(tasks, fault), FAULT_DEPTH)
+                self.assertIsNotNone(result.violation)
+                self.assertEqual(len(result.violation.trace), result.depth)
+
+    def test_named_faults_start_a_task_twice(self):
+        for fault in (
+            Fault.START_AGAIN_AFTER_TIMEOUT,
+            Fault.TAKE_OVER_ON_LAPSED_LEASE,
+        ):
+            with self.subTest(fault=fault.value):
+                limits = Limits(sessions=1, duplicates=0, waits=0, agent_restarts=0)
+                model = StartModel(1, fault, limits)
+                result = search(model, 18, model.second_start)
+                self.assertIsNotNone(result.violation)
+
+
+class KeyModelTests(unittest.TestCase):
+    """Callers' own keys."""
+
+    def test_ours_holds_in_every_state(self):
+        result = search(KeyModel(), KEY_DEPTH)
+        self.assertIsNone(result.violation)
+        self.assertTrue(result.is_exhausted)
+
+    def test_each_planted_fault_is_found(self):
+        for fault in KeyFault:
+            if fault is not KeyFault.NONE:
+                with self.subTest(fault=fault.value):
+                    result = search(KeyModel(fault), KEY_DEPTH)
+                    self.assertIsNotNone(result.violation)
