Add the entry's decisions: submissions, queues, placement, admission, health

The dispatcher takes calls, messages and ticks and gives messages to send; it has no sockets. First use and resubmission of an id are serialised in one task's memory. A refusal that says not run closes the id for good, so that a later submission of it can't make the refusal wrong (the stricter reading).

--- /dev/null
+++ b/plantainhitch/commands/lifecycle.py
@@ -0,0 +1,76 @@
+"""What the long-running commands share: settings, signals, the ready line."""
+
+import asyncio
+import json
+import signal
+import sys
+
+from .. import logs
+from ..settings import Settings
+
+EXIT_OK = 0
+EXIT_USAGE = 2
+
+log = logs.get_logger("lifecycle")
+
+
+def load_settings(path):
+    """Return the settings, or None after printing what is wrong with them."""
+    try:
+        return Settings.from_file(path)
+    except (OSError, ValueError) as error:
+        print(error, file=sys.stderr)
+        return None
+
+
+def print_ready(**fields):
+    """Print one JSON line that says where the process listens."""
+    line = {"ready": True} | {name: str(value) for name, value in fields.items()}
+    print(json.dumps(line), flush=True)
+
+
+class StopSignals:
+    """SIGTERM and SIGINT: the first asks to drain, the second to end at once."""
+
+    def __init__(self):
+        self.drain = asyncio.Event()
+        self.end = asyncio.Event()
+
+    @classmethod
+    def install(cls):
+        """Return the events, set by signals to this process from now on."""
+        signals = cls()
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, signals.receive)
+        return signals
+
+    def receive(self):
+        """Take in one signal."""
+        if self.drain.is_set():
+            self.end.set()
+        self.drain.set()
+
+
+async def run_until_stopped(node, signals, drain_ms):
+    """Run ``node`` until it has drained; return whether work was cut off.
+
+    After the first signal, a second one or ``drain_ms`` ends the drain.
+    """
+    running = asyncio.create_task(node.run(signals.drain))
+    ended = asyncio.create_task(signals.end.wait())
+    await asyncio.wait(
+        (running, ended, asyncio.create_task(signals.drain.wait())),
+        return_when=asyncio.FIRST_COMPLETED,
+    )
+    timeout_s = drain_ms / 1000
+    await asyncio.wait(
+        (running, ended), timeout=timeout_s, return_when=asyncio.FIRST_COMPLETED
+    )
+    ended.cancel()
+    if running.done():
+        running.result()
+        return False
+    running.cancel()
+    log.warning("drain was cut short", status=node.status())
+    return True
--- /dev/null
+++ b/plantainhitch/coordination/admission.py
@@ -0,0 +1,94 @@
+"""Admission: refuses early what could not start in time.
+
+A class's queue may hold what its recent start rate can serve within the class's
+target. A refusal is a proof that nothing of the job ran.
+"""
+
+import math
+from dataclasses import dataclass
+
+from ..protocol.errors import ErrorCode, Refusal
+
+RATE_WINDOW_MS = 1_000
+# A queue shorter than this is never refused: the rate is not known when idle.
+MIN_QUEUE_TASKS = 1_000
+MAX_QUEUE_TASKS = 50_000
+MIN_RETRY_AFTER_MS = 100
+MAX_RETRY_AFTER_MS = 30_000
+
+
+@dataclass(slots=True)
+class DecayingRate:
+    """Events per millisecond, older ones counting exponentially less."""
+
+    window_ms: int
+    level: float = 0.0
+    updated_ms: int = 0
+
+    def add(self, now_ms, count=1):
+        """Count events at ``now_ms``."""
+        self._decay(now_ms)
+        self.level += count
+
+    def per_ms(self, now_ms):
+        """Return the rate at ``now_ms``."""
+        self._decay(now_ms)
+        return self.level / self.window_ms
+
+    def _decay(self, now_ms):
+        elapsed_ms = now_ms - self.updated_ms
+        if elapsed_ms > 0:
+            self.level *= math.exp(-elapsed_ms / self.window_ms)
+            self.updated_ms = now_ms
+
+
+class Admission:
+    """Decides whether a job may join its class's queue."""
+
+    def __init__(self, clock, *, min_queue=MIN_QUEUE_TASKS, max_queue=MAX_QUEUE_TASKS):
+        self._clock = clock
+        self._min_queue = min_queue
+        self._max_queue = max_queue
+        self._rates = {}
+
+    def started(self, class_name, count=1):
+        """Note that tasks of the class have been started."""
+        self._rate(class_name).add(self._clock.now_ms(), count)
+
+    def expected_wait_ms(self, class_name, queued):
+        """Return how long a task that joins behind ``queued`` ones may wait."""
+        if not queued:
+            return 0
+        rate = self._rate(class_name).per_ms(self._clock.now_ms())
+        return queued / rate if rate > 0 else math.inf
+
+    def check(self, definition, queued, joining):
+        """Return None where the job may join, or a ``Refusal`` with not_run."""
+        if queued + joining > self._max_queue and queued:
+            return self._refuse(definition, queued)
+        if queued <= self._min_queue:
+            return None
+        wait_ms = self.expected_wait_ms(definition.name, queued)
+        if wait_ms > definition.answers_within_ms:
+            return self._refuse(definition, queued)
+        return None
+
+    def retry_after_ms(self, definition, queued):
+        """Return when the queue may have become short enough again."""
+        wait_ms = self.expected_wait_ms(definition.name, queued)
+        excess_ms = wait_ms - definition.answers_within_ms / 2
+        return int(min(max(excess_ms, MIN_RETRY_AFTER_MS), MAX_RETRY_AFTER_MS))
+
+    def _refuse(self, definition, queued):
+        return Refusal(
+            ErrorCode.OVERLOADED,
+            f"{queued} tasks of class {definition.name!r} already wait",
+            not_run=True,
+            retry_after_ms=self.retry_after_ms(definition, queued),
+        )
+
+    def _rate(self, class_name):
+        rate = self._rates.get(class_name)
+        if rate is None:
+            rate = self._rates[class_name] = DecayingRate(RATE_WINDOW_MS)
+        return rate
--- /dev/null
+++ b/plantainhitch/coordination/agent_links.py
@@ -0,0 +1,97 @@
+"""An entry's links to agents: one task for each, which dials again when it ends."""
+
+import asyncio
+import random
+
+from .. import logs
+from ..protocol import messages as m
+from ..transport import links
+from ..transport.addresses import Address
+from .events import AgentGone, AgentLinked, AgentRefused, AgentSaid, AgentUnlinked
+
+CONNECT_TIMEOUT_MS = 2_000
+HELLO_TIMEOUT_MS = 3_000
+FIRST_REDIAL_MS = 100
+MAX_REDIAL_MS = 2_000
+
+log = logs.get_logger("agent-links")
+
+
+class AgentDialer:
+    """Keeps one link to one agent incarnation and posts what happens on it."""
+
+    def __init__(self, member, own_hello, clock, post):
+        self._member = member
+        self._own_hello = own_hello
+        self._clock = clock
+        self._post = post
+        self._over = False
+
+    @property
+    def incarnation(self):
+        """The agent incarnation that this dialer is for."""
+        return self._member.incarnation
+
+    def stop_redialling(self):
+        """Let the link at hand run to its end and open no further one."""
+        self._over = True
+
+    async def run(self):
+        """Dial, serve the link, dial again, until the agent is gone."""
+        delay_ms = FIRST_REDIAL_MS
+        while not self._over:
+            link = await self._connect()
+            if link is not None and await self._serve(link):
+                delay_ms = FIRST_REDIAL_MS
+            if self._over:
+                break
+            await self._clock.sleep_ms(delay_ms * random.uniform(0.5, 1.0))
+            delay_ms = min(delay_ms * 2, MAX_REDIAL_MS)
+        self._post(AgentGone(self.incarnation))
+
+    async def _connect(self):
+        address = Address.from_text(self._member.link)
+        try:
+            async with asyncio.timeout(CONNECT_TIMEOUT_MS / 1000):
+                return await links.connect(address, self._clock)
+        except ConnectionRefusedError:
+            self._post(AgentRefused(self.incarnation))
+        except (OSError, TimeoutError) as error:
+            log.debug("no link", agent=self._member.name, error=str(error))
+        return None
+
+    async def _serve(self, link):
+        """Run one link to its end; return whether hellos were exchanged."""
+        hello = await exchange_hellos(link, self._own_hello())
+        if hello is None:
+            link.close("no hello")
+            return False
+        if hello.incarnation != self.incarnation:
+            # Another process answers at this address, so ours is dead.
+            self._over = True
+            link.close("another incarnation")
+            return False
+        self._post(AgentLinked(hello, self._member.rack, link))
+        closed = await link.run(lambda envelope: self._receive(link, envelope))
+        log.info("link ended", agent=self._member.name, detail=closed.detail)
+        self._post(AgentUnlinked(self.incarnation, link))
+        return True
+
+    def _receive(self, link, envelope):
+        message = envelope.message
+        if isinstance(message, m.ReportBatch):
+            link.acknowledge(message.number)
+        self._post(AgentSaid(self.incarnation, message))
+
+
+async def exchange_hellos(link, own_hello):
+    """Send our hello and return the other side's, or None where none comes."""
+    link.send(own_hello)
+    try:
+        async with asyncio.timeout(HELLO_TIMEOUT_MS / 1000):
+            received = await link.receive_one()
+    except TimeoutError:
+        return None
+    if isinstance(received, m.Envelope) and isinstance(received.message, m.Hello):
+        return received.message
+    return None
--- /dev/null
+++ b/plantainhitch/coordination/dispatcher.py
@@ -0,0 +1,469 @@
+"""The decisions of an entry, without sockets or sleeps.
+
+``Dispatcher`` owns submissions, queues and its view of the agents. Its owner
+feeds it calls, messages and ticks, then takes the messages to send from
+``take_outbox``.
+"""
+
+from collections import Counter
+from dataclasses import dataclass, field
+
+from ..outcomes import Failed, NotRun, Reason, Succeeded, Unknown
+from ..protocol import messages as m
+from ..protocol.calls import Job, TaskSpec
+from ..protocol.errors import ErrorCode, Refusal
+from ..state.estimates import RunTimeEstimates
+from .admission import Admission
+from .agents import AgentView
+from .health import HealthJudge
+from .placement import Placement
+from .queues import ClassQueues, Work
+from .submissions import Submission, SubmissionBook
+
+# An agent that refuses connections is given this long to come back; silence
+# gets longer, since a cut can heal and bring the answers.
+REFUSED_GRACE_MS = 2_000
+SILENT_GRACE_MS = 15_000
+# Time beyond a task's timeout for its report to arrive.
+REPORT_GRACE_MS = 15_000
+NO_FIT_WAIT_MS = 3_000
+NO_AGENT_WAIT_MS = 10_000
+MAX_ATTEMPTS = 8
+MAX_REPEATS = 3
+# Reasons that speak against the endpoint itself.
+ENDPOINT_FAULTS = frozenset(
+    (
+        Reason.BAD_ANSWER,
+        Reason.ENDPOINT_FAILED,
+        Reason.ENDPOINT_LOST,
+        Reason.ENDPOINT_REFUSED,
+        Reason.TASK_FAILED,
+        Reason.TIMED_OUT,
+    )
+)
+
+
+@dataclass(slots=True)
+class DispatchCounts:
+    """Counters since boot."""
+
+    started: int = 0
+    refused_starts: int = 0
+    retried: int = 0
+    demands: int = 0
+    returned_credits: int = 0
+    late_reports: int = 0
+
+
+@dataclass(slots=True)
+class Outbox:
+    """Messages to send, by agent incarnation."""
+
+    starts: dict = field(default_factory=dict)
+    others: list = field(default_factory=list)
+
+
+class Dispatcher:
+    """Submissions, queues and placement of one entry."""
+
+    def __init__(self, clock, issuer, *, book=None, admission=None):
+        self._clock = clock
+        self._issuer = issuer
+        self._book = book or SubmissionBook(issuer, clock)
+        self._admission = admission or Admission(clock)
+        self._queues = ClassQueues()
+        self._estimates = RunTimeEstimates()
+        self._judge = HealthJudge(clock)
+        self._placement = Placement(clock, self._estimates, self._judge)
+        self._agents = {}
+        self._placement.set_agents(self._agents)
+        self._drained_names = frozenset()
+        self._document = None
+        self._outbox = Outbox()
+        # Tasks in flight, by class.
+        self._running = Counter()
+        self._counts = DispatchCounts()
+
+    @property
+    def book(self):
+        """The submissions of this incarnation."""
+        return self._book
+
+    @property
+    def agents(self):
+        """The known agents, by incarnation."""
+        return self._agents
+
+    @property
+    def counts(self):
+        """Counters since boot."""
+        return self._counts
+
+    @property
+    def judge(self):
+        """The judge of endpoints' health."""
+        return self._judge
+
+    @property
+    def estimates(self):
+        """The run-time estimates."""
+        return self._estimates
+
+    @property
+    def queued(self):
+        """Tasks that wait, all classes."""
+        return self._queues.total()
+
+    @property
+    def in_flight(self):
+        """Tasks sent to agents and not yet reported."""
+        return sum(len(agent.in_flight) for agent in self._agents.values())
+
+    def queued_by_class(self):
+        """Return the number of waiting tasks of each class that has any."""
+        return {name: len(queue) for name, queue in self._queues.waiting()}
+
+    # Calls
+
+    def set_document(self, document):
+        """Use a new version of the class document."""
+        self._document = document
+        self._placement.invalidate()
+
+    def set_entry_count(self, count):
+        """Say how many entries share the agents."""
+        self._placement.set_entry_count(count)
+
+    def submit(self, raw_id, job):
+        """Return the ``Submission`` under the id, begun if new, or a ``Refusal``."""
+        found = self._book.find(raw_id)
+        if isinstance(found, Submission) or found.code is not ErrorCode.NOT_FOUND:
+            return self._resubmit(raw_id, job)
+        refusal = self._check_new(job)
+        if refusal:
+            self._book.refuse(raw_id)
+            return refusal
+        submission, _ = self._book.begin(raw_id, job)
+        self._enqueue(submission)
+        return submission
+
+    def request(self, call):
+        """Begin a single request; return its ``Submission`` or a ``Refusal``."""
+        spec = TaskSpec(0, call.body, call.declared_ms)
+        job = Job(call.class_name, (spec,), b"", call.traceparent)
+        refusal = self._check_new(job)
+        if refusal:
+            return refusal
+        repeatable = call.repeatable
+        if repeatable is None:
+            repeatable = self._document.classes[call.class_name].repeatable
+        (raw_id,) = self._book.open_ids(1)
+        submission, _ = self._book.begin(raw_id, job, repeatable)
+        self._enqueue(submission)
+        return submission
+
+    def cancel(self, raw_id):
+        """Cancel what has not ended; return the ``Submission`` or a ``Refusal``."""
+        found = self._book.find(raw_id)
+        if isinstance(found, Submission) and not found.has_ended:
+            found.cancelled = True
+            self._withdraw_queued(found, NotRun(Reason.CANCELLED))
+            self._stop_running(found)
+        return found
+
+    # Agents
+
+    def agent_linked(self, hello, rack=""):
+        """A link to an agent is up: ask for what is still open there."""
+        agent = self._agents.get(hello.incarnation)
+        if agent is None:
+            agent = AgentView(hello.incarnation, hello.name, hello.zone, rack)
+            self._agents[hello.incarnation] = agent
+        agent.linked = True
+        agent.lost_at_ms = None
+        if agent.in_flight:
+            self._send(agent, m.Resolve(list(agent.in_flight)))
+        self._placement.invalidate()
+        return agent
+
+    def agent_unlinked(self, incarnation):
+        """A link to an agent has ended; what runs there may still be answered."""
+        agent = self._agents.get(incarnation)
+        if agent is not None and agent.linked:
+            agent.lose_link(self._clock.now_ms())
+            self._outbox.starts.pop(incarnation, None)
+
+    def agent_refused(self, incarnation):
+        """An agent's address refuses connections: give it less time."""
+        agent = self._agents.get(incarnation)
+        if agent is None or agent.linked or agent.lost_at_ms is None:
+            return
+        if self._clock.now_ms() - agent.lost_at_ms >= REFUSED_GRACE_MS:
+            self.agent_gone(incarnation)
+
+    def agent_gone(self, incarnation):
+        """An agent has left or is dead: what it has not answered is unknown."""
+        agent = self._agents.pop(incarnation, None)
+        if agent is None:
+            return
+        agent.linked = False
+        self._placement.invalidate()
+        works, agent.in_flight = list(agent.in_flight.values()), {}
+        for work in works:
+            self._settle(work, Unknown(Reason.ENDPOINT_LOST))
+
+    def set_drained(self, names):
+        """Send no new starts to the endpoints with these names."""
+        self._drained_names = names
+        for agent in self._agents.values():
+            agent.drained = agent.endpoint in names
+
+    def receive(self, incarnation, message):
+        """Take in a message from an agent."""
+        agent = self._agents.get(incarnation)
+        if agent is None:
+            return
+        match message:
+            case m.ReportBatch(_, reports, grants):
+                for report in reports:
+                    self._report(agent, report)
+                agent.add_credits(grants)
+            case m.GrantBatch(credits):
+                agent.add_credits(credits)
+            case m.Recall(credits):
+                removed = agent.give_back(credits)
+                self._counts.returned_credits += sum(c.count for c in removed)
+                self._send(agent, m.Returned(removed))
+            case m.AgentStatus():
+                agent.status = message
+                agent.drained = message.endpoint in self._drained_names
+                self._placement.invalidate()
+
+    # Rounds
+
+    def place(self):
+        """Start waiting tasks while there are credits, then ask for more."""
+        if not self._document:
+            return
+        for name, queue in self._by_urgency():
+            definition = self._document.classes.get(name)
+            if definition is None:
+                self._drop_class(queue)
+                continue
+            self._place_class(definition, queue)
+            self._ask(definition, len(queue))
+
+    def tick(self):
+        """Do what depends on time alone; call it several times a second."""
+        now_ms = self._clock.now_ms()
+        self._book.expire()
+        for agent in list(self._agents.values()):
+            lost_ms = 0 if agent.lost_at_ms is None else now_ms - agent.lost_at_ms
+            if lost_ms >= SILENT_GRACE_MS:
+                self.agent_gone(agent.incarnation)
+                continue
+            self._expire_in_flight(agent, now_ms)
+        self._expire_queued(now_ms)
+
+    def take_outbox(self):
+        """Return (agent incarnation, message) pairs to send, in order."""
+        outbox, self._outbox = self._outbox, Outbox()
+        pairs = outbox.others
+        pairs += [(key, m.StartBatch(starts)) for key, starts in outbox.starts.items()]
+        return pairs
+
+    # Private parts, from the caller's side to the agents'
+
+    def _resubmit(self, raw_id, job):
+        begun = self._book.begin(raw_id, job)
+        return begun if isinstance(begun, Refusal) else begun[0]
+
+    def _check_new(self, job):
+        if self._document is None:
+            return Refusal(
+                ErrorCode.NO_CONFIGURATION, "no configuration yet", not_run=True
+            )
+        definition = self._document.classes.get(job.class_name)
+        if definition is None:
+            return Refusal(
+                ErrorCode.CLASS_UNKNOWN,
+                f"no class {job.class_name!r}",
+                not_run=True,
+            )
+        queue = self._queues.of(job.class_name)
+        return self._admission.check(definition, len(queue), len(job.tasks))
+
+    def _enqueue(self, submission):
+        job = submission.job
+        queue = self._queues.of(job.class_name)
+        now_ms = self._clock.now_ms()
+        for spec in job.tasks:
+            self._estimates.declare(job.class_name, spec.declared_ms)
+            queue.push(Work(submission, spec, now_ms))
+
+    def _withdraw_queued(self, submission, outcome):
+        queue = self._queues.of(submission.job.class_name)
+        for work in list(submission.queued):
+            queue.withdraw(work)
+            self._book.record(submission, work.spec.index, outcome)
+
+    def _stop_running(self, submission):
+        for agent in self._agents.values():
+            keys = [k for k in agent.in_flight if k.submission == submission.id]
+            if keys:
+                self._send(agent, m.CancelBatch(keys))
+
+    def _drop_class(self, queue):
+        while (work := queue.pop()) is not None:
+            self._finish(work, NotRun(Reason.CLASS_UNKNOWN))
+
+    def _by_urgency(self):
+        """Return queues: classes below their claim first, then by time left."""
+        now_ms = self._clock.now_ms()
+        slots = sum(agent.slots for agent in self._agents.values())
+        running = self._running
+
+        def order(item):
+            name, queue = item
+            definition = self._document.classes.get(name)
+            head = queue.peek()
+            if definition is None or head is None:
+                return (True, 0)
+            claim = definition.claims_at_least * slots
+            left_ms = head.enqueued_ms + definition.answers_within_ms - now_ms
+            return (running[name] >= claim, left_ms)
+
+        waiting = self._queues.waiting()
+        return sorted(waiting, key=order) if len(waiting) > 1 else waiting
+
+    def _place_class(self, definition, queue):
+        now_ms = self._clock.now_ms()
+        while (work := queue.peek()) is not None:
+            waited_ms = now_ms - work.enqueued_ms
+            agent = self._placement.choose(
+                definition, len(queue), waited_ms, work.excluded
+            )
+            if agent is None:
+                return
+            queue.pop()
+            self._start(agent, work, definition)
+
+    def _start(self, agent, work, definition):
+        agent.use_credit(definition.name)
+        work.sent_ms = self._clock.now_ms()
+        work.submission.started_any = True
+        key = work.key
+        agent.in_flight[key] = work
+        self._running[work.class_name] += 1
+        start = m.Start(
+            key=key,
+            class_name=definition.name,
+            body=work.spec.body,
+            timeout_ms=definition.timeout_ms,
+            traceparent=work.submission.job.traceparent,
+        )
+        self._outbox.starts.setdefault(agent.incarnation, []).append(start)
+        self._counts.started += 1
+        self._admission.started(definition.name)
+
+    def _ask(self, definition, waiting):
+        """Tell agents of demand where it has changed by a factor of two."""
+        for agent, credit in self._placement.wants(definition, waiting):
+            believed = agent.wanted.get(credit.class_name, 0)
+            if credit.count > 2 * believed or (believed and not credit.count):
+                agent.wanted[credit.class_name] = credit.count
+                wanted = [m.Credit(n, c) for n, c in agent.wanted.items() if c]
+                self._send(agent, m.Demand(wanted))
+                self._counts.demands += 1
+
+    def _report(self, agent, report):
+        work = agent.in_flight.pop(report.key, None)
+        if work is None:
+            self._counts.late_reports += 1
+            return
+        self._learn(agent, work, report)
+        self._settle(work, report.outcome, agent.name)
+
+    def _learn(self, agent, work, report):
+        match report.outcome:
+            case Succeeded():
+                self._estimates.observe(agent.endpoint, work.class_name, report.run_ms)
+                self._judge.observe(agent.endpoint, failed=False)
+            case Failed(reason) | Unknown(reason) | NotRun(reason):
+                if reason in ENDPOINT_FAULTS:
+                    self._judge.observe(agent.endpoint, failed=True)
+
+    def _settle(self, work, outcome, agent_name=""):
+        """Finish the task with its outcome, or try it again where that is safe."""
+        self._running[work.class_name] -= 1
+        if self._may_retry(work, outcome):
+            work.attempt += 1
+            work.excluded = agent_name
+            self._counts.retried += 1
+            self._queues.of(work.class_name).push_front(work)
+            return
+        self._finish(work, outcome)
+
+    def _may_retry(self, work, outcome):
+        if work.submission.cancelled:
+            return False
+        match outcome:
+            case NotRun():
+                self._counts.refused_starts += 1
+                return work.attempt < MAX_ATTEMPTS
+            case Unknown() | Failed(reason=Reason.ENDPOINT_FAILED):
+                return work.submission.repeatable and work.attempt <= MAX_REPEATS
+        return False
+
+    def _finish(self, work, outcome):
+        submission = work.submission
+        self._book.record(submission, work.spec.index, outcome)
+        # The answer can't become complete any more: start nothing further of it.
+        if not isinstance(outcome, Succeeded) and submission.queued:
+            self._withdraw_queued(submission, NotRun(Reason.CANCELLED))
+
+    def _expire_in_flight(self, agent, now_ms):
+        expired = [
+            (key, work)
+            for key, work in agent.in_flight.items()
+            if now_ms - work.sent_ms > self._report_limit_ms(work)
+        ]
+        for key, work in expired:
+            del agent.in_flight[key]
+            self._settle(work, Unknown(Reason.TIMED_OUT))
+
+    def _report_limit_ms(self, work):
+        definition = self._document and self._document.classes.get(work.class_name)
+        return (definition.timeout_ms if definition else 0) + REPORT_GRACE_MS
+
+    def _expire_queued(self, now_ms):
+        for name, queue in self._queues.waiting():
+            definition = self._document and self._document.classes.get(name)
+            head = queue.peek()
+            if definition is None or head is None:
+                continue
+            limit = self._wait_limit(definition)
+            while head and now_ms - head.enqueued_ms > limit.wait_ms:
+                queue.pop()
+                self._finish(head, NotRun(limit.reason))
+                head = queue.peek()
+
+    def _wait_limit(self, definition):
+        if not self._placement.any_fits(definition):
+            if self._agents:
+                return WaitLimit(NO_FIT_WAIT_MS, Reason.NO_FIT)
+            return WaitLimit(NO_AGENT_WAIT_MS, Reason.NO_FIT)
+        return WaitLimit(
+            max(definition.timeout_ms, definition.answers_within_ms), Reason.EXPIRED
+        )
+
+    def _send(self, agent, message):
+        self._outbox.others.append((agent.incarnation, message))
+
+
+@dataclass(frozen=True, slots=True)
+class WaitLimit:
+    """How long a task may wait in its queue, and why it then ends."""
+
+    wait_ms: int
+    reason: Reason
--- /dev/null
+++ b/plantainhitch/coordination/events.py
@@ -0,0 +1,86 @@
+"""Events that tasks of an entry post to the task that owns its state."""
+
+import asyncio
+from dataclasses import dataclass
+
+from ..protocol.calls import Call
+from ..protocol.messages import Hello, Message
+from ..state.classes import ClassDocument
+from ..transport.links import Link
+
+
+@dataclass(slots=True)
+class Asked:
+    """A caller's call on an id of this incarnation; ``reply`` gets the answer."""
+
+    call: Call
+    reply: asyncio.Future
+
+
+@dataclass(slots=True)
+class AgentLinked:
+    """A link to an agent is up and both sides have said hello."""
+
+    hello: Hello
+    rack: str
+    link: Link
+
+
+@dataclass(slots=True)
+class AgentSaid:
+    """A message came from an agent."""
+
+    incarnation: bytes
+    message: Message
+
+
+@dataclass(slots=True)
+class AgentUnlinked:
+    """The link to an agent has ended."""
+
+    incarnation: bytes
+    link: Link
+
+
+@dataclass(slots=True)
+class AgentRefused:
+    """An agent's address refuses connections."""
+
+    incarnation: bytes
+
+
+@dataclass(slots=True)
+class AgentGone:
+    """An agent has left, or another incarnation has taken its address."""
+
+    incarnation: bytes
+
+
+@dataclass(slots=True)
+class Taken:
+    """A newer version of the class document is in force here."""
+
+    document: ClassDocument
+
+
+@dataclass(slots=True)
+class MembersChanged:
+    """Membership or operators' drains have changed."""
+
+
+@dataclass(slots=True)
+class Tick:
+    """Time has passed."""
+
+
+Event = (
+    Asked
+    | AgentLinked
+    | AgentSaid
+    | AgentUnlinked
+    | AgentRefused
+    | AgentGone
+    | Taken
+    | MembersChanged
+    | Tick
+)
--- /dev/null
+++ b/plantainhitch/coordination/queues.py
@@ -0,0 +1,110 @@
+"""Queues of tasks that wait at an entry, one for each class.
+
+Cancelling a task takes constant time: it is marked, and skipped when the queue
+comes to it.
+"""
+
+from collections import deque
+from dataclasses import dataclass
+
+from ..protocol.calls import TaskSpec
+from ..protocol.messages import TaskKey
+from .submissions import Submission
+
+
+@dataclass(slots=True, eq=False)
+class Work:
+    """One task on its way: queued, or sent to an agent.
+
+    ``excluded`` is the name of the agent that refused it last.
+    """
+
+    submission: Submission
+    spec: TaskSpec
+    enqueued_ms: int
+    attempt: int = 1
+    withdrawn: bool = False
+    excluded: str = ""
+    sent_ms: int = 0
+
+    @property
+    def class_name(self):
+        """The class of the task's job."""
+        return self.submission.job.class_name
+
+    @property
+    def key(self):
+        """The key of the current attempt."""
+        return TaskKey(self.submission.id, self.spec.index, self.attempt)
+
+
+class ClassQueue:
+    """Waiting tasks of one class, first come first served."""
+
+    def __init__(self):
+        self._works = deque()
+        self._live = 0
+
+    def __len__(self):
+        return self._live
+
+    def push(self, work):
+        """Put ``work`` at the end."""
+        self._works.append(work)
+        self._added(work)
+
+    def push_front(self, work):
+        """Put ``work``, which was refused elsewhere, in front."""
+        self._works.appendleft(work)
+        self._added(work)
+
+    def withdraw(self, work):
+        """Take ``work`` out, wherever it stands."""
+        work.withdrawn = True
+        self._removed(work)
+
+    def peek(self):
+        """Return the first task, or None."""
+        works = self._works
+        while works and works[0].withdrawn:
+            works.popleft()
+        return works[0] if works else None
+
+    def pop(self):
+        """Remove and return the first task, or None."""
+        work = self.peek()
+        if work is not None:
+            self._works.popleft()
+            self._removed(work)
+        return work
+
+    def _added(self, work):
+        work.withdrawn = False
+        work.submission.queued.add(work)
+        self._live += 1
+
+    def _removed(self, work):
+        work.submission.queued.discard(work)
+        self._live -= 1
+
+
+class ClassQueues:
+    """The queues of all classes."""
+
+    def __init__(self):
+        self._queues = {}
+
+    def of(self, class_name):
+        """Return the queue of a class."""
+        queue = self._queues.get(class_name)
+        if queue is None:
+            queue = self._queues[class_name] = ClassQueue()
+        return queue
+
+    def waiting(self):
+        """Return the (class name, queue) pairs with tasks in them."""
+        return [(name, queue) for name, queue in self._queues.items() if len(queue)]
+
+    def total(self):
+        """Return how many tasks wait in all."""
+        return sum(len(queue) for queue in self._queues.values())
--- a/plantainhitch/protocol/errors.py
+++ b/plantainhitch/protocol/errors.py
@@ -20,6 +20,7 @@
     ID_MALFORMED = "id_malformed"
     ID_UNKNOWN = "id_unknown"
     ID_CONFLICT = "id_conflict"
+    ID_REFUSED = "id_refused"
     KEY_CONFLICT = "key_conflict"
     NOT_FOUND = "not_found"
     ANSWER_EXPIRED = "answer_expired"
@@ -46,6 +47,7 @@
     ErrorCode.ID_MALFORMED: 400,
     ErrorCode.ID_UNKNOWN: 404,
     ErrorCode.ID_CONFLICT: 409,
+    ErrorCode.ID_REFUSED: 409,
     ErrorCode.KEY_CONFLICT: 409,
     ErrorCode.NOT_FOUND: 404,
     ErrorCode.ANSWER_EXPIRED: 410,
--- /dev/null
+++ b/plantainhitch/protocol/forwarding.py
@@ -0,0 +1,142 @@
+"""Calls and answers as they travel between two entries.
+
+An entry that receives an id of another incarnation passes the call on. The
+payload of ``messages.Call`` and ``messages.Reply`` is MessagePack of the models
+here; task bodies and answers stay raw bytes.
+"""
+
+import enum
+
+import msgspec
+
+from ..outcomes import Failed, NotRun, Reason, Succeeded, Unknown
+from . import calls
+from .errors import ErrorCode, Refusal
+
+
+class Operation(enum.StrEnum):
+    """The calls that can be passed on."""
+
+    SUBMIT = "submit"
+    FETCH = "fetch"
+    CANCEL = "cancel"
+
+
+class OutcomeModel(msgspec.Struct, array_like=True):
+    """One task's outcome; the fields used depend on ``kind``."""
+
+    index: int
+    kind: str
+    reason: str = ""
+    retry_after_ms: int = 0
+    body: bytes = b""
+
+
+class AnswerModel(msgspec.Struct, tag="answer", array_like=True):
+    """A ``calls.JobAnswer``."""
+
+    submission: bytes
+    state: str
+    outcomes: list[OutcomeModel]
+    not_run: bool
+    retry_after_ms: int
+
+
+class RefusalModel(msgspec.Struct, tag="refusal", array_like=True):
+    """An ``errors.Refusal``."""
+
+    code: str
+    message: str
+    not_run: bool
+    retry_after_ms: int
+    details: list[str]
+
+
+_job_decoder = msgspec.msgpack.Decoder(calls.Job)
+_answer_decoder = msgspec.msgpack.Decoder(AnswerModel | RefusalModel)
+
+
+def encode_job(job):
+    """Return the payload of a forwarded submission."""
+    return msgspec.msgpack.encode(job)
+
+
+def decode_job(data):
+    """Return the job in a payload; raise ``msgspec.DecodeError`` if it is bad."""
+    return _job_decoder.decode(data)
+
+
+def encode_answer(answer):
+    """Return the payload of an answer or a refusal."""
+    return msgspec.msgpack.encode(_to_model(answer))
+
+
+def decode_answer(data):
+    """Return the ``JobAnswer`` or ``Refusal`` in a payload."""
+    model = _answer_decoder.decode(data)
+    if isinstance(model, RefusalModel):
+        return Refusal(
+            code=ErrorCode(model.code),
+            message=model.message,
+            not_run=model.not_run,
+            retry_after_ms=model.retry_after_ms,
+            details=tuple(model.details),
+        )
+    return calls.JobAnswer(
+        submission=model.submission,
+        state=calls.JobState(model.state),
+        outcomes={item.index: _from_outcome_model(item) for item in model.outcomes},
+        not_run=model.not_run,
+        retry_after_ms=model.retry_after_ms,
+    )
+
+
+def _to_model(answer):
+    match answer:
+        case Refusal():
+            return RefusalModel(
+                answer.code.value,
+                answer.message,
+                answer.not_run,
+                answer.retry_after_ms,
+                list(answer.details),
+            )
+        case calls.JobAnswer():
+            outcomes = [
+                _to_outcome_model(index, outcome)
+                for index, outcome in answer.outcomes.items()
+            ]
+            return AnswerModel(
+                answer.submission,
+                answer.state.value,
+                outcomes,
+                answer.not_run,
+                answer.retry_after_ms,
+            )
+    raise TypeError(f"not an answer to a forwarded call: {answer!r}")
+
+
+def _to_outcome_model(index, outcome):
+    match outcome:
+        case Succeeded(body):
+            return OutcomeModel(index, "succeeded", body=body)
+        case NotRun(reason, retry_after_ms):
+            return OutcomeModel(index, "not_run", reason.value, retry_after_ms)
+        case Failed(reason, detail):
+            return OutcomeModel(index, "failed", reason.value, body=detail.encode())
+        case Unknown(reason):
+            return OutcomeModel(index, "unknown", reason.value)
+    raise TypeError(f"not an outcome: {outcome!r}")
+
+
+def _from_outcome_model(model):
+    match model.kind:
+        case "succeeded":
+            return Succeeded(model.body)
+        case "not_run":
+            return NotRun(Reason(model.reason), model.retry_after_ms)
+        case "failed":
+            return Failed(Reason(model.reason), model.body.decode())
+        case "unknown":
+            return Unknown(Reason(model.reason))
+    raise ValueError(f"unknown kind of outcome {model.kind!r}")
--- /dev/null
+++ b/plantainhitch/state/sequences.py
@@ -0,0 +1,68 @@
+"""A set of sequence numbers, kept as merged ranges.
+
+Ids are used nearly in the order in which they were issued, so the used ones form
+few ranges and the set stays small.
+"""
+
+import bisect
+
+
+class SequenceSet:
+    """Numbers that were used, plus everything below ``low_water``."""
+
+    def __init__(self):
+        self._low_water = 0
+        # Sorted, disjoint, not touching: [starts[i], ends[i]) is in the set.
+        self._starts = []
+        self._ends = []
+
+    @property
+    def low_water(self):
+        """Every number below this one counts as used."""
+        return self._low_water
+
+    @property
+    def range_count(self):
+        """How many ranges are kept."""
+        return len(self._starts)
+
+    def __contains__(self, number):
+        if number < self._low_water:
+            return True
+        position = bisect.bisect_right(self._starts, number) - 1
+        return position >= 0 and number < self._ends[position]
+
+    def add(self, number):
+        """Put ``number`` into the set."""
+        if number in self:
+            return
+        position = bisect.bisect_right(self._starts, number)
+        joins_left = position > 0 and self._ends[position - 1] == number
+        joins_right = (
+            position < len(self._starts) and self._starts[position] == number + 1
+        )
+        if joins_left and joins_right:
+            self._ends[position - 1] = self._ends.pop(position)
+            self._starts.pop(position)
+        elif joins_left:
+            self._ends[position - 1] = number + 1
+        elif joins_right:
+            self._starts[position] = number
+        else:
+            self._starts.insert(position, number)
+            self._ends.insert(position, number + 1)
+
+    def raise_low_water(self, number):
+        """Count every number below ``number`` as used and drop their ranges."""
+        if number <= self._low_water:
+            return
+        self._low_water = number
+        self.forget_below(number)
+
+    def forget_below(self, number):
+        """Drop the ranges below ``number``."""
+        keep = bisect.bisect_right(self._ends, number)
+        del self._starts[:keep]
+        del self._ends[:keep]
+        if self._starts and self._starts[0] < number:
+            self._starts[0] = number
--- /dev/null
+++ b/tests/test_dispatcher.py
@@ -0,0 +1,224 @@
+"""The entry's decisions, driven by messages and a manual clock."""
+
+import unittest
+
+from plantainhitch.clock import ManualClock
+from plantainhitch.coordination.dispatcher import (
+    REFUSED_GRACE_MS,
+    SILENT_GRACE_MS,
+    Dispatcher,
+)
+from plantainhitch.coordination.submissions import RETENTION_MS, Submission
+from plantainhitch.outcomes import Failed, NotRun, Reason, Succeeded, Unknown
+from plantainhitch.protocol import messages as m
+from plantainhitch.protocol.calls import Job, JobState, SingleRequest, TaskSpec
+from plantainhitch.protocol.errors import ErrorCode
+from plantainhitch.state.classes import ClassDefinition, ClassDocument
+from plantainhitch.state.ids import IdIssuer
+
+AGENT = b"a" * 16
+OTHER_AGENT = b"b" * 16
+RENDER = ClassDefinition("render", answers_within_ms=500, timeout_ms=5_000)
+DOCUMENT = ClassDocument(1, "c1", "operator", {"render": RENDER})
+
+
+def job(count, digest=b"d"):
+    """Return a job of ``count`` tasks."""
+    specs = tuple(TaskSpec(i, b"%d" % i) for i in range(count))
+    return Job("render", specs, digest)
+
+
+class DispatcherTestCase(unittest.TestCase):
+    """A dispatcher with a configuration and no agents."""
+
+    def setUp(self):
+        self.clock = ManualClock(1_000)
+        self.dispatcher = Dispatcher(self.clock, IdIssuer.at_boot())
+        self.dispatcher.set_document(DOCUMENT)
+
+    def link(self, incarnation=AGENT, slots=4, credits=4):
+        name = incarnation[:1].decode()
+        self.dispatcher.agent_linked(m.Hello("agent", incarnation, name))
+        self.dispatcher.receive(incarnation, m.AgentStatus(f"ep-{name}", slots))
+        if credits:
+            self.grant(credits, incarnation)
+
+    def grant(self, count, incarnation=AGENT):
+        credits = [m.Credit(m.ANY_CLASS, count)]
+        self.dispatcher.receive(incarnation, m.GrantBatch(credits))
+
+    def submit(self, count=1, digest=b"d"):
+        (raw_id,) = self.dispatcher.book.open_ids(1)
+        return self.dispatcher.submit(raw_id, job(count, digest))
+
+    def round(self):
+        """Place and return the starts sent, as (incarnation, Start)."""
+        self.dispatcher.place()
+        return [
+            (incarnation, start)
+            for incarnation, message in self.dispatcher.take_outbox()
+            if isinstance(message, m.StartBatch)
+            for start in message.starts
+        ]
+
+    def report(self, start, outcome, incarnation=AGENT, grants=()):
+        batch = m.ReportBatch(1, [m.Report(start.key, outcome, 100)], list(grants))
+        self.dispatcher.receive(incarnation, batch)
+
+
+class StartTests(DispatcherTestCase):
+    """Which tasks start, and how often."""
+
+    def test_job_completes(self):
+        self.link()
+        submission = self.submit(3)
+        starts = self.round()
+        self.assertEqual([s.key.index for _, s in starts], [0, 1, 2])
+        for _, start in starts:
+            self.report(start, Succeeded(b"1"))
+        self.assertEqual(submission.answer().state, JobState.COMPLETE)
+
+    def test_no_start_without_credit(self):
+        self.link(credits=2)
+        self.submit(3)
+        self.assertEqual(len(self.round()), 2)
+        self.grant(1)
+        self.assertEqual(len(self.round()), 1)
+
+    def test_resubmission_starts_nothing(self):
+        self.link()
+        (raw_id,) = self.dispatcher.book.open_ids(1)
+        first = self.dispatcher.submit(raw_id, job(2))
+        self.assertEqual(len(self.round()), 2)
+        self.assertIs(self.dispatcher.submit(raw_id, job(2)), first)
+        self.assertEqual(self.round(), [])
+
+    def test_other_body_is_a_conflict(self):
+        (raw_id,) = self.dispatcher.book.open_ids(1)
+        self.dispatcher.submit(raw_id, job(2))
+        refusal = self.dispatcher.submit(raw_id, job(2, b"other"))
+        self.assertEqual(refusal.code, ErrorCode.ID_CONFLICT)
+
+    def test_expired_answer_is_not_started_again(self):
+        self.link()
+        (raw_id,) = self.dispatcher.book.open_ids(1)
+        self.dispatcher.submit(raw_id, job(1))
+        ((_, start),) = self.round()
+        self.report(start, Succeeded(b"1"))
+        self.clock.advance(RETENTION_MS + 1)
+        self.dispatcher.tick()
+        refusal = self.dispatcher.submit(raw_id, job(1))
+        self.assertEqual(refusal.code, ErrorCode.ANSWER_EXPIRED)
+        self.assertEqual(self.round(), [])
+
+    def test_refusal_as_not_run_closes_the_id(self):
+        self.link()
+        self.dispatcher.set_document(ClassDocument(2, "c2", "operator", {}))
+        (raw_id,) = self.dispatcher.book.open_ids(1)
+        self.assertTrue(self.dispatcher.submit(raw_id, job(1)).not_run)
+        self.dispatcher.set_document(DOCUMENT)
+        refusal = self.dispatcher.submit(raw_id, job(1))
+        self.assertEqual(refusal.code, ErrorCode.ID_REFUSED)
+        self.assertEqual(self.round(), [])
+
+    def test_forged_id(self):
+        (raw_id,) = self.dispatcher.book.open_ids(1)
+        forged = raw_id[:-1] + bytes([raw_id[-1] ^ 1])
+        refusal = self.dispatcher.submit(forged, job(1))
+        self.assertEqual(refusal.code, ErrorCode.ID_UNKNOWN)
+
+
+class FailureTests(DispatcherTestCase):
+    """Refusals, failures, lost links and cancellation."""
+
+    def test_refused_start_goes_elsewhere_as_a_new_attempt(self):
+        self.link()
+        self.link(OTHER_AGENT)
+        submission = self.submit()
+        ((first, start),) = self.round()
+        self.report(start, NotRun(Reason.DRAINING), first)
+        ((second, again),) = self.round()
+        self.assertNotEqual(first, second)
+        self.assertEqual(again.key.attempt, start.key.attempt + 1)
+        self.report(again, Succeeded(b"1"), second)
+        self.assertEqual(submission.answer().state, JobState.COMPLETE)
+
+    def test_failed_task_fails_the_job_and_stops_the_rest(self):
+        self.link(credits=1)
+        submission = self.submit(3)
+        ((_, start),) = self.round()
+        self.report(start, Failed(Reason.TASK_FAILED, "no"))
+        answer = submission.answer()
+        self.assertEqual(answer.state, JobState.FAILED)
+        self.assertFalse(answer.not_run)
+        self.assertEqual(answer.outcomes[2], NotRun(Reason.CANCELLED))
+
+    def test_relinked_agent_is_asked_and_the_answer_counts(self):
+        self.link()
+        submission = self.submit()
+        ((_, start),) = self.round()
+        self.dispatcher.agent_unlinked(AGENT)
+        self.clock.advance(SILENT_GRACE_MS - 1)
+        self.dispatcher.tick()
+        self.dispatcher.agent_linked(m.Hello("agent", AGENT, "a"))
+        resolves = [x for _, x in self.dispatcher.take_outbox()]
+        self.assertEqual(resolves, [m.Resolve([start.key])])
+        self.report(start, Succeeded(b"1"))
+        self.assertEqual(submission.answer().state, JobState.COMPLETE)
+
+    def test_dead_agent_leaves_the_outcome_unknown(self):
+        self.link()
+        submission = self.submit()
+        self.round()
+        self.dispatcher.agent_unlinked(AGENT)
+        self.clock.advance(REFUSED_GRACE_MS)
+        self.dispatcher.agent_refused(AGENT)
+        self.link(OTHER_AGENT)
+        self.assertEqual(self.round(), [])
+        self.assertEqual(
+            submission.answer().outcomes, {0: Unknown(Reason.ENDPOINT_LOST)}
+        )
+
+    def test_only_repeatable_requests_are_repeated(self):
+        for repeatable in (True, False):
+            with self.subTest(repeatable=repeatable):
+                self.link()
+                submission = self.dispatcher.request(
+                    SingleRequest("render", b"1", repeatable=repeatable)
+                )
+                ((_, start),) = self.round()
+                self.report(start, Unknown(Reason.ENDPOINT_LOST))
+                self.assertEqual(len(self.round()), int(repeatable))
+                self.assertEqual(submission.has_ended, not repeatable)
+
+    def test_cancel(self):
+        self.link(credits=1)
+        submission = self.submit(3)
+        ((_, start),) = self.round()
+        self.assertIsInstance(self.dispatcher.cancel(submission.id), Submission)
+        stops = [x for _, x in self.dispatcher.take_outbox()]
+        self.assertEqual(stops, [m.CancelBatch([start.key])])
+        self.report(start, Failed(Reason.CANCELLED))
+        self.assertEqual(submission.answer().state, JobState.FAILED)
+        self.assertEqual(self.round(), [])
+
+    def test_failing_endpoint_is_held_back(self):
+        self.link(credits=100)
+        self.link(OTHER_AGENT, credits=100)
+        for _ in range(60):
+            self.submit()
+            for incarnation, start in self.round():
+                bad = incarnation == AGENT
+                outcome = Failed(Reason.TASK_FAILED) if bad else Succeeded(b"1")
+                self.report(start, outcome, incarnation)
+        self.assertTrue(self.dispatcher.judge.of("ep-a").held)
+        self.assertFalse(self.dispatcher.judge.of("ep-b").held)
+
+    def test_class_that_fits_nowhere(self):
+        big = ClassDefinition("render", 500, accelerators=1)
+        self.dispatcher.set_document(ClassDocument(2, "c", "o", {"render": big}))
+        self.link()
+        submission = self.submit()
+        self.clock.advance(3_001)
+        self.dispatcher.tick()
+        self.assertEqual(submission.answer().outcomes, {0: NotRun(Reason.NO_FIT)})
