--- a/plantainhitch/commands/entry.py
+++ b/plantainhitch/commands/entry.py
@@ -1,6 +1,5 @@
 """``plantainhitch entry``: run an entry process."""
 
-
 import uvloop
 
 from .. import logs
