--- a/plantainhitch/settings.py
+++ b/plantainhitch/settings.py
@@ -1,59 +1,80 @@
-"""Settings of a process, from a TOML file."""
+"""Settings of a process, from a TOML file, checked whole before use."""
 
-import tomllib
-from dataclasses import dataclass
-from pathlib import Path
+from dataclasses import dataclass, field
 
-import msgspec
+from returns.result import Failure, Result, Success
 
+from .logs import LEVELS
 from .transport.addresses import Address
+from .validation import (
+    Choice,
+    Name,
+    Problem,
+    SocketAddress,
+    Url,
+    Whole,
+    check_table,
+    nearest,
+    read_toml,
+    shown,
+)
+
+MEBIBYTE = 1024 * 1024
+HOUR_MS = 60 * 60 * 1_000
+
+_RULES = {
+    "process": {
+        "name": Name(),
+        "zone": Name(),
+        "region": Name(),
+        "rack": Name(optional=True),
+    },
+    "listen": {
+        "http": SocketAddress(any_port=True),
+        "link": SocketAddress(any_port=True),
+        "advertise_link": SocketAddress(optional=True),
+    },
+    "platform": {
+        "address": SocketAddress(),
+        "timeout_ms": Whole(1, 60_000),
+    },
+    "log": {"level": Choice(LEVELS)},
+    "traces": {"collector": Url()},
+    "limits": {
+        "body_bytes": Whole(1_024, 64 * MEBIBYTE),
+        "queued_tasks": Whole(1, 10_000_000),
+        "retention_ms": Whole(1_000, 24 * HOUR_MS),
+        "drain_ms": Whole(0, HOUR_MS),
+    },
+}
+_REQUIRED = {
+    "process": ("name", "zone"),
+    "listen": ("http", "link"),
+    "platform": ("address",),
+}
+
+
+class SettingsError(ValueError):
+    """A settings file is bad; ``problems`` has every error of it."""
+
+    def __init__(self, problems):
+        super().__init__("\n".join(str(problem) for problem in problems))
+        self.problems = problems
 
 
-class ProcessTable(msgspec.Struct, forbid_unknown_fields=True):
-    """Who and where the process is."""
-
-    name: str
-    zone: str
-    region: str = "local"
-    rack: str = ""
-
-
-class ListenTable(msgspec.Struct, forbid_unknown_fields=True):
-    """Addresses that the process listens at, ``IP:port``."""
-
-    http: str
-    link: str
-    # What other processes connect to, where it differs from ``link``.
-    advertise_link: str = ""
-
-
-class PlatformTable(msgspec.Struct, forbid_unknown_fields=True):
-    """Where the platform's services are."""
-
-    address: str
-    timeout_ms: int = 2_000
-
-
-class LogTable(msgspec.Struct, forbid_unknown_fields=True):
-    """Logging: ``level`` is a logbook level in lower case."""
-
-    level: str = "info"
-
-
-class TraceTable(msgspec.Struct, forbid_unknown_fields=True):
-    """Traces: ``collector`` is an OTLP/HTTP address; empty turns them off."""
-
-    collector: str = ""
-
+@dataclass(frozen=True, slots=True)
+class Limits:
+    """Bounds on what the process takes and keeps.
 
-class SettingsFile(msgspec.Struct, forbid_unknown_fields=True):
-    """The whole settings file."""
+    ``body_bytes`` is the largest request body; ``queued_tasks`` the most tasks
+    that wait at an entry; ``retention_ms`` how long answers are kept;
+    ``drain_ms`` how long a shutdown waits for what is in flight.
+    """
 
-    process: ProcessTable
-    listen: ListenTable
-    platform: PlatformTable
-    log: LogTable = msgspec.field(default_factory=LogTable)
-    traces: TraceTable = msgspec.field(default_factory=TraceTable)
+    body_bytes: int = 8 * MEBIBYTE
+    queued_tasks: int = 100_000
+    retention_ms: int = 600_000
+    drain_ms: int = 30_000
 
 
 @dataclass(frozen=True, slots=True)
@@ -62,36 +83,69 @@
 
     name: str
     zone: str
-    region: str
-    rack: str
     http: Address
     link: Address
-    advertise_link: Address | None
     platform: Address
-    platform_timeout_ms: int
-    log_level: str
-    collector: str
+    region: str = "local"
+    rack: str = ""
+    # What other processes connect to, where it differs from ``link``.
+    advertise_link: Address | None = None
+    platform_timeout_ms: int = 2_000
+    log_level: str = "info"
+    # Address of an OTLP/HTTP collector; empty turns traces off.
+    collector: str = ""
+    limits: Limits = field(default_factory=Limits)
 
     @classmethod
     def from_file(cls, path):
-        """Return the settings in ``path``; raise ValueError where they are bad."""
-        data = tomllib.loads(Path(path).read_text())
-        return cls.from_model(msgspec.convert(data, SettingsFile))
+        """Return the settings in ``path``; raise SettingsError where they are bad."""
+        result = cls.read(path)
+        if isinstance(result, Failure):
+            raise SettingsError(result.failure())
+        return result.unwrap()
 
     @classmethod
-    def from_model(cls, model):
-        """Return the settings of a validated ``SettingsFile``."""
-        advertised = model.listen.advertise_link
-        return cls(
-            name=model.process.name,
-            zone=model.process.zone,
-            region=model.process.region,
-            rack=model.process.rack,
-            http=Address.from_text(model.listen.http),
-            link=Address.from_text(model.listen.link),
-            advertise_link=Address.from_text(advertised) if advertised else None,
-            platform=Address.from_text(model.platform.address),
-            platform_timeout_ms=model.platform.timeout_ms,
-            log_level=model.log.level,
-            collector=model.traces.collector,
+    def read(cls, path) -> Result:
+        """Return Success(Settings) or Failure(all Problems) of the file."""
+        return read_toml(path, cls.from_tables)
+
+    @classmethod
+    def from_tables(cls, tables) -> Result:
+        """Return Success(Settings) or Failure(all Problems) of decoded tables."""
+        problems = list(_check(tables))
+        if problems:
+            return Failure(tuple(problems))
+        process = tables["process"]
+        listen = tables["listen"]
+        platform = dict(tables["platform"])
+        advertised = listen.get("advertise_link")
+        optional = {
+            "platform_timeout_ms": platform.get("timeout_ms"),
+            "log_level": tables.get("log", {}).get("level"),
+            "collector": tables.get("traces", {}).get("collector"),
+            "advertise_link": Address.from_text(advertised) if advertised else None,
+        }
+        given = {name: value for name, value in optional.items() if value is not None}
+        return Success(
+            cls(
+                **process,
+                **given,
+                http=Address.from_text(listen["http"]),
+                link=Address.from_text(listen["link"]),
+                platform=Address.from_text(platform["address"]),
+                limits=Limits(**tables.get("limits", {})),
+            )
         )
+
+
+def _check(tables):
+    for name in tables:
+        if name not in _RULES:
+            allowed = f"unknown table; one of {', '.join(_RULES)}"
+            yield Problem(name, "", allowed + nearest(name, _RULES))
+    for name, rules in _RULES.items():
+        table = tables.get(name, {})
+        if isinstance(table, dict):
+            yield from check_table(name, table, rules, _REQUIRED.get(name, ()))
+        else:
+            yield Problem(name, shown(table), f"a table: [{name}]")
--- /dev/null
+++ b/plantainhitch/toml_lines.py
@@ -0,0 +1,46 @@
+"""Where keys stand in a TOML file, for error messages.
+
+The TOML library gives values without their lines. This is no parser: it looks
+for table headers and keys at the start of lines, which finds the keys of files
+written in the usual layout; others have line 0.
+"""
+
+import re
+from dataclasses import dataclass
+
+_HEADER = re.compile(r"\s*\[\[?([^\]]+)\]\]?\s*(#.*)?$")
+_KEY = re.compile(r"""\s*((?:[\w-]+|"[^"]*"|'[^']*')(?:\s*\.\s*[\w"'-]+)*)\s*=""")
+_QUOTES = re.compile(r"""["'\s]""")
+
+
+@dataclass(frozen=True, slots=True)
+class KeyLines:
+    """Line numbers by dotted key."""
+
+    lines: dict[str, int]
+
+    @classmethod
+    def from_text(cls, text):
+        """Return the lines of the headers and keys in ``text``."""
+        lines = {}
+        prefix = ""
+        for number, line in enumerate(text.splitlines(), start=1):
+            if header := _HEADER.match(line):
+                prefix = _plain(header[1])
+                lines.setdefault(prefix, number)
+            elif key := _KEY.match(line):
+                path = f"{prefix}.{_plain(key[1])}" if prefix else _plain(key[1])
+                lines.setdefault(path, number)
+        return cls(lines)
+
+    def line_of(self, key):
+        """Return the line of ``key``, else of the closest table around it, else 0."""
+        while key:
+            if key in self.lines:
+                return self.lines[key]
+            key = key.rpartition(".")[0]
+        return 0
+
+
+def _plain(key):
+    return _QUOTES.sub("", key)
