Serve callers and operators over HTTP

The border turns HTTP into calls on the entry's node and outcomes into JSON, with one error shape for all refusals. Bodies of tasks stay raw bytes. The body limit holds while a body arrives. uvicorn runs as a task of our loop: no signal handlers, no processes; closing lets requests finish. The HTTP library's own schema builder can't describe raw fields, so the OpenAPI document takes its models from msgspec. Metrics are counters and HDR histograms in Prometheus text.

--- /dev/null
+++ b/plantainhitch/metrics.py
@@ -0,0 +1,267 @@
+"""Metrics of a process: counters and latencies for each class.
+
+Latencies are kept in HDR histograms of the last one to two minutes; counters run
+since the process began. ``render`` gives the Prometheus text format. What grows
+with the number of classes is bounded: classes beyond ``MAX_CLASSES`` share the
+label ``other``.
+"""
+
+import enum
+from collections import defaultdict
+from dataclasses import dataclass
+
+from hdrh.histogram import HdrHistogram
+from prometheus_client.core import (
+    CounterMetricFamily,
+    GaugeMetricFamily,
+    Metric,
+)
+from prometheus_client.exposition import generate_latest
+
+from .outcomes import Failed, NotRun, Succeeded, Unknown
+
+PREFIX = "plantainhitch_"
+MAX_CLASSES = 200
+OTHER_CLASS = "other"
+WINDOW_MS = 60_000
+MAX_LATENCY_MS = 60 * 60 * 1_000
+SIGNIFICANT_DIGITS = 2
+QUANTILES = (0.5, 0.9, 0.99, 0.999)
+
+
+class Counter(enum.Enum):
+    """The counters: name, help text, and the name of the label beside the class."""
+
+    JOBS = ("jobs", "Jobs that have ended, by state.", "state")
+    TASKS = ("tasks", "Tasks that have ended, by outcome.", "outcome")
+    NOT_RUN = ("tasks_not_run", "Tasks not run, by reason.", "reason")
+    REFUSALS = ("refusals", "Calls refused, by error code.", "code")
+    STARTS = ("starts", "Starts sent or taken, by result.", "result")
+    MESSAGES = ("messages", "Messages between processes, by kind.", "kind")
+
+
+class Latency(enum.Enum):
+    """The latencies in milliseconds: name and help text."""
+
+    RESPONSE = ("response_ms", "From submission to answer, in ms.")
+    QUEUE = ("queue_ms", "From submission to start, in ms.")
+    RUN = ("run_ms", "Run time at the endpoint, in ms.")
+
+
+@dataclass(frozen=True, slots=True)
+class Gauge:
+    """A value read when metrics are rendered."""
+
+    name: str
+    value: float
+    help: str = ""
+    labels: tuple[tuple[str, str], ...] = ()
+
+
+class LatencyWindow:
+    """Latencies of the last one to two windows, and their count and sum in all."""
+
+    def __init__(self, clock):
+        self._clock = clock
+        self._newest = _new_histogram()
+        self._older = None
+        self._turned_ms = clock.now_ms()
+        self._count = 0
+        self._sum_ms = 0
+
+    @property
+    def count(self):
+        """How many latencies were recorded since the process began."""
+        return self._count
+
+    @property
+    def sum_ms(self):
+        """Their sum."""
+        return self._sum_ms
+
+    def record(self, latency_ms):
+        """Record one latency in ms."""
+        self._turn()
+        self._count += 1
+        self._sum_ms += latency_ms
+        self._newest.record_value(min(max(1, round(latency_ms)), MAX_LATENCY_MS))
+
+    def quantiles(self):
+        """Return the latency in ms at each of ``QUANTILES``, by quantile."""
+        self._turn()
+        merged = _new_histogram()
+        for histogram in (self._older, self._newest):
+            if histogram is not None and histogram.get_total_count():
+                merged.add(histogram)
+        return {
+            quantile: merged.get_value_at_percentile(quantile * 100)
+            for quantile in QUANTILES
+        }
+
+    def _turn(self):
+        age_ms = self._clock.now_ms() - self._turned_ms
+        if age_ms < WINDOW_MS:
+            return
+        self._older = self._newest if age_ms < 2 * WINDOW_MS else None
+        self._newest = _new_histogram()
+        self._turned_ms += age_ms - age_ms % WINDOW_MS
+
+
+class Metrics:
+    """Counters, latencies and gauges of one process."""
+
+    def __init__(self, clock):
+        self._clock = clock
+        self._counts = {counter: defaultdict(int) for counter in Counter}
+        self._latencies = {latency: {} for latency in Latency}
+        self._classes = set()
+        self._gauge_sources = []
+
+    def count(self, counter, class_name="", label="", amount=1):
+        """Add ``amount`` to a counter, for a class and its further label."""
+        self._counts[counter][self._label(class_name), label] += amount
+
+    def record(self, latency, class_name, latency_ms):
+        """Record a latency in ms for a class."""
+        windows = self._latencies[latency]
+        name = self._label(class_name)
+        window = windows.get(name)
+        if window is None:
+            window = windows[name] = LatencyWindow(self._clock)
+        window.record(latency_ms)
+
+    def value(self, counter, class_name="", label=""):
+        """Return what a counter stands at."""
+        return self._counts[counter].get((self._label(class_name), label), 0)
+
+    def add_gauges(self, source):
+        """Have ``source()`` give ``Gauge`` values whenever metrics are rendered."""
+        self._gauge_sources.append(source)
+
+    def render(self):
+        """Return the metrics as bytes of the Prometheus text format."""
+        return generate_latest(self)
+
+    def collect(self):
+        """Yield the metric families; the Prometheus library calls this."""
+        for counter, counts in self._counts.items():
+            yield _counter_family(counter, counts)
+        for latency, windows in self._latencies.items():
+            yield _latency_family(latency, windows)
+        yield from _gauge_families(self._gauge_sources)
+
+    def _label(self, class_name):
+        if class_name in self._classes:
+            return class_name
+        if len(self._classes) >= MAX_CLASSES:
+            return OTHER_CLASS
+        self._classes.add(class_name)
+        return class_name
+
+
+class EntryMetrics(Metrics):
+    """Metrics of an entry."""
+
+    def job_ended(self, class_name, state, response_ms):
+        """Count a job with its ``JobState`` and the time to its answer."""
+        self.count(Counter.JOBS, class_name, state.value)
+        self.record(Latency.RESPONSE, class_name, response_ms)
+
+    def task_ended(self, class_name, outcome, run_ms=0):
+        """Count a task's outcome; ``run_ms`` is its time at the endpoint."""
+        _count_outcome(self, class_name, outcome, run_ms)
+
+    def task_started(self, class_name, queued_ms):
+        """Record how long a task waited for a slot."""
+        self.record(Latency.QUEUE, class_name, queued_ms)
+
+    def refused(self, class_name, code):
+        """Count a call that was refused with an ``ErrorCode``."""
+        self.count(Counter.REFUSALS, class_name, code.value)
+
+    def message(self, kind, amount=1):
+        """Count messages sent to other processes, by kind."""
+        self.count(Counter.MESSAGES, "", kind, amount)
+
+
+class AgentMetrics(Metrics):
+    """Metrics of an agent."""
+
+    def start_taken(self, class_name):
+        """Count a start that was accepted."""
+        self.count(Counter.STARTS, class_name, "accepted")
+
+    def start_refused(self, class_name, reason):
+        """Count a start that was refused with a ``Reason``."""
+        self.count(Counter.STARTS, class_name, "refused")
+        self.count(Counter.NOT_RUN, class_name, reason.value)
+
+    def task_ended(self, class_name, outcome, run_ms=0):
+        """Count a task's outcome; ``run_ms`` is its time at the endpoint."""
+        _count_outcome(self, class_name, outcome, run_ms)
+
+    def message(self, kind, amount=1):
+        """Count messages sent to other processes, by kind."""
+        self.count(Counter.MESSAGES, "", kind, amount)
+
+
+def outcome_name(outcome):
+    """Return the name of an outcome's kind, as callers and metrics see it."""
+    match outcome:
+        case Succeeded():
+            return "succeeded"
+        case Failed():
+            return "failed"
+        case NotRun():
+            return "not_run"
+        case Unknown():
+            return "unknown"
+    raise TypeError(f"not an outcome: {outcome!r}")
+
+
+def _count_outcome(metrics, class_name, outcome, run_ms):
+    metrics.count(Counter.TASKS, class_name, outcome_name(outcome))
+    if isinstance(outcome, NotRun):
+        metrics.count(Counter.NOT_RUN, class_name, outcome.reason.value)
+    elif run_ms:
+        metrics.record(Latency.RUN, class_name, run_ms)
+
+
+def _new_histogram():
+    return HdrHistogram(1, MAX_LATENCY_MS, SIGNIFICANT_DIGITS)
+
+
+def _counter_family(counter, counts):
+    name, text, label_name = counter.value
+    family = CounterMetricFamily(PREFIX + name, text, labels=("class", label_name))
+    for labels, value in counts.items():
+        family.add_metric(labels, value)
+    return family
+
+
+def _latency_family(latency, windows):
+    name, text = latency.value
+    family = Metric(PREFIX + name, text, "summary")
+    for class_name, window in windows.items():
+        labels = {"class": class_name}
+        for quantile, value in window.quantiles().items():
+            with_quantile = {**labels, "quantile": str(quantile)}
+            family.add_sample(PREFIX + name, with_quantile, value)
+        family.add_sample(f"{PREFIX}{name}_count", labels, window.count)
+        family.add_sample(f"{PREFIX}{name}_sum", labels, window.sum_ms)
+    return family
+
+
+def _gauge_families(sources):
+    families = {}
+    for source in sources:
+        for gauge in source():
+            family = families.get(gauge.name)
+            if family is None:
+                family = families[gauge.name] = GaugeMetricFamily(
+                    PREFIX + gauge.name,
+                    gauge.help,
+                    labels=[name for name, _ in gauge.labels],
+                )
+            family.add_metric([value for _, value in gauge.labels], gauge.value)
+    return families.values()
--- a/plantainhitch/protocol/errors.py
+++ b/plantainhitch/protocol/errors.py
@@ -13,6 +13,7 @@
     BAD_JSON = "bad_json"
     BAD_FIELD = "bad_field"
     BAD_CONTENT_TYPE = "bad_content_type"
+    BAD_METHOD = "bad_method"
     BODY_TOO_LARGE = "body_too_large"
     TOO_MANY_TASKS = "too_many_tasks"
     DUPLICATE_INDEX = "duplicate_index"
@@ -40,6 +41,7 @@
     ErrorCode.BAD_JSON: 400,
     ErrorCode.BAD_FIELD: 400,
     ErrorCode.BAD_CONTENT_TYPE: 415,
+    ErrorCode.BAD_METHOD: 405,
     ErrorCode.BODY_TOO_LARGE: 413,
     ErrorCode.TOO_MANY_TASKS: 400,
     ErrorCode.DUPLICATE_INDEX: 400,
--- /dev/null
+++ b/plantainhitch/transport/caller_routes.py
@@ -0,0 +1,194 @@
+"""The callers' HTTP interface: ids, submissions and single requests."""
+
+from typing import Annotated
+
+import msgspec
+from litestar import Request, get, post, put
+from litestar.params import FromPath, HeaderParameter, QueryParameter
+from litestar.response.base import ASGIResponse
+
+from ..protocol import border, models
+from ..protocol.calls import (
+    MAX_WAIT_MS,
+    Cancel,
+    Fetch,
+    JobAnswer,
+    JobState,
+    OpenIds,
+    RequestAnswer,
+    SingleRequest,
+    Submit,
+    SubmitWithKey,
+)
+from ..protocol.errors import ErrorCode, Refusal
+from . import replies
+from .openapi import operation
+
+KEY_HEADER = "idempotency-key"
+MAX_KEY_CHARACTERS = 200
+STATUS_RUNNING = 202
+TRACE_HEADER = "traceparent"
+MAX_TRACE_CHARACTERS = 128
+
+WaitMs = Annotated[
+    int,
+    QueryParameter(
+        ge=0,
+        le=MAX_WAIT_MS,
+        description="How long to wait for the answer, in ms.",
+    ),
+]
+
+_OPEN_IDS = msgspec.json.Decoder(models.OpenIdsModel)
+_REQUEST = msgspec.json.Decoder(models.RequestModel)
+
+_SUBMISSION = operation(
+    models.AnswerModel, body=models.SubmissionModel, running=models.AnswerModel
+)
+_ANSWER = operation(models.AnswerModel, running=models.AnswerModel)
+
+
+@post(
+    "/v1/ids",
+    status_code=200,
+    operation_class=operation(models.IdsModel, body=models.OpenIdsModel),
+)
+async def open_ids(request: Request) -> ASGIResponse:
+    """Open new submission ids."""
+    body = await replies.read_json(request)
+    if isinstance(body, Refusal):
+        return replies.error_reply(body)
+    model = border.read_model(body, _OPEN_IDS)
+    if isinstance(model, Refusal):
+        return replies.error_reply(model)
+    return await _ask(request, OpenIds(model.count))
+
+
+@put(
+    "/v1/submissions/{submission_id:str}",
+    operation_class=_SUBMISSION,
+)
+async def submit(
+    request: Request, submission_id: FromPath[str], wait_ms: WaitMs = 0
+) -> ASGIResponse:
+    """Submit a job under an id; the same again is idempotent."""
+    submission = border.read_id(submission_id)
+    if isinstance(submission, Refusal):
+        return replies.error_reply(submission)
+    job = await _read_job(request)
+    if isinstance(job, Refusal):
+        return replies.error_reply(job)
+    return await _ask(request, Submit(submission, job, wait_ms))
+
+
+@post(
+    "/v1/submissions",
+    status_code=200,
+    operation_class=_SUBMISSION,
+)
+async def submit_with_key(
+    request: Request,
+    key: Annotated[str | None, HeaderParameter(name=KEY_HEADER)] = None,
+    wait_ms: WaitMs = 0,
+) -> ASGIResponse:
+    """Submit a job under the caller's own key, or under a new id without one."""
+    job = await _read_job(request)
+    if isinstance(job, Refusal):
+        return replies.error_reply(job)
+    if key is None:
+        return await _submit_under_new_id(request, job, wait_ms)
+    if not 1 <= len(key) <= MAX_KEY_CHARACTERS:
+        message = f"{KEY_HEADER} has 1 to {MAX_KEY_CHARACTERS} characters"
+        return replies.error_reply(Refusal(ErrorCode.BAD_FIELD, message, not_run=True))
+    return await _ask(request, SubmitWithKey(key, job, wait_ms))
+
+
+@get("/v1/submissions/{submission_id:str}", operation_class=_ANSWER)
+async def fetch(
+    request: Request, submission_id: FromPath[str], wait_ms: WaitMs = 0
+) -> ASGIResponse:
+    """Return a submission's answer, or that it is still running."""
+    submission = border.read_id(submission_id)
+    if isinstance(submission, Refusal):
+        return replies.error_reply(submission)
+    return await _ask(request, Fetch(submission, wait_ms))
+
+
+@post(
+    "/v1/submissions/{submission_id:str}/cancel",
+    status_code=200,
+    operation_class=_ANSWER,
+)
+async def cancel(request: Request, submission_id: FromPath[str]) -> ASGIResponse:
+    """Cancel what has not ended of a submission."""
+    submission = border.read_id(submission_id)
+    if isinstance(submission, Refusal):
+        return replies.error_reply(submission)
+    return await _ask(request, Cancel(submission))
+
+
+@post(
+    "/v1/requests",
+    status_code=200,
+    operation_class=operation(models.RequestAnswerModel, body=models.RequestModel),
+)
+async def single_request(request: Request) -> ASGIResponse:
+    """Run one request outside a job and return its outcome."""
+    body = await replies.read_json(request)
+    if isinstance(body, Refusal):
+        return replies.error_reply(body)
+    model = border.read_model(body, _REQUEST)
+    if isinstance(model, Refusal):
+        return replies.error_reply(model)
+    call = SingleRequest(
+        class_name=model.class_name,
+        body=bytes(model.body),
+        repeatable=model.repeatable,
+        traceparent=_traceparent(request),
+        declared_ms=model.declared_ms,
+    )
+    return await _ask(request, call)
+
+
+CALLER_ROUTES = [open_ids, submit, submit_with_key, fetch, cancel, single_request]
+
+
+async def _read_job(request):
+    body = await replies.read_json(request)
+    if isinstance(body, Refusal):
+        return body
+    return border.read_job(body, _traceparent(request))
+
+
+async def _submit_under_new_id(request, job, wait_ms):
+    opened = await request.app.state.node.ask(OpenIds(1))
+    if isinstance(opened, Refusal):
+        return replies.error_reply(opened)
+    return await _ask(request, Submit(opened.ids[0], job, wait_ms))
+
+
+async def _ask(request, call):
+    answer = await request.app.state.node.ask(call)
+    if isinstance(answer, Refusal):
+        return replies.error_reply(answer)
+    return replies.json_reply(
+        border.write_answer(answer), _status(answer), _headers(answer)
+    )
+
+
+def _status(answer):
+    running = isinstance(answer, JobAnswer) and answer.state is JobState.RUNNING
+    return STATUS_RUNNING if running else 200
+
+
+def _headers(answer):
+    match answer:
+        case JobAnswer(retry_after_ms=retry_after_ms):
+            return replies.retry_headers(retry_after_ms)
+        case RequestAnswer(outcome):
+            return replies.retry_headers(getattr(outcome, "retry_after_ms", 0))
+    return None
+
+
+def _traceparent(request):
+    return request.headers.get(TRACE_HEADER, "")[:MAX_TRACE_CHARACTERS]
--- /dev/null
+++ b/plantainhitch/transport/entry_http.py
@@ -0,0 +1,34 @@
+"""The entry's HTTP server for callers and operators.
+
+``create_app`` builds the application around a node (``coordination.entry``);
+``serve`` runs it in the event loop of the process.
+"""
+
+from litestar import Litestar
+from litestar.datastructures import State
+from litestar.exceptions import HTTPException
+
+from ..settings import Limits
+from . import replies
+from .caller_routes import CALLER_ROUTES
+from .http_server import serve
+from .openapi import openapi_config
+from .operator_routes import OPERATOR_ROUTES
+
+__all__ = ["create_app", "serve"]
+
+
+def create_app(node, limits=None):
+    """Return the application that answers for ``node`` within ``limits``."""
+    limits = limits or Limits()
+    return Litestar(
+        route_handlers=[*CALLER_ROUTES, *OPERATOR_ROUTES],
+        state=State({"node": node}),
+        exception_handlers={
+            HTTPException: replies.handle_http_error,
+            Exception: replies.handle_crash,
+        },
+        openapi_config=openapi_config(),
+        request_max_body_size=limits.body_bytes,
+        logging_config=None,
+    )
--- /dev/null
+++ b/plantainhitch/transport/http_server.py
@@ -0,0 +1,94 @@
+"""HTTP servers inside our own event loop.
+
+uvicorn runs as one more task of the process: it installs no signal handlers and
+starts no process. Closing lets requests in flight finish.
+"""
+
+import asyncio
+import contextlib
+import socket
+
+import uvicorn
+
+from .addresses import Address
+
+BACKLOG = 1_024
+# Longer than the idle time of common balancers, so that they close first.
+KEEP_ALIVE_S = 75
+STARTUP_POLL_S = 0.002
+
+
+class _QuietServer(uvicorn.Server):
+    """A uvicorn server that leaves signals to the process."""
+
+    def capture_signals(self):
+        return contextlib.nullcontext()
+
+
+class HttpServer:
+    """A running server; ``aclose`` ends it after the requests in flight."""
+
+    def __init__(self, server, task, address):
+        self._server = server
+        self._task = task
+        self._address = address
+
+    @property
+    def address(self):
+        """The address that the server is bound to."""
+        return self._address
+
+    @property
+    def open_requests(self):
+        """How many requests are being answered."""
+        return len(self._server.server_state.tasks)
+
+    async def aclose(self, within_ms=None):
+        """Stop listening, let requests finish, cut them after ``within_ms``."""
+        if within_ms is not None:
+            self._server.config.timeout_graceful_shutdown = within_ms / 1000
+        self._server.should_exit = True
+        await self._task
+
+
+async def serve(app, address):
+    """Serve the ASGI ``app`` at ``address`` and return the ``HttpServer``.
+
+    Port 0 takes a free port. Raises OSError where the address can't be bound.
+    """
+    bound = _bind(address)
+    config = uvicorn.Config(
+        app,
+        access_log=False,
+        backlog=BACKLOG,
+        date_header=False,
+        http="httptools",
+        lifespan="off",
+        log_config=None,
+        loop="none",
+        proxy_headers=False,
+        server_header=False,
+        timeout_keep_alive=KEEP_ALIVE_S,
+        ws="none",
+    )
+    server = _QuietServer(config)
+    task = asyncio.create_task(server.serve(sockets=[bound]))
+    while not server.started:
+        if task.done():
+            task.result()
+        await asyncio.sleep(STARTUP_POLL_S)
+    host, port = bound.getsockname()[:2]
+    return HttpServer(server, task, Address(host, port))
+
+
+def _bind(address):
+    family = socket.AF_INET6 if ":" in address.host else socket.AF_INET
+    bound = socket.socket(family, socket.SOCK_STREAM)
+    try:
+        bound.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        bound.bind((address.host, address.port))
+    except OSError:
+        bound.close()
+        raise
+    bound.setblocking(False)
+    return bound
--- /dev/null
+++ b/plantainhitch/transport/openapi.py
@@ -0,0 +1,83 @@
+"""The OpenAPI document that the entry serves at ``/schema/openapi.json``.
+
+Handlers take and give raw bytes, so each one names its models by ``operation``.
+"""
+
+from dataclasses import dataclass
+
+import msgspec
+from litestar.openapi import OpenAPIConfig
+from litestar.openapi.plugins import JsonRenderPlugin
+from litestar.openapi.spec import (
+    OpenAPIMediaType,
+    OpenAPIResponse,
+    Operation,
+    RequestBody,
+)
+
+from .. import __version__
+from ..protocol import models
+
+JSON_TYPE = "application/json"
+REF_TEMPLATE = "#/components/schemas/{name}"
+_MODELS = tuple(
+    kind
+    for kind in vars(models).values()
+    if isinstance(kind, type) and issubclass(kind, msgspec.Struct)
+)
+
+
+def operation(answer, *, body=None, running=None):
+    """Return an operation class that documents a handler's models.
+
+    ``answer`` is the model of a 200, ``running`` that of a 202, and ``body`` that
+    of the request; None leaves one out.
+    """
+    responses = {
+        "200": _response("The answer.", answer),
+        "default": _response("An error with a stable code.", models.ErrorModel),
+    }
+    if running is not None:
+        responses["202"] = _response("Not ended yet.", running)
+    request_body = body and RequestBody(content=_content(body), required=True)
+
+    @dataclass
+    class ModelledOperation(Operation):
+        def __post_init__(self):
+            self.responses = responses
+            self.request_body = request_body
+
+    return ModelledOperation
+
+
+class DocumentPlugin(JsonRenderPlugin):
+    """Renders the document together with our models."""
+
+    def render(self, request, openapi_schema):
+        """Return the JSON of the whole document."""
+        _, schemas = msgspec.json.schema_components(_MODELS, ref_template=REF_TEMPLATE)
+        return msgspec.json.encode(
+            {**openapi_schema, "components": {"schemas": schemas}}
+        )
+
+
+def openapi_config():
+    """Return the settings of the document."""
+    return OpenAPIConfig(
+        title="plantainhitch",
+        version=__version__,
+        path="/schema",
+        render_plugins=[DocumentPlugin(path="/openapi.json")],
+        use_handler_docstrings=True,
+    )
+
+
+def _response(description, model):
+    return OpenAPIResponse(description=description, content=_content(model))
+
+
+def _content(model):
+    if model is str:
+        return {"text/plain": OpenAPIMediaType(schema={"type": "string"})}
+    reference = {"$ref": REF_TEMPLATE.format(name=model.__name__)}
+    return {JSON_TYPE: OpenAPIMediaType(schema=reference)}
--- /dev/null
+++ b/plantainhitch/transport/operator_routes.py
@@ -0,0 +1,190 @@
+"""The operators' HTTP interface: classes, endpoints, status, health, metrics."""
+
+from dataclasses import asdict
+from typing import Annotated
+
+import msgspec
+from litestar import Request, get, post, put
+from litestar.params import FromPath, QueryParameter
+from litestar.response.base import ASGIResponse
+from returns.result import Failure, Success
+
+from ..protocol import border, models
+from ..protocol.errors import ErrorCode, Refusal
+from ..state import class_files
+from . import replies
+from .openapi import operation
+
+MAX_HISTORY = 100
+METRICS_TYPE = "text/plain; version=0.0.4; charset=utf-8"
+STATUS_NOT_READY = 503
+
+_APPLY = msgspec.json.Decoder(models.ApplyModel)
+
+
+@get("/v1/classes", operation_class=operation(models.ClassesModel))
+async def show_classes(request: Request) -> ASGIResponse:
+    """Return the version of the class document that is in force here."""
+    document = request.app.state.node.configuration.current
+    if document is None:
+        message = "no classes have been applied yet"
+        refusal = Refusal(ErrorCode.NO_CONFIGURATION, message, not_run=True)
+        return replies.error_reply(refusal)
+    return _json(classes_model(document))
+
+
+@put(
+    "/v1/classes",
+    operation_class=operation(models.ClassesModel, body=models.ApplyModel),
+)
+async def apply_classes(request: Request) -> ASGIResponse:
+    """Put a new version in force, on condition that the base is the newest."""
+    body = await replies.read_json(request)
+    if isinstance(body, Refusal):
+        return replies.error_reply(body)
+    change = border.read_model(body, _APPLY)
+    if isinstance(change, Refusal):
+        return replies.error_reply(change)
+    parsed = class_files.from_tables({"classes": change.classes, "teams": change.teams})
+    if isinstance(parsed, Failure):
+        return replies.error_reply(_bad_configuration(parsed.failure()))
+    content = parsed.unwrap()
+    result = await request.app.state.node.configuration.apply(
+        change.base_version,
+        change.change_id,
+        change.author,
+        content.classes,
+        content.teams,
+    )
+    match result:
+        case Success(document):
+            return _json(classes_model(document))
+        case Failure(refusal):
+            return replies.error_reply(refusal)
+    raise TypeError(f"not a result: {result!r}")
+
+
+@get("/v1/classes/history", operation_class=operation(models.HistoryModel))
+async def class_history(
+    request: Request,
+    limit: Annotated[int, QueryParameter(ge=1, le=MAX_HISTORY)] = 20,
+) -> ASGIResponse:
+    """Return the newest versions of the class document."""
+    result = await request.app.state.node.configuration.history(limit)
+    match result:
+        case Success(documents):
+            versions = [classes_model(document) for document in documents]
+            return _json(models.HistoryModel(versions))
+        case Failure(refusal):
+            return replies.error_reply(refusal)
+    raise TypeError(f"not a result: {result!r}")
+
+
+@get("/v1/endpoints", operation_class=operation(models.EndpointsModel))
+async def show_endpoints(request: Request) -> ASGIResponse:
+    """Return the endpoints that this entry knows."""
+    views = request.app.state.node.endpoints()
+    return _json(models.EndpointsModel([_endpoint_model(view) for view in views]))
+
+
+@post(
+    "/v1/endpoints/{name:str}/drain",
+    status_code=200,
+    operation_class=operation(models.DrainModel),
+)
+async def drain_endpoint(request: Request, name: FromPath[str]) -> ASGIResponse:
+    """Give an endpoint no new work."""
+    return await _drain(request, name, True)
+
+
+@post(
+    "/v1/endpoints/{name:str}/resume",
+    status_code=200,
+    operation_class=operation(models.DrainModel),
+)
+async def resume_endpoint(request: Request, name: FromPath[str]) -> ASGIResponse:
+    """Give a drained endpoint work again."""
+    return await _drain(request, name, False)
+
+
+@get("/v1/status", operation_class=operation(models.StatusModel))
+async def show_status(request: Request) -> ASGIResponse:
+    """Return what this entry is doing."""
+    return _json(request.app.state.node.status())
+
+
+@get("/health/live", operation_class=operation(models.HealthModel))
+async def live(request: Request) -> ASGIResponse:
+    """Return 200 while the process runs."""
+    return _json(models.HealthModel(request.app.state.node.ready))
+
+
+@get("/health/ready", operation_class=operation(models.HealthModel))
+async def ready(request: Request) -> ASGIResponse:
+    """Return 200 when the balancer may send calls here, else 503."""
+    if request.app.state.node.ready:
+        return _json(models.HealthModel(True))
+    refusal = Refusal(ErrorCode.NOT_READY, "starting or draining", not_run=True)
+    return replies.error_reply(refusal)
+
+
+@get("/metrics", media_type="text/plain", operation_class=operation(str))
+async def show_metrics(request: Request) -> ASGIResponse:
+    """Return the metrics in the Prometheus text format."""
+    text = request.app.state.node.metrics.render()
+    return ASGIResponse(body=text, media_type=METRICS_TYPE)
+
+
+OPERATOR_ROUTES = [
+    show_classes,
+    apply_classes,
+    class_history,
+    show_endpoints,
+    drain_endpoint,
+    resume_endpoint,
+    show_status,
+    live,
+    ready,
+    show_metrics,
+]
+
+
+def classes_model(document):
+    """Return the border model of a ``ClassDocument``."""
+    return models.ClassesModel(
+        version=document.version,
+        change_id=document.change_id,
+        author=document.author,
+        classes={name: _content(item) for name, item in document.classes.items()},
+        teams={name: _content(item) for name, item in document.teams.items()},
+    )
+
+
+def _content(definition):
+    """Return a definition's fields without its name, which is the key."""
+    fields = asdict(definition)
+    del fields["name"]
+    return fields
+
+
+def _endpoint_model(view):
+    return models.EndpointModel(
+        **{name: getattr(view, name) for name in models.EndpointModel.__struct_fields__}
+    )
+
+
+def _bad_configuration(problems):
+    message = f"{len(problems)} errors in the classes"
+    details = tuple(str(problem) for problem in problems)
+    return Refusal(ErrorCode.BAD_CONFIGURATION, message, True, details=details)
+
+
+async def _drain(request, name, draining):
+    refusal = await request.app.state.node.drain(name, draining)
+    if refusal is not None:
+        return replies.error_reply(refusal)
+    return _json(models.DrainModel(name, draining))
+
+
+def _json(model):
+    return replies.json_reply(msgspec.json.encode(model))
--- /dev/null
+++ b/plantainhitch/transport/replies.py
@@ -0,0 +1,104 @@
+"""HTTP replies and request bodies of the border, with one shape for all errors."""
+
+import math
+
+from litestar import Response
+from litestar.exceptions import (
+    HTTPException,
+    MethodNotAllowedException,
+    NotFoundException,
+    ValidationException,
+)
+from litestar.response.base import ASGIResponse
+
+from ..logs import get_logger
+from ..protocol import border
+from ..protocol.errors import ErrorCode, Refusal
+
+JSON_TYPE = "application/json"
+STATUS_TOO_LARGE = 413
+
+_log = get_logger("http")
+
+
+def json_reply(body, status=200, headers=None):
+    """Return a reply that carries the JSON bytes ``body`` as they are."""
+    return ASGIResponse(
+        body=body, status_code=status, media_type=JSON_TYPE, headers=headers
+    )
+
+
+def error_reply(refusal):
+    """Return the reply for a ``Refusal``, with ``Retry-After`` where it has one."""
+    headers = retry_headers(refusal.retry_after_ms)
+    return json_reply(border.write_error(refusal), refusal.http_status, headers)
+
+
+def retry_headers(retry_after_ms):
+    """Return the ``Retry-After`` header, in whole seconds rounded up, or None."""
+    if not retry_after_ms:
+        return None
+    return {"retry-after": str(math.ceil(retry_after_ms / 1000))}
+
+
+async def read_json(request):
+    """Return the bytes of a JSON request body, or a ``Refusal``.
+
+    A body over the app's limit raises while it is read; ``handle_http_error``
+    turns that into ``body_too_large``.
+    """
+    content_type = request.headers.get("content-type", "")
+    media_type = content_type.partition(";")[0].strip().lower()
+    if media_type != JSON_TYPE:
+        message = f"content type {content_type[:80]!r}; send {JSON_TYPE}"
+        return Refusal(ErrorCode.BAD_CONTENT_TYPE, message, not_run=True)
+    return await request.body()
+
+
+def handle_http_error(request, error):
+    """Turn an exception of the HTTP library into an error reply."""
+    return _exception_reply(_refusal_for(request, error))
+
+
+def handle_crash(request, error):
+    """Log an exception that nothing caught, and answer ``internal``."""
+    _log.error(
+        "request failed",
+        path=request.url.path,
+        method=request.method,
+        exc_info=(type(error), error, error.__traceback__),
+    )
+    message = "the entry failed to answer; the outcome is unknown"
+    return _exception_reply(Refusal(ErrorCode.INTERNAL, message))
+
+
+def _exception_reply(refusal):
+    """Return what ``error_reply`` does, as the kind that exception handlers give."""
+    return Response(
+        border.write_error(refusal),
+        status_code=refusal.http_status,
+        media_type=JSON_TYPE,
+        headers=retry_headers(refusal.retry_after_ms),
+    )
+
+
+def _refusal_for(request, error):
+    match error:
+        case NotFoundException():
+            message = f"nothing at {request.url.path[:200]!r}"
+            return Refusal(ErrorCode.NOT_FOUND, message, not_run=True)
+        case MethodNotAllowedException():
+            message = f"{request.method} is not allowed here"
+            return Refusal(ErrorCode.BAD_METHOD, message, not_run=True)
+        case HTTPException(status_code=status) if status == STATUS_TOO_LARGE:
+            message = "the body is larger than this entry takes"
+            return Refusal(ErrorCode.BODY_TOO_LARGE, message, not_run=True)
+        case ValidationException():
+            details = tuple(
+                f"{item.get('key', '?')}: {item.get('message', '')}"
+                for item in error.extra or ()
+                if isinstance(item, dict)
+            )
+            message = "a parameter of the request is bad"
+            return Refusal(ErrorCode.BAD_FIELD, message, True, details=details)
+    return Refusal(ErrorCode.BAD_FIELD, error.detail, not_run=True)
--- /dev/null
+++ b/tests/fake_node.py
@@ -0,0 +1,128 @@
+"""A node behind the HTTP border that answers what a test has set."""
+
+from dataclasses import dataclass, field
+
+from returns.result import Failure, Success
+
+from plantainhitch.clock import ManualClock
+from plantainhitch.metrics import EntryMetrics
+from plantainhitch.outcomes import Succeeded
+from plantainhitch.protocol.calls import (
+    Cancel,
+    Fetch,
+    IdList,
+    JobAnswer,
+    JobState,
+    OpenIds,
+    RequestAnswer,
+    SingleRequest,
+    Submit,
+    SubmitWithKey,
+)
+from plantainhitch.protocol.errors import ErrorCode, Refusal
+from plantainhitch.state.classes import ClassDocument
+from plantainhitch.state.ids import IdIssuer
+
+
+@dataclass(frozen=True)
+class FakeEndpoint:
+    """An endpoint as an entry shows it."""
+
+    name: str = "endpoint-1"
+    agent: str = "agent-1"
+    zone: str = "zone-a"
+    rack: str = "rack-1"
+    slots: int = 8
+    credits: int = 2
+    running: int = 1
+    draining: bool = False
+    ready: bool = True
+    held_back: bool = False
+    linked: bool = True
+
+
+@dataclass
+class FakeConfiguration:
+    """A configuration store of one process, conditional on the version."""
+
+    versions: list = field(default_factory=list)
+
+    @property
+    def current(self):
+        """The newest version, or None."""
+        return self.versions[-1] if self.versions else None
+
+    async def apply(self, base_version, change_id, author, classes, teams):
+        """Accept a change on the newest version; refuse any other."""
+        if self.current and self.current.change_id == change_id:
+            return Success(self.current)
+        newest = self.current.version if self.current else 0
+        if base_version != newest:
+            message = f"version {newest} by {self.current.author} is in force"
+            return Failure(Refusal(ErrorCode.VERSION_CONFLICT, message, not_run=True))
+        document = ClassDocument(newest + 1, change_id, author, classes, teams)
+        self.versions.append(document)
+        return Success(document)
+
+    async def history(self, limit):
+        """Return the newest versions, newest first."""
+        return Success(self.versions[::-1][:limit])
+
+
+class FakeNode:
+    """Answers every call at once; ``refusal`` set answers that instead.
+
+    ``crash`` set raises it. ``calls`` has what was asked.
+    """
+
+    def __init__(self):
+        self.issuer = IdIssuer.at_boot()
+        self.calls = []
+        self.refusal = None
+        self.crash = None
+        self.ready = True
+        self.state = JobState.COMPLETE
+        self.configuration = FakeConfiguration()
+        self.metrics = EntryMetrics(ManualClock())
+        self.drained = []
+
+    async def ask(self, call):
+        """Answer a call; a job's task bodies come back as its answers."""
+        self.calls.append(call)
+        if self.crash:
+            raise self.crash
+        if self.refusal:
+            return self.refusal
+        match call:
+            case OpenIds(count):
+                return IdList(tuple(i.to_bytes() for i in self.issuer.issue(count)))
+            case Submit(submission, job) | SubmitWithKey(submission, job):
+                return self._answer(submission, job.tasks)
+            case Fetch(submission) | Cancel(submission):
+                return self._answer(submission, ())
+            case SingleRequest(body=body):
+                return RequestAnswer(Succeeded(body))
+        raise TypeError(call)
+
+    def endpoints(self):
+        """Return one endpoint."""
+        return [FakeEndpoint()]
+
+    async def drain(self, name, draining):
+        """Note the order; only ``endpoint-1`` is known."""
+        if name != "endpoint-1":
+            return Refusal(ErrorCode.NOT_FOUND, f"no endpoint {name!r}", not_run=True)
+        self.drained.append((name, draining))
+        return None
+
+    def status(self):
+        """Return a small status."""
+        return {"name": "entry-1", "queued": 0}
+
+    def _answer(self, submission, tasks):
+        if isinstance(submission, str):
+            submission = self.issuer.issue(1)[0].to_bytes()
+        if self.state is JobState.RUNNING:
+            return JobAnswer(submission, self.state, {})
+        outcomes = {task.index: Succeeded(task.body) for task in tasks}
+        return JobAnswer(submission, self.state, outcomes)
--- /dev/null
+++ b/tests/test_entry_http.py
@@ -0,0 +1,315 @@
+"""The HTTP border: good calls, bad input, one error shape."""
+
+import asyncio
+import json
+import unittest
+
+import httpx
+
+from plantainhitch.outcomes import Reason, Unknown
+from plantainhitch.protocol.calls import JobState, RequestAnswer, SubmitWithKey
+from plantainhitch.protocol.errors import HTTP_STATUS, ErrorCode, Refusal
+from plantainhitch.settings import Limits
+from plantainhitch.transport.addresses import Address
+from plantainhitch.transport.entry_http import create_app, serve
+
+from .fake_node import FakeNode
+
+JSON = {"content-type": "application/json"}
+LIMITS = Limits(body_bytes=64 * 1024)
+CLASSES = {"render": {"answers_within_ms": 400, "claims_at_least": 0.5}}
+
+
+def job(indexes=(0,), **changes):
+    """Return the JSON of a job."""
+    tasks = [{"index": index, "body": {"n": index}} for index in indexes]
+    return json.dumps({"class": "render", "tasks": tasks, **changes}).encode()
+
+
+class EntryHttpTests(unittest.IsolatedAsyncioTestCase):
+    """Calls through the application, without sockets."""
+
+    async def asyncSetUp(self):
+        self.node = FakeNode()
+        self.app = create_app(self.node, LIMITS)
+        self.client = httpx.AsyncClient(
+            transport=httpx.ASGITransport(self.app, raise_app_exceptions=False),
+            base_url="http://entry",
+        )
+        self.id = self.node.issuer.issue(1)[0].to_text()
+
+    async def asyncTearDown(self):
+        await self.client.aclose()
+
+    async def put(self, body, path=None, headers=JSON):
+        path = path or f"/v1/submissions/{self.id}"
+        return await self.client.put(path, content=body, headers=headers)
+
+    def assert_error(self, response, code):
+        self.assertEqual(response.status_code, HTTP_STATUS[code], response.text)
+        error = response.json()["error"]
+        self.assertEqual(error["code"], code.value)
+        self.assertTrue(error["message"])
+        return error
+
+    async def test_submission_comes_back_whole(self):
+        body = b'{"class":"render","tasks":[{"index":7,"body":{"b": 1.50,"a":[1 ,2]}}]}'
+        response = await self.put(body, f"/v1/submissions/{self.id}?wait_ms=500")
+        self.assertEqual(response.status_code, 200, response.text)
+        self.assertIn(b'{"b": 1.50,"a":[1 ,2]}', response.content)
+        self.assertEqual(
+            response.json(),
+            {
+                "id": self.id,
+                "state": "complete",
+                "not_run": False,
+                "tasks": [
+                    {
+                        "index": 7,
+                        "outcome": "succeeded",
+                        "body": {"b": 1.5, "a": [1, 2]},
+                    }
+                ],
+            },
+        )
+        self.assertEqual(self.node.calls[-1].wait_ms, 500)
+
+    async def test_bad_input(self):
+        path = f"/v1/submissions/{self.id}"
+        # The last letter of an id has spare bits: same bytes, another spelling.
+        respelt = self.id[:-1] + chr(ord(self.id[-1]) + 1)
+        cases = [
+            ("malformed", b'{"class":', path, ErrorCode.BAD_JSON),
+            ("empty", b"", path, ErrorCode.BAD_JSON),
+            ("not UTF-8", b'{"class": "\xff"}', path, ErrorCode.BAD_JSON),
+            ("deep", job()[:-4] + b"[" * 60_000, path, ErrorCode.BAD_JSON),
+            ("not an object", b"[]", path, ErrorCode.BAD_FIELD),
+            ("unknown field", job(extra=1), path, ErrorCode.BAD_FIELD),
+            ("no tasks", job(()), path, ErrorCode.BAD_FIELD),
+            ("negative index", job((-1,)), path, ErrorCode.BAD_FIELD),
+            ("large index", job((2**32,)), path, ErrorCode.BAD_FIELD),
+            ("empty class", job(**{"class": ""}), path, ErrorCode.BAD_FIELD),
+            ("same index", job((1, 2, 1)), path, ErrorCode.DUPLICATE_INDEX),
+            ("1,001 tasks", job(range(1_001)), path, ErrorCode.TOO_MANY_TASKS),
+            ("large", b" " * 70_000, path, ErrorCode.BODY_TOO_LARGE),
+            ("no id", job(), "/v1/submissions/abc", ErrorCode.ID_MALFORMED),
+            ("junk after id", job(), f"{path}!!", ErrorCode.ID_MALFORMED),
+            ("respelt", job(), f"/v1/submissions/{respelt}", ErrorCode.ID_MALFORMED),
+            ("wait", job(), f"{path}?wait_ms=-1", ErrorCode.BAD_FIELD),
+            ("long wait", job(), f"{path}?wait_ms=999999", ErrorCode.BAD_FIELD),
+            ("no wait", job(), f"{path}?wait_ms=soon", ErrorCode.BAD_FIELD),
+            ("no route", job(), "/v2/submissions", ErrorCode.NOT_FOUND),
+            ("method", job(), "/v1/requests", ErrorCode.BAD_METHOD),
+        ]
+        for name, body, target, code in cases:
+            with self.subTest(name):
+                error = self.assert_error(await self.put(body, target), code)
+                self.assertTrue(error["not_run"])
+        self.assertEqual(self.node.calls, [])
+        self.assertEqual((await self.put(job(), path)).status_code, 200)
+
+    async def test_content_type(self):
+        for content_type in ("text/plain", "", "application/x-www-form-urlencoded"):
+            with self.subTest(content_type):
+                response = await self.put(job(), headers={"content-type": content_type})
+                self.assert_error(response, ErrorCode.BAD_CONTENT_TYPE)
+        utf8 = {"content-type": "application/json; charset=utf-8"}
+        self.assertEqual((await self.put(job(), headers=utf8)).status_code, 200)
+
+    async def test_every_refusal_keeps_its_code_and_wait(self):
+        for code in ErrorCode:
+            with self.subTest(code):
+                self.node.refusal = Refusal(code, "no", True, 1_001, ("first",))
+                response = await self.put(job())
+                error = self.assert_error(response, code)
+                self.assertEqual(response.headers["retry-after"], "2")
+                self.assertEqual(error["retry_after_ms"], 1_001)
+                self.assertEqual(error["details"], ["first"])
+
+    async def test_crash_is_not_called_not_run(self):
+        self.node.crash = RuntimeError("broken")
+        error = self.assert_error(await self.put(job()), ErrorCode.INTERNAL)
+        self.assertFalse(error["not_run"])
+        self.assertNotIn("broken", error["message"])
+
+    async def test_running_is_202(self):
+        self.node.state = JobState.RUNNING
+        self.assertEqual((await self.put(job())).status_code, 202)
+        fetched = await self.client.get(f"/v1/submissions/{self.id}?wait_ms=0")
+        self.assertEqual(fetched.status_code, 202)
+        self.assertEqual(fetched.json()["state"], "running")
+
+    async def test_keys_and_new_ids(self):
+        keyed = await self.client.post(
+            "/v1/submissions", content=job(), headers={**JSON, "Idempotency-Key": "k1"}
+        )
+        self.assertEqual(keyed.status_code, 200)
+        self.assertIsInstance(self.node.calls[-1], SubmitWithKey)
+        self.assertEqual(self.node.calls[-1].key, "k1")
+        fresh = await self.client.post("/v1/submissions", content=job(), headers=JSON)
+        self.assertEqual(fresh.status_code, 200)
+        long_key = {**JSON, "Idempotency-Key": "k" * 201}
+        refused = await self.client.post(
+            "/v1/submissions", content=job(), headers=long_key
+        )
+        self.assert_error(refused, ErrorCode.BAD_FIELD)
+
+    async def test_same_content_has_same_digest(self):
+        digests = []
+        for body in (
+            job((1, 2)),
+            job((2, 1)),
+            job((1, 3)),
+            job((1, 2), **{"class": "x"}),
+        ):
+            await self.put(body)
+            digests.append(self.node.calls[-1].job.digest)
+        self.assertEqual(digests[0], digests[1])
+        self.assertEqual(len(set(digests)), 3)
+
+    async def test_ids_cancel_and_single_request(self):
+        opened = await self.client.post("/v1/ids", content=b'{"count":3}', headers=JSON)
+        self.assertEqual(len(set(opened.json()["ids"])), 3)
+        many = await self.client.post(
+            "/v1/ids", content=b'{"count":1001}', headers=JSON
+        )
+        self.assert_error(many, ErrorCode.BAD_FIELD)
+        cancelled = await self.client.post(f"/v1/submissions/{self.id}/cancel")
+        self.assertEqual(cancelled.status_code, 200)
+        request = b'{"class":"ping","body":{"w":1},"repeatable":false}'
+        answer = await self.client.post("/v1/requests", content=request, headers=JSON)
+        self.assertEqual(answer.json(), {"outcome": "succeeded", "body": {"w": 1}})
+        self.assertIs(self.node.calls[-1].repeatable, False)
+
+    async def test_outcomes_are_told_apart(self):
+        async def unknown(call):
+            return RequestAnswer(Unknown(Reason.ENDPOINT_LOST))
+
+        self.node.ask = unknown
+        request = b'{"class":"ping","body":1}'
+        answer = await self.client.post("/v1/requests", content=request, headers=JSON)
+        self.assertEqual(
+            answer.json(), {"outcome": "unknown", "reason": "endpoint_lost"}
+        )
+
+    async def test_classes(self):
+        missing = await self.client.get("/v1/classes")
+        self.assert_error(missing, ErrorCode.NO_CONFIGURATION)
+        change = {
+            "base_version": 0,
+            "change_id": "c1",
+            "author": "mali",
+            "classes": CLASSES,
+        }
+        response = await self.client.put("/v1/classes", json=change)
+        self.assertEqual(response.json()["version"], 1, response.text)
+        again = await self.client.put("/v1/classes", json=change)
+        self.assertEqual(again.json()["version"], 1)
+        conflict = await self.client.put(
+            "/v1/classes", json={**change, "change_id": "c2"}
+        )
+        self.assert_error(conflict, ErrorCode.VERSION_CONFLICT)
+        bad = {"render": {"weight": 1, "quantile": 2}}
+        refused = await self.client.put("/v1/classes", json={**change, "classes": bad})
+        error = self.assert_error(refused, ErrorCode.BAD_CONFIGURATION)
+        self.assertEqual(len(error["details"]), 3)
+        history = await self.client.get("/v1/classes/history?limit=5")
+        self.assertEqual([v["author"] for v in history.json()["versions"]], ["mali"])
+
+    async def test_endpoints_status_health_metrics(self):
+        shown = await self.client.get("/v1/endpoints")
+        self.assertEqual(shown.json()["endpoints"][0]["name"], "endpoint-1")
+        drained = await self.client.post("/v1/endpoints/endpoint-1/drain")
+        self.assertEqual(drained.json(), {"name": "endpoint-1", "draining": True})
+        unknown = await self.client.post("/v1/endpoints/other/resume")
+        self.assert_error(unknown, ErrorCode.NOT_FOUND)
+        self.assertEqual((await self.client.get("/v1/status")).status_code, 200)
+        self.assertEqual((await self.client.get("/health/ready")).status_code, 200)
+        self.node.ready = False
+        not_ready = await self.client.get("/health/ready")
+        self.assert_error(not_ready, ErrorCode.NOT_READY)
+        self.assertEqual((await self.client.get("/health/live")).status_code, 200)
+        self.node.metrics.job_ended("render", JobState.COMPLETE, 120)
+        metrics = await self.client.get("/metrics")
+        self.assertIn(
+            'plantainhitch_jobs_total{class="render",state="complete"} 1.0',
+            metrics.text,
+        )
+
+    async def test_every_route_is_documented(self):
+        document = (await self.client.get("/schema/openapi.json")).json()
+        documented = {
+            (path, method.upper())
+            for path, item in document["paths"].items()
+            for method in item
+        }
+        served = {
+            (route.path_format, method)
+            for route in self.app.routes
+            if not route.path.startswith("/schema")
+            for method in route.methods - {"OPTIONS", "HEAD"}
+        }
+        self.assertEqual(documented, served)
+        schemas = document["components"]["schemas"]
+        text = json.dumps(document)
+        for name in text.split('"#/components/schemas/')[1:]:
+            self.assertIn(name.partition('"')[0], schemas)
+        body = document["paths"]["/v1/submissions"]["post"]["requestBody"]
+        reference = body["content"]["application/json"]["schema"]["$ref"]
+        self.assertIn("tasks", schemas[reference.rpartition("/")[2]]["properties"])
+
+
+class ServerTests(unittest.IsolatedAsyncioTestCase):
+    """The server on a loopback socket."""
+
+    async def asyncSetUp(self):
+        self.node = FakeNode()
+        app = create_app(self.node, LIMITS)
+        self.server = await serve(app, Address("127.0.0.1", 0))
+        self.url = f"http://{self.server.address}"
+
+    async def test_oversized_body_is_refused_while_it_arrives(self):
+        address = self.server.address
+        reader, writer = await asyncio.open_connection(address.host, address.port)
+        head = (
+            "POST /v1/ids HTTP/1.1\r\nHost: x\r\nContent-Type: application/json\r\n"
+            "Transfer-Encoding: chunked\r\n\r\n"
+        )
+        writer.write(head.encode())
+        chunk = b"10000\r\n" + b" " * 0x10000 + b"\r\n"
+        writer.write(chunk + chunk)
+        # The body never ends; the refusal comes all the same.
+        answer = await asyncio.wait_for(reader.readline(), 5)
+        self.assertIn(b" 413 ", answer)
+        writer.close()
+        await self.server.aclose(within_ms=1_000)
+
+    async def test_close_lets_a_request_finish(self):
+        entered = asyncio.Event()
+        go_on = asyncio.Event()
+        ask = self.node.ask
+
+        async def slow(call):
+            entered.set()
+            await go_on.wait()
+            return await ask(call)
+
+        self.node.ask = slow
+        async with httpx.AsyncClient() as client:
+            call = asyncio.create_task(client.post(f"{self.url}/v1/ids", json={}))
+            await entered.wait()
+            closing = asyncio.create_task(self.server.aclose())
+            await asyncio.sleep(0.05)
+            self.assertFalse(closing.done())
+            go_on.set()
+            self.assertEqual((await call).status_code, 200)
+        await closing
+        with self.assertRaises(OSError):
+            await asyncio.open_connection(
+                self.server.address.host, self.server.address.port
+            )
+
+    async def test_address_in_use(self):
+        with self.assertRaises(OSError):
+            await serve(create_app(self.node), self.server.address)
+        await self.server.aclose()
