--- /dev/null
+++ b/plantainhitch/commands/cancel.py
@@ -0,0 +1,30 @@
+"""``plantainhitch cancel``: cancel what has not ended of a submission."""
+
+from urllib.parse import quote
+
+import msgspec
+
+from ..protocol.models import AnswerModel
+from . import operator
+
+
+def cancel(submission, entry="", json=False):
+    """Cancel a submission and show where it stands.
+
+    Args:
+        submission: the submission's id.
+        entry: IP:PORT of an entry.
+        json: print the JSON document.
+    """
+
+    async def action(client):
+        path = f"/v1/submissions/{quote(str(submission), safe='')}/cancel"
+        return operator.finish(await client.call("POST", path), json, _show)
+
+    return operator.run(entry, action)
+
+
+def _show(body):
+    answer = msgspec.json.decode(body, type=AnswerModel)
+    ended = sum(task.outcome == "succeeded" for task in answer.tasks)
+    return f"{answer.id}: {answer.state}, {ended} tasks succeeded"
--- /dev/null
+++ b/plantainhitch/commands/check.py
@@ -0,0 +1,44 @@
+"""``plantainhitch check``: check a settings file or a class file."""
+
+import tomllib
+from pathlib import Path
+
+from returns.result import Success
+
+from ..settings import Settings
+from ..state import class_files
+from .exit_codes import ExitCode
+from .output import print_error, print_json
+
+
+def check(file, json=False):
+    """Check a file and show every error in it; exit code 2 where there are any.
+
+    A file with a table [classes] or [teams] is a class file, any other a
+    settings file.
+
+    Args:
+        file: the TOML file.
+        json: print the errors as JSON.
+    """
+    path = str(file)
+    read = class_files.read if _is_class_file(path) else Settings.read
+    result = read(path)
+    problems = () if isinstance(result, Success) else result.failure()
+    if json:
+        print_json({"file": path, "errors": problems})
+    for problem in problems:
+        print_error(problem)
+    if problems:
+        return ExitCode.USAGE
+    if not json:
+        print(f"{path}: no errors")
+    return ExitCode.OK
+
+
+def _is_class_file(path):
+    try:
+        tables = tomllib.loads(Path(path).read_text(encoding="utf-8"))
+    except (OSError, ValueError):
+        return False
+    return "classes" in tables or "teams" in tables
--- /dev/null
+++ b/plantainhitch/commands/endpoints.py
@@ -0,0 +1,75 @@
+"""``plantainhitch endpoints show|drain|resume``."""
+
+from urllib.parse import quote
+
+import msgspec
+
+from ..protocol.models import DrainModel, EndpointsModel
+from . import operator
+from .output import format_table
+
+_HEADERS = ("name", "zone", "rack", "slots", "running", "credits", "state")
+
+
+class Endpoints:
+    """Show endpoints, and bring them in and out of work."""
+
+    def show(self, entry="", json=False):
+        """Show the endpoints that the entry knows."""
+
+        async def action(client):
+            return operator.finish(await client.get("/v1/endpoints"), json, _show)
+
+        return operator.run(entry, action)
+
+    def drain(self, name, entry="", json=False):
+        """Give an endpoint no new work; what runs there finishes."""
+        return _order(name, "drain", entry, json)
+
+    def resume(self, name, entry="", json=False):
+        """Give a drained endpoint work again."""
+        return _order(name, "resume", entry, json)
+
+
+def _order(name, order, entry, json):
+    async def action(client):
+        path = f"/v1/endpoints/{quote(str(name), safe='')}/{order}"
+        return operator.finish(await client.call("POST", path), json, _show_order)
+
+    return operator.run(entry, action)
+
+
+def _show(body):
+    endpoints = msgspec.json.decode(body, type=EndpointsModel).endpoints
+    rows = [
+        (
+            item.name,
+            item.zone,
+            item.rack,
+            item.slots,
+            item.running,
+            item.credits,
+            _state(item),
+        )
+        for item in sorted(endpoints, key=_by_name)
+    ]
+    return format_table(_HEADERS, rows)
+
+
+def _by_name(item):
+    return item.name
+
+
+def _state(item):
+    flags = {
+        "not linked": not item.linked,
+        "draining": item.draining,
+        "not ready": not item.ready,
+        "held back": item.held_back,
+    }
+    return ", ".join(name for name, is_set in flags.items() if is_set) or "ready"
+
+
+def _show_order(body):
+    order = msgspec.json.decode(body, type=DrainModel)
+    return f"{order.name}: {'draining' if order.draining else 'takes work again'}"
--- a/plantainhitch/commands/main.py
+++ b/plantainhitch/commands/main.py
@@ -9,6 +9,9 @@
 
 import fire
 
+from ..settings import SettingsError
+from .exit_codes import ExitCode
+
 # Command name -> (module, function) below this package.
 COMMANDS = {
     "agent": ("agent", "agent"),
@@ -23,7 +26,8 @@
     "status": ("status", "status"),
     "submit": ("submit", "submit"),
 }
-EXIT_USAGE = 2
+# ``class`` can't be the name of a function's argument.
+OPTION_NAMES = {"--class": "--class_name"}
 
 
 def _load(name):
@@ -38,14 +42,24 @@
     if not words or words[0] not in COMMANDS:
         names = ", ".join(sorted(COMMANDS))
         print(f"usage: plantainhitch COMMAND ...; commands: {names}", file=sys.stderr)
-        return EXIT_USAGE
+        return ExitCode.USAGE
     name = words[0]
-    result = fire.Fire(
-        {name: _load(name)}, command=words, name="plantainhitch", serialize=_silent
-    )
+    words = [_option(word) for word in words]
+    try:
+        result = fire.Fire(
+            {name: _load(name)}, command=words, name="plantainhitch", serialize=_silent
+        )
+    except SettingsError as error:
+        print(error, file=sys.stderr)
+        return ExitCode.USAGE
     return result if isinstance(result, int) else 0
 
 
+def _option(word):
+    name, separator, value = word.partition("=")
+    return OPTION_NAMES.get(name, name) + separator + value
+
+
 def _silent(result):
     """Print nothing of a command's exit code."""
     return "" if isinstance(result, int) or result is None else result
--- /dev/null
+++ b/plantainhitch/commands/operator.py
@@ -0,0 +1,45 @@
+"""What the operators' commands share: one call, its reply printed."""
+
+import asyncio
+
+from .client import Answered, EntryClient, NoReply, Refused, entry_addresses
+from .exit_codes import ExitCode
+from .output import print_error, print_json
+
+
+def run(entry, action):
+    """Run ``await action(client)`` with a client of ``entry``; return its code."""
+    try:
+        addresses = entry_addresses(entry)
+    except ValueError as error:
+        print_error(error)
+        return ExitCode.USAGE
+    return asyncio.run(_run(addresses, action))
+
+
+async def _run(addresses, action):
+    async with EntryClient(addresses) as client:
+        return await action(client)
+
+
+def finish(reply, as_json, show):
+    """Print a reply, by ``show(body)`` for people; return the exit code."""
+    match reply:
+        case Answered(body=body) if as_json:
+            print_json(body)
+            return ExitCode.OK
+        case Answered(body=body):
+            print(show(body))
+            return ExitCode.OK
+    return fail(reply)
+
+
+def fail(reply):
+    """Print a refusal or a missing reply; return the exit code."""
+    print_error(reply)
+    match reply:
+        case NoReply(sent=sent):
+            return ExitCode.UNKNOWN if sent else ExitCode.FAILED
+        case Refused(error=error):
+            return ExitCode.UNKNOWN if error.code == "internal" else ExitCode.FAILED
+    raise TypeError(f"not a failed reply: {reply!r}")
--- /dev/null
+++ b/plantainhitch/commands/submit.py
@@ -0,0 +1,98 @@
+"""``plantainhitch submit``: run a job from a file of JSON lines."""
+
+import asyncio
+import sys
+from pathlib import Path
+
+from ..clock import Clock
+from .client import EntryClient, entry_addresses
+from .exit_codes import ExitCode
+from .jobs import JobRunner, read_bodies, write_job
+from .output import print_error, write_whole
+
+
+def submit(
+    class_name="",
+    file="",
+    entry="",
+    output="",
+    json=False,
+    declared_ms=0,
+    timeout_s=600,
+    submission="",
+):
+    """Submit a job, wait for its answer and write it out whole.
+
+    Exit codes: 0 complete, 1 failed or not run, 2 usage, 3 unknown.
+
+    Args:
+        class_name: the class of work; also written --class.
+        file: JSON lines, one task body a line; "-" reads standard input.
+        entry: IP:PORT of an entry, or several with commas between.
+        output: file for the answers; standard output where empty.
+        json: write the whole answer document instead of one answer a line.
+        declared_ms: the run time of a task that you expect, 0 for none.
+        timeout_s: how long to wait in all.
+        submission: an id opened before, to submit the same job again.
+    """
+    if not class_name or not file:
+        print_error("usage: submit --class NAME --file JOBS.jsonl --entry IP:PORT")
+        return ExitCode.USAGE
+    try:
+        addresses = entry_addresses(entry)
+        bodies, bad_lines = read_bodies(_read(str(file)))
+    except (OSError, ValueError) as error:
+        print_error(error)
+        return ExitCode.USAGE
+    if bad_lines:
+        for line in bad_lines:
+            print_error(f"{file}: {line}")
+        return ExitCode.USAGE
+    body = write_job(str(class_name), bodies, int(declared_ms))
+    result = asyncio.run(_run(addresses, body, timeout_s * 1_000, str(submission)))
+    return _finish(result, str(output), json)
+
+
+async def _run(addresses, body, timeout_ms, submission):
+    async with EntryClient(addresses) as client:
+        runner = JobRunner(client, Clock(), timeout_ms)
+        return await runner.run(body, submission)
+
+
+def _read(file):
+    return sys.stdin.buffer.read() if file == "-" else Path(file).read_bytes()
+
+
+def _finish(result, output, as_json):
+    """Write what there is to write and return the exit code.
+
+    Only a complete answer is written as lines: a failed one is written whole,
+    with its state, or not at all.
+    """
+    if result.detail:
+        print_error(f"{result.submission or 'no id'}: {result.detail}")
+    if result.answer is None:
+        return result.code
+    if as_json:
+        _write(output, result.raw + b"\n")
+    elif result.code is ExitCode.OK:
+        lines = [bytes(task.body) + b"\n" for task in result.answer.tasks]
+        _write(output, b"".join(lines))
+    else:
+        _print_failures(result.answer)
+    return result.code
+
+
+def _write(output, data):
+    if output:
+        write_whole(output, data)
+    else:
+        sys.stdout.buffer.write(data)
+        sys.stdout.buffer.flush()
+
+
+def _print_failures(answer):
+    for task in answer.tasks:
+        if task.outcome != "succeeded":
+            detail = f" ({task.detail})" if task.detail else ""
+            print_error(f"task {task.index}: {task.outcome}, {task.reason}{detail}")
