--- a/plantainhitch/transport/caller_routes.py
+++ b/plantainhitch/transport/caller_routes.py
@@ -55,10 +55,7 @@
 )
 async def open_ids(request: Request) -> ASGIResponse:
     """Open new submission ids."""
-    body = await replies.read_json(request)
-    if isinstance(body, Refusal):
-        return replies.error_reply(body)
-    model = border.read_model(body, _OPEN_IDS)
+    model = await replies.read_model(request, _OPEN_IDS)
     if isinstance(model, Refusal):
         return replies.error_reply(model)
     return await _ask(request, OpenIds(model.count))
@@ -134,10 +131,7 @@
 )
 async def single_request(request: Request) -> ASGIResponse:
     """Run one request outside a job and return its outcome."""
-    body = await replies.read_json(request)
-    if isinstance(body, Refusal):
-        return replies.error_reply(body)
-    model = border.read_model(body, _REQUEST)
+    model = await replies.read_model(request, _REQUEST)
     if isinstance(model, Refusal):
         return replies.error_reply(model)
     call = SingleRequest(
--- a/plantainhitch/transport/operator_routes.py
+++ b/plantainhitch/transport/operator_routes.py
@@ -9,7 +9,7 @@
 from litestar.response.base import ASGIResponse
 from returns.result import Failure, Success
 
-from ..protocol import border, models
+from ..protocol import models
 from ..protocol.errors import ErrorCode, Refusal
 from ..state import class_files
 from . import replies
@@ -39,10 +39,7 @@
 )
 async def apply_classes(request: Request) -> ASGIResponse:
     """Put a new version in force, on condition that the base is the newest."""
-    body = await replies.read_json(request)
-    if isinstance(body, Refusal):
-        return replies.error_reply(body)
-    change = border.read_model(body, _APPLY)
+    change = await replies.read_model(request, _APPLY)
     if isinstance(change, Refusal):
         return replies.error_reply(change)
     parsed = class_files.from_tables({"classes": change.classes, "teams": change.teams})
--- a/plantainhitch/transport/replies.py
+++ b/plantainhitch/transport/replies.py
@@ -55,6 +55,12 @@
     return await request.body()
 
 
+async def read_model(request, decoder):
+    """Return the model of a JSON request body, or a ``Refusal``."""
+    body = await read_json(request)
+    return body if isinstance(body, Refusal) else border.read_model(body, decoder)
+
+
 def handle_http_error(request, error):
     """Turn an exception of the HTTP library into an error reply."""
     return _exception_reply(_refusal_for(request, error))
