Add the agent, its endpoint client and the endpoint stand-in

The agent's decisions are plain classes: slots and attempts seen, shares by slot time, credits of each link.

The endpoint client is a keep-alive pool on httptools. A request that may have been read is never called not run: only a connection that never came about, or the endpoint's own refusal, is.

Reason gains answer_expired, for an answer that is no longer kept.

--- /dev/null
+++ b/plantainhitch/coordination/agent_core.py
@@ -0,0 +1,427 @@
+"""The decisions of an agent: a plain class driven by events and the clock.
+
+``handle`` takes one event, ``round`` returns what is to be done after all events
+at hand: messages to entries, starts and cancellations at the endpoint. One round
+sends at most one frame of reports and grants on each link.
+"""
+
+import collections
+import enum
+from dataclasses import dataclass, field
+
+from .. import logs
+from ..outcomes import NotRun, Reason, Unknown
+from ..protocol import messages as m
+from ..state.classes import ClassDocument
+from . import agent_events as e
+from .grants import GrantPlanner
+from .shares import ShareBook
+from .slots import SlotTable, Verdict
+
+# An endpoint announces itself every 5 s.
+ANNOUNCEMENT_LIMIT_MS = 12_000
+# Unanswered questions in a row after which the endpoint counts as gone.
+MAX_UNANSWERED = 2
+TOP_UP_MS = 1_000
+EXPIRE_MS = 1_000
+
+log = logs.get_logger("agent")
+
+
+class DrainCause(enum.Enum):
+    """Why new starts are refused."""
+
+    OPERATOR = "operator"
+    LEAVING = "leaving"
+    STOPPING = "stopping"
+
+
+@dataclass(slots=True)
+class AgentCounts:
+    """Counters since the start; frames are those sent, by kind."""
+
+    taken: int = 0
+    refused: collections.Counter = field(default_factory=collections.Counter)
+    outcomes: collections.Counter = field(default_factory=collections.Counter)
+    report_frames: int = 0
+    grant_frames: int = 0
+    recall_frames: int = 0
+    granted: int = 0
+    recalled: int = 0
+    returned: int = 0
+    empty_returns: int = 0
+    demand_frames: int = 0
+
+
+@dataclass(slots=True)
+class Round:
+    """What one round asks for; ``again_in_ms`` None where nothing is pending."""
+
+    messages: list[tuple[int, m.Message]] = field(default_factory=list)
+    starts: list[m.Start] = field(default_factory=list)
+    cancels: list[m.TaskKey] = field(default_factory=list)
+    again_in_ms: int | None = None
+
+
+@dataclass(slots=True)
+class _EntryLink:
+    """What the agent keeps for one link."""
+
+    entry: bytes
+    version: int
+    reports: list[m.Report] = field(default_factory=list)
+    # (batch number, keys) of reports sent and not acknowledged, oldest first.
+    sent: collections.deque = field(default_factory=collections.deque)
+    last_number: int = 0
+    status: m.AgentStatus | None = None
+
+
+class AgentCore:
+    """Slots, shares, credits and configuration of one agent."""
+
+    def __init__(self, clock, *, name, rack=""):
+        self._clock = clock
+        self._name = name
+        self._rack = rack
+        self._slots = SlotTable(clock)
+        self._shares = ShareBook(clock)
+        self._planner = GrantPlanner(clock, self._shares)
+        self._links = {}
+        self._link_of = {}
+        self._document = None
+        self._endpoint = None
+        self._is_reachable = False
+        self._announced_ms = 0
+        self._unanswered = 0
+        self._is_suspect = False
+        self._drain_causes = set()
+        self._is_paused = False
+        self._top_up = False
+        self._topped_up_ms = clock.now_ms()
+        self._expired_ms = clock.now_ms()
+        self._round = Round()
+        self._counts = AgentCounts()
+
+    @property
+    def counts(self):
+        """Counters since the start."""
+        return self._counts
+
+    @property
+    def configuration_version(self):
+        """The version of the class document in force, 0 without one."""
+        return self._document.version if self._document else 0
+
+    @property
+    def endpoint(self):
+        """The endpoint as last announced, or None."""
+        return self._endpoint
+
+    @property
+    def slots(self):
+        """The slots and the attempts seen."""
+        return self._slots
+
+    @property
+    def credits_out(self):
+        """Credits granted and not used."""
+        return self._planner.outstanding
+
+    @property
+    def is_ready(self):
+        """Whether tasks can be run now, drains apart."""
+        return self._endpoint is not None and self._is_reachable
+
+    @property
+    def is_draining(self):
+        """Whether new starts are refused."""
+        return bool(self._drain_causes)
+
+    @property
+    def is_settled(self):
+        """Whether nothing runs and every report on an open link has arrived."""
+        return not self._slots.running and not any(
+            link.reports or link.sent for link in self._links.values()
+        )
+
+    @property
+    def should_ask_busy(self):
+        """Whether the endpoint is to be asked for its busy slots."""
+        if self._endpoint is None:
+            return False
+        silent_ms = self._clock.now_ms() - self._announced_ms
+        return (
+            self._slots.needs_busy_count
+            or self._is_suspect
+            or not self._is_reachable
+            or silent_ms > ANNOUNCEMENT_LIMIT_MS
+        )
+
+    def handle(self, event):
+        """Take in one event."""
+        match event:
+            case e.LinkSaid(number, envelope):
+                self._hear(number, envelope)
+            case e.TaskEnded(key, outcome):
+                self._end_task(key, outcome)
+            case e.LinkOpened():
+                self._open_link(event)
+            case e.LinkEnded(number):
+                self._end_link(number)
+            case e.Announced(endpoint):
+                self._announced(endpoint)
+            case e.EndpointLeft():
+                self._drain(DrainCause.LEAVING, True)
+            case e.BusyCounted(busy, running):
+                self._busy_counted(busy, running)
+            case e.DrainOrdered(draining):
+                self._drain(DrainCause.OPERATOR, draining)
+            case e.StopAsked():
+                self._drain(DrainCause.STOPPING, True)
+            case e.GrantingPaused(paused):
+                self._is_paused = paused
+            case e.Ticked():
+                self._tick()
+
+    def round(self):
+        """Divide what is free and return what is to be done."""
+        result, self._round = self._round, Round()
+        reporting = [n for n, link in self._links.items() if link.reports]
+        grants = {}
+        if self._may_grant():
+            plan = self._planner.plan(
+                self._slots.vacant, reporting, top_up=self._top_up
+            )
+            self._top_up = False
+            grants = plan.grants
+            result.again_in_ms = plan.again_in_ms
+            self._send_recalls(result, plan)
+        for number, link in self._links.items():
+            self._send_status(result, number, link)
+            self._send_reports(result, number, link, _credits(grants.get(number)))
+        return result
+
+    # Entries
+
+    def _open_link(self, event):
+        hello = event.hello
+        self._links[event.number] = _EntryLink(
+            hello.incarnation, hello.configuration_version
+        )
+        self._link_of[hello.incarnation] = event.number
+        self._planner.open(event.number, hello.incarnation)
+        self._push_configuration(event.number)
+        self._top_up = True
+
+    def _end_link(self, number):
+        link = self._links.pop(number, None)
+        if link is None:
+            return
+        if self._link_of.get(link.entry) == number:
+            del self._link_of[link.entry]
+        self._planner.close(number)
+
+    def _hear(self, number, envelope):
+        link = self._links.get(number)
+        if link is None:
+            return
+        if envelope.ack:
+            self._acknowledge(link, envelope.ack)
+        match envelope.message:
+            case m.StartBatch(starts):
+                for start in starts:
+                    self._offer(number, link, start, envelope.echo_ms)
+            case m.Demand(credits):
+                self._counts.demand_frames += 1
+                self._planner.demand(number, credits)
+            case m.Returned(credits):
+                self._take_back(number, credits)
+            case m.CancelBatch(keys):
+                running = self._slots.running
+                self._round.cancels.extend(key for key in keys if key in running)
+            case m.Resolve(keys):
+                link.reports.extend(self._slots.resolve(link.entry, keys))
+            case m.Configuration(version, document):
+                self._configure(link, version, document)
+            case m.Drain(draining):
+                self._drain(DrainCause.OPERATOR, draining)
+
+    def _acknowledge(self, link, number):
+        while link.sent and link.sent[0][0] <= number:
+            _, keys = link.sent.popleft()
+            for key in keys:
+                self._slots.window.acknowledge(key)
+
+    def _offer(self, number, link, start, echo_ms):
+        name = start.class_name
+        seen = self._slots.window.find(start.key) is not None
+        tag = None if seen else self._planner.use(number, name)
+        # A credit of its own class was granted within the quota.
+        is_over_quota = tag != name and not self._shares.allows(name)
+        verdict = self._slots.offer(
+            link.entry,
+            start,
+            echo_ms=echo_ms,
+            has_credit=tag is not None,
+            is_over_quota=is_over_quota,
+        )
+        match verdict:
+            case Verdict.TAKEN:
+                self._counts.taken += 1
+                self._shares.take(name)
+                self._shares.note_wanted(name)
+                self._round.starts.append(start)
+            case m.Report(outcome=outcome):
+                if isinstance(outcome, NotRun) and not seen:
+                    self._counts.refused[outcome.reason] += 1
+                link.reports.append(verdict)
+
+    def _take_back(self, number, credits):
+        count = self._planner.returned(number, credits)
+        self._counts.returned += count
+        if not count:
+            self._counts.empty_returns += 1
+
+    # Tasks
+
+    def _end_task(self, key, outcome):
+        running = self._slots.running[key]
+        report = self._slots.finish(key, outcome)
+        self._shares.release(running.class_name)
+        self._shares.note_run(running.class_name, report.run_ms)
+        self._counts.outcomes[type(outcome).__name__] += 1
+        if isinstance(outcome, NotRun | Unknown):
+            self._is_suspect = True
+        if outcome == Unknown(Reason.TIMED_OUT):
+            self._round.cancels.append(key)
+        number = self._link_of.get(running.entry)
+        if number is not None:
+            self._links[number].reports.append(report)
+
+    # The endpoint
+
+    def _announced(self, endpoint):
+        if self._endpoint != endpoint:
+            log.info("endpoint announced", endpoint=endpoint.name, slots=endpoint.slots)
+        self._endpoint = endpoint
+        self._announced_ms = self._clock.now_ms()
+        self._slots.capacity = endpoint.slots
+        self._shares.slots = endpoint.slots
+        self._drain(DrainCause.LEAVING, False)
+
+    def _busy_counted(self, busy, running):
+        if busy is None:
+            self._unanswered += 1
+            if self._unanswered >= MAX_UNANSWERED:
+                self._set_reachable(False)
+            return
+        self._unanswered = 0
+        self._is_suspect = False
+        self._announced_ms = self._clock.now_ms()
+        self._slots.busy_counted(busy, running)
+        self._set_reachable(True)
+
+    def _set_reachable(self, reachable):
+        if reachable == self._is_reachable:
+            return
+        self._is_reachable = reachable
+        log.notice("endpoint reachable" if reachable else "endpoint unreachable")
+        self._top_up = True
+        if not reachable:
+            self._planner.void_all()
+
+    # Drain, configuration, time
+
+    def _drain(self, cause, draining):
+        was_draining = self.is_draining
+        if draining:
+            self._drain_causes.add(cause)
+        else:
+            self._drain_causes.discard(cause)
+        if self.is_draining == was_draining:
+            return
+        log.notice("draining" if draining else "taking starts again", cause=cause.value)
+        self._slots.is_draining = self.is_draining
+        self._top_up = True
+        if self.is_draining:
+            self._planner.void_all()
+
+    def _configure(self, link, version, document):
+        link.version = max(link.version, version)
+        if version <= self.configuration_version:
+            return
+        try:
+            self._document = ClassDocument.from_json(document)
+        except (ValueError, TypeError) as error:
+            log.error("unreadable configuration", version=version, why=str(error))
+            return
+        log.info("configuration in force", version=version)
+        self._shares.configure(self._document)
+        self._slots.has_configuration = True
+        self._top_up = True
+
+    def _push_configuration(self, number):
+        link = self._links[number]
+        if link.version >= self.configuration_version:
+            return
+        link.version = self.configuration_version
+        document = m.Configuration(link.version, self._document.to_json())
+        self._round.messages.append((number, document))
+
+    def _tick(self):
+        now_ms = self._clock.now_ms()
+        if now_ms - self._topped_up_ms >= TOP_UP_MS:
+            self._topped_up_ms = now_ms
+            self._top_up = True
+        if now_ms - self._expired_ms >= EXPIRE_MS:
+            self._expired_ms = now_ms
+            self._slots.window.expire()
+
+    def _may_grant(self):
+        return (
+            self.is_ready
+            and not self.is_draining
+            and not self._is_paused
+            and self._slots.has_configuration
+        )
+
+    # Frames
+
+    def _send_status(self, result, number, link):
+        endpoint = self._endpoint
+        status = m.AgentStatus(
+            endpoint=endpoint.name if endpoint else self._name,
+            slots=endpoint.slots if endpoint else 0,
+            cores=endpoint.cores if endpoint else 0,
+            memory_mb=endpoint.memory_mb if endpoint else 0,
+            accelerators=endpoint.accelerators if endpoint else 0,
+            draining=self.is_draining,
+            ready=self.is_ready,
+            rack=self._rack,
+        )
+        if status != link.status:
+            link.status = status
+            result.messages.append((number, status))
+
+    def _send_reports(self, result, number, link, credits):
+        self._counts.granted += sum(credit.count for credit in credits)
+        if link.reports:
+            link.last_number += 1
+            reports, link.reports = link.reports, []
+            link.sent.append((link.last_number, [report.key for report in reports]))
+            batch = m.ReportBatch(link.last_number, reports, credits)
+            result.messages.append((number, batch))
+            self._counts.report_frames += 1
+        elif credits:
+            result.messages.append((number, m.GrantBatch(credits)))
+            self._counts.grant_frames += 1
+
+    def _send_recalls(self, result, plan):
+        for number, credits in plan.recalls.items():
+            result.messages.append((number, m.Recall(credits)))
+            self._counts.recall_frames += 1
+            self._counts.recalled += sum(credit.count for credit in credits)
+
+
+def _credits(tags):
+    return [m.Credit(tag, count) for tag, count in (tags or {}).items()]
--- /dev/null
+++ b/plantainhitch/coordination/slots.py
@@ -0,0 +1,184 @@
+"""Takes or refuses starts at one endpoint and counts its slots.
+
+A plain class driven by messages and the clock. An attempt is taken at most once;
+what has been refused stays refused. A slot counts as in use until it is known to
+be free: after a restart of the agent, or an outcome that leaves the task perhaps
+running, only the endpoint's own count of busy slots frees it.
+"""
+
+import enum
+from dataclasses import dataclass
+
+from ..outcomes import NotRun, Reason, Unknown
+from ..protocol.messages import Report
+from ..state.windows import AttemptWindow
+
+START_VALID_MS = 10_000
+RETRY_SOON_MS = 50
+RETRY_LATER_MS = 1_000
+
+
+class Verdict(enum.Enum):
+    """What is to be done with a start that is not refused."""
+
+    TAKEN = "taken"
+    SEEN_RUNNING = "seen_running"
+
+
+@dataclass(slots=True)
+class Running:
+    """A task at the endpoint; ``started_ms`` is on the agent's clock."""
+
+    entry: bytes
+    class_name: str
+    started_ms: int
+
+
+class SlotTable:
+    """The slots of the endpoint and the attempts that were sent to it."""
+
+    def __init__(self, clock, window=None):
+        self._clock = clock
+        self._window = window or AttemptWindow(clock)
+        self._capacity = 0
+        self._running = {}
+        # Busy slots that no running attempt of ours accounts for; None until the
+        # endpoint has said how many there are.
+        self._unaccounted = None
+        self._is_draining = False
+        self._has_configuration = False
+
+    @property
+    def capacity(self):
+        """How many tasks the endpoint takes at once."""
+        return self._capacity
+
+    @capacity.setter
+    def capacity(self, slots):
+        self._capacity = slots
+
+    @property
+    def running(self):
+        """Running tasks by key."""
+        return self._running
+
+    @property
+    def window(self):
+        """The attempts seen so far."""
+        return self._window
+
+    @property
+    def is_draining(self):
+        """Whether new starts are refused."""
+        return self._is_draining
+
+    @is_draining.setter
+    def is_draining(self, draining):
+        self._is_draining = draining
+
+    @property
+    def has_configuration(self):
+        """Whether a class document is in force."""
+        return self._has_configuration
+
+    @has_configuration.setter
+    def has_configuration(self, known):
+        self._has_configuration = known
+
+    @property
+    def needs_busy_count(self):
+        """Whether the endpoint has to be asked how many slots are busy."""
+        return self._unaccounted != 0
+
+    @property
+    def vacant(self):
+        """Slots neither in use nor perhaps in use; credits are not looked at."""
+        if self._unaccounted is None:
+            return 0
+        return self._capacity - len(self._running) - self._unaccounted
+
+    def offer(self, entry, start, *, echo_ms, has_credit, is_over_quota=False):
+        """Take a start, or refuse it.
+
+        Return a ``Verdict``, or a ``Report`` to send: of a refusal, or of the end
+        of an attempt that has been seen before.
+        """
+        known = self._window.find(start.key)
+        if known is not None:
+            return self._seen_before(known)
+        attempt = self._window.begin(start.key, entry)
+        refusal = self._refusal(echo_ms, has_credit, is_over_quota)
+        if refusal is not None:
+            report = Report(start.key, refusal)
+            self._window.end(attempt, report)
+            return report
+        self._running[start.key] = Running(
+            entry, start.class_name, self._clock.now_ms()
+        )
+        return Verdict.TAKEN
+
+    def refuse(self, entry, key, refusal):
+        """Refuse an attempt that was not offered; return the ``Report``."""
+        attempt = self._window.begin(key, entry)
+        report = Report(key, refusal)
+        self._window.end(attempt, report)
+        return report
+
+    def finish(self, key, outcome):
+        """Note the end of a running attempt; return its ``Report``."""
+        running = self._running.pop(key)
+        run_ms = self._clock.now_ms() - running.started_ms
+        if isinstance(outcome, Unknown) and self._unaccounted is not None:
+            self._unaccounted += 1
+        report = Report(key, outcome, run_ms)
+        self._window.end(self._window.find(key), report)
+        return report
+
+    def busy_counted(self, busy, running_when_asked):
+        """Take the endpoint's count of busy slots.
+
+        ``running_when_asked`` is the number of our running attempts when the
+        question was sent.
+        """
+        others = max(0, busy - running_when_asked)
+        if self._unaccounted is None:
+            self._unaccounted = others
+        self._unaccounted = min(self._unaccounted, others)
+
+    def resolve(self, entry, keys):
+        """Return the reports that are due for attempts of an earlier link."""
+        reports = []
+        for key in keys:
+            attempt = self._window.find(key)
+            if attempt is None:
+                reports.append(self.refuse(entry, key, self._never_seen(entry)))
+            elif attempt.report is not None:
+                reports.append(attempt.report)
+            elif attempt.acknowledged:
+                reports.append(Report(key, Unknown(Reason.ANSWER_EXPIRED)))
+        return reports
+
+    def _seen_before(self, attempt):
+        if attempt.report is not None:
+            return attempt.report
+        if attempt.acknowledged:
+            return Report(attempt.key, Unknown(Reason.ANSWER_EXPIRED))
+        return Verdict.SEEN_RUNNING
+
+    def _refusal(self, echo_ms, has_credit, is_over_quota):
+        if self._clock.now_ms() - echo_ms > START_VALID_MS:
+            return NotRun(Reason.STALE_START)
+        if self._is_draining:
+            return NotRun(Reason.DRAINING)
+        if not self._has_configuration:
+            return NotRun(Reason.NO_CONFIGURATION, RETRY_LATER_MS)
+        if not has_credit:
+            return NotRun(Reason.NO_GRANT, RETRY_SOON_MS)
+        if is_over_quota:
+            return NotRun(Reason.QUOTA, RETRY_SOON_MS)
+        return None
+
+    def _never_seen(self, entry):
+        if self._window.has_forgotten(entry):
+            return Unknown(Reason.ANSWER_EXPIRED)
+        return NotRun(Reason.STALE_START)
--- a/plantainhitch/outcomes.py
+++ b/plantainhitch/outcomes.py
@@ -12,6 +12,7 @@
 class Reason(enum.StrEnum):
     """Why a task has not succeeded; the values are stable codes."""
 
+    ANSWER_EXPIRED = "answer_expired"
     ANSWER_TOO_LARGE = "answer_too_large"
     BAD_ANSWER = "bad_answer"
     CANCELLED = "cancelled"
--- /dev/null
+++ b/plantainhitch/standins/endpoint.py
@@ -0,0 +1,341 @@
+"""A stand-in for an endpoint: works by sleeping and keeps a ledger of starts.
+
+``POST /tasks`` takes ``{"sleep_ms": 120, ...}`` and answers ``{"submission",
+"index", "attempt", "body"}``, so that a test can tell whose answer it has. Tasks
+beyond the slots wait in order of arrival. ``GET /ledger?since=N`` lists the
+starts from number N on, ``POST /faults`` switches faults.
+"""
+
+import asyncio
+import signal
+import time
+from dataclasses import dataclass
+
+import msgspec
+
+from ..clock import Clock
+from ..transport.addresses import Address
+from ..transport.http_client import HttpAnswer, HttpClient
+from .endpoint_server import HttpReply, HttpRequest, serve
+
+ANNOUNCE_INTERVAL_MS = 5_000
+ANNOUNCE_RETRY_MS = 250
+HANG_S = 3_600
+JSON_TYPE = (b"Content-Type", b"application/json")
+_NOT_RUN = (b"Plantainhitch-Not-Run", b"1")
+
+
+class TaskBody(msgspec.Struct):
+    """The part of a task's body that the stand-in reads.
+
+    ``fail`` makes the task end with status 500 after its time.
+    """
+
+    sleep_ms: float = 0.0
+    fail: bool = False
+
+
+class CancelBody(msgspec.Struct):
+    """The attempt that is to stop."""
+
+    submission: str
+    index: int
+    attempt: int
+
+
+class Faults(msgspec.Struct, forbid_unknown_fields=True):
+    """Faults in force; ``POST /faults`` replaces them all.
+
+    ``next_tasks`` bounds them to so many further tasks, 0 for no bound.
+    ``refuse`` says not run; ``reset`` resets the connection once the task has
+    started; ``hang`` never answers; ``half_answer`` cuts the answer in the middle;
+    ``late_ms`` holds the answer back; ``fail_all`` fails at once; ``delay_ms`` is
+    waited before the start; ``slowness`` multiplies run times; ``silent`` stops
+    the announcements.
+    """
+
+    refuse: bool = False
+    reset: bool = False
+    hang: bool = False
+    half_answer: bool = False
+    late_ms: float = 0.0
+    fail_all: bool = False
+    delay_ms: float = 0.0
+    slowness: float = 1.0
+    silent: bool = False
+    next_tasks: int = 0
+
+
+class LedgerEntry(msgspec.Struct):
+    """One start; times are wall-clock milliseconds, ``end_ms`` 0 while it runs."""
+
+    submission: str
+    index: int
+    attempt: int
+    class_name: str
+    start_ms: int = 0
+    end_ms: int = 0
+    cancelled: bool = False
+    traceparent: str = ""
+
+
+class LedgerPage(msgspec.Struct):
+    """Starts from a number on, and how many there are in all."""
+
+    count: int
+    starts: list[LedgerEntry]
+
+
+class StatusPage(msgspec.Struct):
+    """Slots in use, and tasks that wait for one."""
+
+    busy: int
+    waiting: int
+    slots: int
+    started: int
+
+
+class Announcement(msgspec.Struct):
+    """What the endpoint tells its agent."""
+
+    name: str
+    address: str
+    slots: int
+    cores: int
+    memory_mb: int
+    accelerators: int
+
+
+@dataclass(frozen=True, slots=True)
+class EndpointOptions:
+    """What the stand-in is like; ``speed`` 2 runs tasks in half their time."""
+
+    name: str = "endpoint"
+    slots: int = 8
+    speed: float = 1.0
+    cores: int = 16
+    memory_mb: int = 65_536
+    accelerators: int = 0
+
+
+class EndpointStandIn:
+    """One endpoint; ``start`` binds it, ``aclose`` ends it."""
+
+    def __init__(self, options, clock=None):
+        self._options = options
+        self._clock = clock or Clock()
+        self._slots = asyncio.Semaphore(options.slots)
+        self._attempts = {}
+        self._running = 0
+        self._waiting = 0
+        self._ledger = []
+        self._faults = Faults()
+        self._server = None
+        self._announcer = None
+        self._address = None
+
+    @property
+    def address(self):
+        """The bound address."""
+        return self._address
+
+    @property
+    def ledger(self):
+        """All starts so far, oldest first."""
+        return self._ledger
+
+    @property
+    def faults(self):
+        """The faults in force."""
+        return self._faults
+
+    @faults.setter
+    def faults(self, faults):
+        self._faults = faults
+
+    async def start(self, address, agent=None):
+        """Serve at ``address`` and announce to the agent's HTTP address."""
+        self._server = await serve(address, self._handle)
+        host, port = self._server.sockets[0].getsockname()[:2]
+        self._address = Address(host, port)
+        if agent is not None:
+            client = HttpClient(agent, self._clock, max_connections=2)
+            self._announcer = asyncio.create_task(self._announce(client))
+
+    async def leave(self, agent):
+        """Tell the agent that this endpoint is leaving."""
+        client = HttpClient(agent, self._clock, max_connections=1)
+        await client.request(b"POST", b"/v1/endpoint/leave")
+        await client.aclose()
+
+    async def aclose(self):
+        """Stop listening and drop the connections."""
+        if self._announcer is not None:
+            self._announcer.cancel()
+        if self._server is not None:
+            self._server.close()
+
+    async def _announce(self, client):
+        options = self._options
+        body = msgspec.json.encode(
+            Announcement(
+                options.name,
+                str(self._address),
+                options.slots,
+                options.cores,
+                options.memory_mb,
+                options.accelerators,
+            )
+        )
+        while True:
+            interval_ms = ANNOUNCE_INTERVAL_MS
+            if not self._faults.silent:
+                result = await client.request(
+                    b"POST", b"/v1/endpoint", body, (JSON_TYPE,)
+                )
+                if not isinstance(result, HttpAnswer):
+                    interval_ms = ANNOUNCE_RETRY_MS
+            await self._clock.sleep_ms(interval_ms)
+
+    async def _handle(self, request: HttpRequest):
+        match request.method, request.path:
+            case b"POST", b"/tasks":
+                return await self._run(request)
+            case b"POST", b"/tasks/cancel":
+                return self._cancel(msgspec.json.decode(request.body, type=CancelBody))
+            case b"GET", b"/status":
+                return _json(self._status())
+            case b"GET", b"/ledger":
+                return _json(self._page(request.query))
+            case b"POST", b"/faults":
+                self._faults = msgspec.json.decode(request.body, type=Faults)
+                return HttpReply(204)
+            case b"GET", b"/faults":
+                return _json(self._faults)
+        return HttpReply(404)
+
+    def _status(self):
+        slots = self._options.slots
+        return StatusPage(self._running, self._waiting, slots, len(self._ledger))
+
+    def _page(self, query):
+        since = int(query.removeprefix(b"since=") or 0)
+        return LedgerPage(len(self._ledger), self._ledger[since:])
+
+    def _cancel(self, body):
+        task = self._attempts.get((body.submission, body.index, body.attempt))
+        if task is not None:
+            task.cancel()
+        return HttpReply(204)
+
+    def _take_faults(self):
+        faults = self._faults
+        if faults.next_tasks == 1:
+            self._faults = Faults()
+        elif faults.next_tasks:
+            self._faults = msgspec.structs.replace(
+                faults, next_tasks=faults.next_tasks - 1
+            )
+        return faults
+
+    async def _run(self, request):
+        faults = self._take_faults()
+        if faults.refuse:
+            return HttpReply(503, (_NOT_RUN,))
+        entry = _new_entry(request.headers)
+        key = (entry.submission, entry.index, entry.attempt)
+        task = self._attempts[key] = asyncio.current_task()
+        try:
+            return await self._take_slot(request, entry, faults)
+        except asyncio.CancelledError:
+            task.uncancel()
+            if entry.start_ms == 0:
+                return HttpReply(503, (_NOT_RUN,))
+            entry.cancelled = True
+            return HttpReply(500, body=b'{"error": "cancelled"}')
+        finally:
+            self._attempts.pop(key, None)
+
+    async def _take_slot(self, request, entry, faults):
+        if faults.delay_ms:
+            await self._clock.sleep_ms(faults.delay_ms)
+        self._waiting += 1
+        try:
+            await self._slots.acquire()
+        finally:
+            self._waiting -= 1
+        self._running += 1
+        entry.start_ms = _wall_ms()
+        self._ledger.append(entry)
+        try:
+            return await self._answer(request, entry, faults)
+        finally:
+            self._running -= 1
+            self._slots.release()
+            entry.end_ms = _wall_ms()
+
+    async def _answer(self, request, entry, faults):
+        if faults.fail_all:
+            return HttpReply(500, body=b'{"error": "this endpoint fails everything"}')
+        if faults.reset:
+            return HttpReply(reset=True)
+        if faults.hang:
+            await asyncio.sleep(HANG_S)
+        body = msgspec.json.decode(request.body, type=TaskBody)
+        run_ms = body.sleep_ms * faults.slowness / self._options.speed
+        await self._clock.sleep_ms(run_ms + faults.late_ms)
+        if body.fail:
+            return HttpReply(500, body=b'{"error": "asked to fail"}')
+        answer = b'{"submission":"%b","index":%d,"attempt":%d,"body":%b}' % (
+            entry.submission.encode(),
+            entry.index,
+            entry.attempt,
+            request.body,
+        )
+        return HttpReply(200, (JSON_TYPE,), answer, half=faults.half_answer)
+
+
+async def serve_until_stopped(options, listen, agent):
+    """Serve one stand-in until SIGTERM or SIGINT; tell the agent of the leave."""
+    stand_in = EndpointStandIn(options)
+    await stand_in.start(listen, agent)
+    line = {"ready": True, "name": options.name, "http": str(stand_in.address)}
+    print(msgspec.json.encode(line).decode(), flush=True)
+    stopped = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stopped.set)
+    await stopped.wait()
+    if agent is not None:
+        await stand_in.leave(agent)
+    await stand_in.aclose()
+
+
+def main(listen="127.0.0.1:0", agent="", **options):
+    """Run a stand-in; ``options`` are the fields of ``EndpointOptions``."""
+    asyncio.run(
+        serve_until_stopped(
+            EndpointOptions(**options),
+            Address.from_text(listen),
+            Address.from_text(agent) if agent else None,
+        )
+    )
+    return 0
+
+
+def _new_entry(headers):
+    return LedgerEntry(
+        headers[b"plantainhitch-submission"].decode(),
+        int(headers[b"plantainhitch-index"]),
+        int(headers[b"plantainhitch-attempt"]),
+        headers.get(b"plantainhitch-class", b"").decode(),
+        traceparent=headers.get(b"traceparent", b"").decode(),
+    )
+
+
+def _json(page):
+    return HttpReply(200, (JSON_TYPE,), msgspec.json.encode(page))
+
+
+def _wall_ms():
+    return time.time_ns() // 1_000_000
--- /dev/null
+++ b/plantainhitch/transport/endpoint_http.py
@@ -0,0 +1,130 @@
+"""The endpoint over HTTP, as ``docs/endpoint-protocol.md`` describes it.
+
+What the exchange came to is turned into an outcome here. ``NotRun`` is said only
+where no byte of the request was written or the endpoint itself refused; a reused
+connection that is reset leaves open whether the endpoint read the request, so
+that is ``Unknown``.
+"""
+
+import asyncio
+
+import msgspec
+
+from ..outcomes import Failed, NotRun, Reason, Succeeded, Unknown
+from .endpoint import EndpointClient
+from .http_client import HttpAnswer, HttpClient, Lost, NotSent, TooLarge
+
+STATUS_TIMEOUT_S = 2.0
+REFUSED_RETRY_MS = 500
+MAX_DETAIL_CHARS = 2_000
+_TASK_TYPE = (b"Content-Type", b"application/json")
+
+
+class _CancelBody(msgspec.Struct):
+    submission: str
+    index: int
+    attempt: int
+
+
+class _StatusBody(msgspec.Struct):
+    busy: int
+
+
+class HttpEndpointClient(EndpointClient):
+    """Runs tasks at the endpoint behind one ``HttpClient``."""
+
+    def __init__(self, client):
+        self._client = client
+
+    @classmethod
+    def from_address(cls, address, clock):
+        """Return a client of the endpoint at ``address``."""
+        return cls(HttpClient(address, clock))
+
+    @property
+    def address(self):
+        """The endpoint's address."""
+        return self._client.address
+
+    async def run(self, start):
+        """Run one ``Start``; see ``EndpointClient.run``.
+
+        A task that outlasts its timeout is ``Unknown``: it may still finish.
+        """
+        try:
+            async with asyncio.timeout(start.timeout_ms / 1000 or None):
+                result = await self._client.request(
+                    b"POST", b"/tasks", start.body, _task_headers(start)
+                )
+        except TimeoutError:
+            return Unknown(Reason.TIMED_OUT)
+        return _outcome(result)
+
+    async def cancel(self, key):
+        """Ask the endpoint to stop an attempt, without waiting longer than 2 s."""
+        body = msgspec.json.encode(
+            _CancelBody(key.submission.hex(), key.index, key.attempt)
+        )
+        await self._within_limit(b"POST", b"/tasks/cancel", body)
+
+    async def busy_slots(self):
+        """Return how many slots are in use, or None where the endpoint is silent."""
+        result = await self._within_limit(b"GET", b"/status")
+        if not isinstance(result, HttpAnswer) or result.status != 200:
+            return None
+        try:
+            return msgspec.json.decode(result.body, type=_StatusBody).busy
+        except msgspec.DecodeError:
+            return None
+
+    async def aclose(self):
+        """Close the connections."""
+        await self._client.aclose()
+
+    async def _within_limit(self, method, path, body=b""):
+        try:
+            async with asyncio.timeout(STATUS_TIMEOUT_S):
+                return await self._client.request(method, path, body, (_TASK_TYPE,))
+        except TimeoutError:
+            return Lost("no answer in time")
+
+
+def _task_headers(start):
+    headers = [
+        _TASK_TYPE,
+        (b"Plantainhitch-Submission", start.key.submission.hex().encode()),
+        (b"Plantainhitch-Index", b"%d" % start.key.index),
+        (b"Plantainhitch-Attempt", b"%d" % start.key.attempt),
+        (b"Plantainhitch-Class", start.class_name.encode()),
+    ]
+    if start.traceparent:
+        headers.append((b"traceparent", start.traceparent.encode()))
+    return headers
+
+
+def _outcome(result):
+    match result:
+        case NotSent():
+            return NotRun(Reason.ENDPOINT_REFUSED, REFUSED_RETRY_MS)
+        case Lost():
+            return Unknown(Reason.ENDPOINT_LOST)
+        case TooLarge():
+            return Failed(Reason.ANSWER_TOO_LARGE)
+        case HttpAnswer(status=200, body=body):
+            return _checked_answer(body)
+        case HttpAnswer(status=503, headers=headers) if (
+            headers.get(b"plantainhitch-not-run") == b"1"
+        ):
+            return NotRun(Reason.ENDPOINT_REFUSED, REFUSED_RETRY_MS)
+        case HttpAnswer(status=status, body=body):
+            detail = body[:MAX_DETAIL_CHARS].decode(errors="replace")
+            return Failed(Reason.TASK_FAILED, f"status {status}: {detail}")
+
+
+def _checked_answer(body):
+    """Return the answer where it is one whole JSON value."""
+    try:
+        msgspec.json.decode(body, type=msgspec.Raw)
+    except msgspec.DecodeError as error:
+        return Failed(Reason.BAD_ANSWER, str(error))
+    return Succeeded(body)
--- /dev/null
+++ b/plantainhitch/transport/http_client.py
@@ -0,0 +1,210 @@
+"""A small keep-alive HTTP/1.1 client for one address, on httptools.
+
+The agent's hop to its endpoint uses it: one connection carries one request at a
+time and none is pipelined. Every result is a value that says how far the request
+got, because that decides whether a task may have run.
+"""
+
+import asyncio
+import collections
+from dataclasses import dataclass, field
+
+import httptools
+
+MAX_CONNECTIONS = 60
+MAX_ANSWER_BYTES = 16 * 1024 * 1024
+# Shorter than the idle limit of common servers, so that we close first.
+IDLE_LIMIT_MS = 4_000
+CONNECT_TIMEOUT_S = 2.0
+
+
+@dataclass(frozen=True, slots=True)
+class HttpAnswer:
+    """A whole answer; header names are in lower case."""
+
+    status: int
+    headers: dict[bytes, bytes]
+    body: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class NotSent:
+    """No byte of the request was written."""
+
+    detail: str
+
+
+@dataclass(frozen=True, slots=True)
+class Lost:
+    """The request was written, and no whole answer came."""
+
+    detail: str
+
+
+@dataclass(frozen=True, slots=True)
+class TooLarge:
+    """The answer was larger than ``MAX_ANSWER_BYTES``."""
+
+
+HttpResult = HttpAnswer | NotSent | Lost | TooLarge
+
+
+@dataclass(slots=True)
+class _Partial:
+    """What has been read of an answer."""
+
+    headers: dict[bytes, bytes] = field(default_factory=dict)
+    chunks: list[bytes] = field(default_factory=list)
+    size: int = 0
+
+
+class _Connection(asyncio.Protocol):
+    """One connection: at most one request is in progress on it."""
+
+    def __init__(self, on_idle, on_lost):
+        self._on_idle = on_idle
+        self._on_lost = on_lost
+        self._transport = None
+        self._parser = None
+        self._partial = _Partial()
+        self._waiter = None
+
+    @property
+    def is_usable(self):
+        """Whether a request can still be written."""
+        return not self._transport.is_closing()
+
+    def connection_made(self, transport):
+        self._transport = transport
+
+    def exchange(self, request):
+        """Write ``request`` and return the future of its ``HttpResult``."""
+        self._parser = httptools.HttpResponseParser(self)
+        self._partial = _Partial()
+        self._waiter = asyncio.get_running_loop().create_future()
+        self._transport.writelines(request)
+        return self._waiter
+
+    def close(self):
+        """Drop the connection at once."""
+        self._transport.abort()
+
+    def data_received(self, data):
+        if self._waiter is None:
+            self.close()  # an answer that nobody asked for
+            return
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserError as error:
+            self._finish(Lost(f"unreadable answer: {error}"), reuse=False)
+
+    def connection_lost(self, exc):
+        self._on_lost(self)
+        if self._waiter is not None:
+            self._finish(Lost(str(exc or "closed by the peer")), reuse=False)
+
+    def on_header(self, name, value):
+        self._partial.headers[name.lower()] = value
+
+    def on_body(self, body):
+        self._partial.size += len(body)
+        if self._partial.size > MAX_ANSWER_BYTES:
+            self._finish(TooLarge(), reuse=False)
+            return
+        self._partial.chunks.append(body)
+
+    def on_message_complete(self):
+        if self._waiter is None:
+            return
+        status = self._parser.get_status_code()
+        if status < 200:
+            self._partial = _Partial()
+            return
+        answer = HttpAnswer(
+            status, self._partial.headers, b"".join(self._partial.chunks)
+        )
+        self._finish(answer, reuse=self._parser.should_keep_alive())
+
+    def _finish(self, result, *, reuse):
+        waiter, self._waiter = self._waiter, None
+        if waiter is not None and not waiter.done():
+            waiter.set_result(result)
+        if reuse and self.is_usable:
+            self._on_idle(self)
+        else:
+            self.close()
+
+
+class HttpClient:
+    """Sends requests to one address over a pool of connections."""
+
+    def __init__(self, address, clock, *, max_connections=MAX_CONNECTIONS):
+        self._address = address
+        self._clock = clock
+        self._idle = collections.deque()
+        self._open = set()
+        self._slots = asyncio.Semaphore(max_connections)
+        self._host = str(address).encode()
+
+    @property
+    def address(self):
+        """The address that requests go to."""
+        return self._address
+
+    async def request(self, method, path, body=b"", headers=()) -> HttpResult:
+        """Send one request; ``headers`` are pairs of bytes.
+
+        A cancelled call closes its connection, so that a late answer reaches
+        nobody.
+        """
+        async with self._slots:
+            connection = self._take_idle() or await self._connect()
+            if isinstance(connection, NotSent):
+                return connection
+            waiter = connection.exchange(self._write(method, path, body, headers))
+            try:
+                return await waiter
+            except asyncio.CancelledError:
+                connection.close()
+                raise
+
+    async def aclose(self):
+        """Close every connection."""
+        for connection in list(self._open):
+            connection.close()
+        self._idle.clear()
+
+    def _write(self, method, path, body, headers):
+        lines = [b"%b %b HTTP/1.1\r\nHost: %b\r\n" % (method, path, self._host)]
+        lines.extend(b"%b: %b\r\n" % pair for pair in headers)
+        if method != b"GET":
+            lines.append(b"Content-Length: %d\r\n" % len(body))
+        lines.append(b"\r\n")
+        return [b"".join(lines), body] if body else lines
+
+    def _take_idle(self):
+        oldest_ms = self._clock.now_ms() - IDLE_LIMIT_MS
+        while self._idle:
+            connection, since_ms = self._idle.pop()
+            if since_ms >= oldest_ms and connection.is_usable:
+                return connection
+            connection.close()
+        return None
+
+    async def _connect(self):
+        loop = asyncio.get_running_loop()
+        try:
+            async with asyncio.timeout(CONNECT_TIMEOUT_S):
+                _, connection = await loop.create_connection(
+                    self._new_connection, self._address.host, self._address.port
+                )
+        except (OSError, TimeoutError) as error:
+            return NotSent(str(error) or "no connection in time")
+        self._open.add(connection)
+        return connection
+
+    def _new_connection(self):
+        return _Connection(self._put_idle, self._open.discard)
+
+    def _put_idle(self, connection):
+        self._idle.append((connection, self._clock.now_ms()))
