--- a/tests/test_endpoint_client.py
+++ b/tests/test_endpoint_client.py
@@ -16,11 +16,14 @@
 
 
 def start_of(index, timeout_ms=5_000, **body):
+    """Return a start of one task with a JSON body."""
     key = TaskKey(SUBMISSION, index, 1)
     return Start(key, "render", msgspec.json.encode(body), timeout_ms, "00-aa-bb-01")
 
 
 class EndpointClientTests(unittest.IsolatedAsyncioTestCase):
+    """Each fault becomes the outcome that it proves, and no other."""
+
     async def asyncSetUp(self):
         self.stand_in = EndpointStandIn(EndpointOptions(slots=2))
         await self.stand_in.start(LOOPBACK)
