--- a/benchmarks/decision_loop.py
+++ b/benchmarks/decision_loop.py
@@ -101,9 +101,9 @@
 class Trial:
     """One plan of jobs under one policy.
 
-    The policy's ``submit(tasks)`` is called for each job and its
-    ``ended(endpoint, task, run_ms, failed)`` when a report reaches the entry;
-    ``slot_free(endpoint)`` when a slot has nothing queued.
+    The policy's ``submit(tasks)`` is called for each job, its
+    ``task_ended(endpoint, task, run_ms, failed)`` when a task ends at an endpoint,
+    and ``slot_free(endpoint)`` when a slot then has nothing queued.
     """
 
     def __init__(self, fleet, jobs, policy, entries=3, failing=None):
@@ -145,10 +145,19 @@
     def arrive(self, endpoint, task):
         """A start is at the endpoint: run it now or once a slot is free."""
         if endpoint.busy < endpoint.slots:
-            self._begin(endpoint, task)
+            self.begin(endpoint, task)
         else:
             endpoint.queue.append(task)
 
+    def begin(self, endpoint, task):
+        """Run a task in a free slot."""
+        now_ms = self.loop.clock.exact_ms
+        endpoint.busy += 1
+        failed = now_ms >= endpoint.failing_from_ms
+        self.starts.append((now_ms, endpoint.number, failed))
+        run_ms = endpoint.run_ms(task, now_ms)
+        self.loop.after(run_ms, self._end, endpoint, task, run_ms, failed)
+
     def finish(self, task, failed=False):
         """A report is at the entry: count the task."""
         job = task.job
@@ -160,23 +169,11 @@
     def _submit(self, run):
         self.policy.submit([TaskRun(run, task) for task in run.planned.tasks])
 
-    def _begin(self, endpoint, task):
-        now_ms = self.loop.clock.exact_ms
-        endpoint.busy += 1
-        failed = now_ms >= endpoint.failing_from_ms
-        self.starts.append((now_ms, endpoint.number, failed))
-        run_ms = endpoint.run_ms(task, now_ms)
-        self.loop.after(run_ms, self._end, endpoint, task, run_ms, failed)
-
     def _end(self, endpoint, task, run_ms, failed):
         endpoint.busy -= 1
         endpoint.outstanding -= 1
-        self.loop.after(HOP_MS, self._report, endpoint, task, run_ms, failed)
+        self.policy.task_ended(endpoint, task, run_ms, failed)
         if endpoint.queue:
-            self._begin(endpoint, endpoint.queue.popleft())
+            self.begin(endpoint, endpoint.queue.popleft())
         else:
             self.policy.slot_free(endpoint)
-
-    def _report(self, endpoint, task, run_ms, failed):
-        self.policy.ended(endpoint, task, run_ms, failed)
-        self.finish(task, failed)
--- a/benchmarks/decisions.py
+++ b/benchmarks/decisions.py
@@ -14,6 +14,7 @@
 
 from . import policies
 from .decision_loop import Trial
+from .product_policy import SlotGrants
 
 SEEDS = (1, 2, 3)
 SECONDS = 60
@@ -38,7 +39,7 @@
     seconds: float
 
 
-def baselines():
+def all_policies(mix):
     """Return functions that make each policy compared, by seed."""
     return [
         policies.Random,
@@ -51,6 +52,7 @@
         policies.TwoProbes,
         lambda seed: policies.TwoProbes(True, seed),
         policies.LateBinding,
+        lambda seed: SlotGrants(mix, seed),
         policies.PerfectKnowledge,
         lambda seed: policies.PerfectKnowledge(True, seed),
     ]
@@ -122,7 +124,7 @@
     print("| --- | --- | --- | --- | --- | --- | --- | --- |")
     for mix in workloads.MIXES.values():
         for load in LOADS:
-            rows += compare(mix, load, baselines())
+            rows += compare(mix, load, all_policies(mix))
     if "--json" in sys.argv[1:]:
         print(json.dumps([asdict(row) for row in rows]))
     return 0
--- a/benchmarks/policies.py
+++ b/benchmarks/policies.py
@@ -37,10 +37,15 @@
     def slot_free(self, endpoint):
         """Note that a slot has nothing to do."""
 
-    def ended(self, endpoint, task, run_ms, failed):
-        """Learn from a report."""
+    def task_ended(self, endpoint, task, run_ms, failed):
+        """Report the end of a task to its entry."""
+        self.trial.loop.after(HOP_MS, self.reported, endpoint, task, run_ms, failed)
+
+    def reported(self, endpoint, task, run_ms, failed):
+        """Learn from a report and count the task."""
         if not failed:
             self.estimates.observe(endpoint.number, task.class_name, round(run_ms))
+        self.trial.finish(task, failed)
 
 
 class Random(Policy):
@@ -118,9 +123,9 @@
         """Return what the policy minimises."""
         return _cost(self, endpoint, task, load, self._speeds)
 
-    def ended(self, endpoint, task, run_ms, failed):
+    def reported(self, endpoint, task, run_ms, failed):
         """Count the task out."""
-        super().ended(endpoint, task, run_ms, failed)
+        super().reported(endpoint, task, run_ms, failed)
         self._own[task.job.entry][endpoint.number] -= 1
 
     def _load(self, entry, endpoint):
--- /dev/null
+++ b/benchmarks/product_policy.py
@@ -0,0 +1,194 @@
+"""Slot grants: the product's own decision classes, driven by ``decision_loop``.
+
+Each entry is a ``Dispatcher`` and each agent an ``AgentCore``; their messages take
+one hop. What goes beyond a start and a report a task counts as extra: demands,
+grants that need a frame of their own, recalls, returns and refused starts.
+"""
+
+from plantainhitch.coordination import agent_events as events
+from plantainhitch.coordination.agent_core import AgentCore
+from plantainhitch.coordination.dispatcher import Dispatcher
+from plantainhitch.outcomes import Failed, NotRun, Reason, Succeeded
+from plantainhitch.protocol import messages as m
+from plantainhitch.protocol.calls import Job, JobState, TaskSpec
+from plantainhitch.protocol.errors import Refusal
+from plantainhitch.state.classes import ClassDefinition, ClassDocument
+from plantainhitch.state.ids import IdIssuer
+from plantainhitch.transport.addresses import Address
+
+from .decision_loop import HOP_MS
+from .policies import Policy
+
+TICK_MS = 100
+EXTRA_MESSAGES = (m.Demand, m.GrantBatch, m.Recall, m.Returned)
+
+
+def document_of(mix):
+    """Return the class document with the targets of a mix."""
+    classes = {
+        model.name: ClassDefinition(
+            name=model.name,
+            answers_within_ms=model.answers_within_ms,
+            quantile=model.quantile,
+            claims_at_least=model.claims_at_least,
+            repeatable=model.repeatable,
+        )
+        for model in mix.classes
+    }
+    return ClassDocument(1, "benchmark", "benchmark", classes)
+
+
+class _Agent:
+    """An ``AgentCore`` and its endpoint."""
+
+    def __init__(self, policy, endpoint):
+        self.core = AgentCore(policy.clock, name=f"endpoint-{endpoint.number}")
+        self.incarnation = endpoint.number.to_bytes(16)
+        self._policy = policy
+        self._endpoint = endpoint
+        name, address = f"endpoint-{endpoint.number}", Address("127.0.0.1", 1)
+        self.handle(
+            events.Announced(events.EndpointInfo(name, address, endpoint.slots))
+        )
+        self.handle(events.BusyCounted(0, 0))
+
+    def handle(self, event):
+        """Take in an event, then do a round."""
+        self.core.handle(event)
+        self.round()
+
+    def round(self):
+        """Send what the agent decides."""
+        result = self.core.round()
+        for start in result.starts:
+            task = self._policy.task(start.key)
+            task.key = start.key
+            self._policy.trial.begin(self._endpoint, task)
+        for number, message in result.messages:
+            entry = self._policy.entries[number]
+            self._policy.send(message, entry.receive, self.incarnation, message)
+        if result.again_in_ms is not None:
+            self._policy.trial.loop.after(result.again_in_ms, self.round)
+
+    def hear(self, number, message):
+        """Take in a message from an entry; its echo is one round trip old."""
+        echo_ms = self._policy.clock.now_ms()
+        self.handle(events.LinkSaid(number, m.Envelope(message, echo_ms=echo_ms)))
+
+
+class _Entry:
+    """A ``Dispatcher`` and its links."""
+
+    def __init__(self, policy, number):
+        self._policy = policy
+        self._number = number
+        self.dispatcher = policy.make_dispatcher()
+        self.dispatcher.set_entry_count(policy.trial.entries)
+        self.dispatcher.set_document(policy.document)
+
+    def receive(self, incarnation, message):
+        """Take in a message from an agent."""
+        self.dispatcher.receive(incarnation, message)
+        self.round()
+
+    def round(self):
+        """Place tasks and send what the dispatcher decides."""
+        self.dispatcher.place()
+        for incarnation, message in self.dispatcher.take_outbox():
+            agent = self._policy.agents[int.from_bytes(incarnation)]
+            self._policy.send(message, agent.hear, self._number, message)
+
+
+class SlotGrants(Policy):
+    """The product's placement; ``make_dispatcher`` may be replaced by a variant."""
+
+    name = "slot grants"
+
+    def __init__(self, mix, seed=0):
+        super().__init__(seed)
+        self.document = document_of(mix)
+        self.agents = []
+        self.entries = []
+        self._tasks = {}
+
+    @property
+    def clock(self):
+        """The clock of the trial."""
+        return self.trial.loop.clock
+
+    def make_dispatcher(self):
+        """Return the decisions of one entry."""
+        return Dispatcher(self.clock, IdIssuer.at_boot())
+
+    def attach(self, trial):
+        """Link every entry to every agent."""
+        super().attach(trial)
+        self.entries = [_Entry(self, number) for number in range(trial.entries)]
+        self.agents = [_Agent(self, endpoint) for endpoint in trial.endpoints]
+        for agent in self.agents:
+            for number, entry in enumerate(self.entries):
+                self._link(agent, number, entry)
+        trial.loop.after(TICK_MS, self._tick)
+
+    def task(self, key):
+        """Return the ``TaskRun`` of an attempt."""
+        return self._tasks[key.submission][key.index]
+
+    def send(self, message, call, *arguments):
+        """Deliver a message one hop later."""
+        if isinstance(message, EXTRA_MESSAGES):
+            self.trial.extra_messages += 1
+        elif isinstance(message, m.ReportBatch):
+            self.trial.extra_messages += sum(
+                isinstance(report.outcome, NotRun) for report in message.reports
+            )
+        self.trial.loop.after(HOP_MS, call, *arguments)
+
+    def submit(self, tasks):
+        """Submit the tasks as one job to their entry."""
+        run = tasks[0].job
+        entry = self.entries[run.entry]
+        (raw_id,) = entry.dispatcher.book.open_ids(1)
+        specs = tuple(
+            TaskSpec(task.planned.index, b"{}", task.planned.declared_ms)
+            for task in tasks
+        )
+        self._tasks[raw_id] = tasks
+        submission = entry.dispatcher.submit(
+            raw_id, Job(run.planned.class_name, specs, b"")
+        )
+        if isinstance(submission, Refusal):
+            run.refused = True
+            run.left = 0
+            return
+        submission.on_end.append(lambda ended: self._job_ended(run, ended))
+        entry.round()
+
+    def task_ended(self, endpoint, task, run_ms, failed):
+        """Tell the endpoint's agent."""
+        outcome = Failed(Reason.TASK_FAILED) if failed else Succeeded(b"{}")
+        self.agents[endpoint.number].handle(events.TaskEnded(task.key, outcome))
+
+    def _link(self, agent, number, entry):
+        hello = m.Hello(m.ROLE_ENTRY, number.to_bytes(16, "big"), f"entry-{number}")
+        agent.core.handle(events.LinkOpened(number, None, hello))
+        entry.dispatcher.agent_linked(
+            m.Hello(m.ROLE_AGENT, agent.incarnation, f"endpoint-{number}")
+        )
+        document = m.Configuration(1, self.document.to_json())
+        agent.hear(number, document)
+
+    def _job_ended(self, run, submission):
+        run.left = 0
+        run.ended_ms = self.clock.exact_ms
+        run.failed_tasks = 0 if submission.state is JobState.COMPLETE else 1
+        del self._tasks[submission.id]
+
+    def _tick(self):
+        for entry in self.entries:
+            entry.dispatcher.tick()
+            entry.round()
+        for agent in self.agents:
+            agent.handle(events.Ticked())
+        if any(run.left for run in self.trial.runs):
+            self.trial.loop.after(TICK_MS, self._tick)
