--- a/plantainhitch/commands/entry.py
+++ b/plantainhitch/commands/entry.py
@@ -35,7 +35,7 @@
     bound = BoundAddresses(_bound_address(link_server), http_server.address)
     node = EntryNode.from_settings(settings, clock, platform, bound)
     holder.node = node
-    lifecycle.print_ready(http=bound.http, link=bound.link, member=node.member)
+    lifecycle.print_ready(name=settings.name, http=bound.http, link=bound.link)
     cut = await lifecycle.run_until_stopped(node, signals, settings.limits.drain_ms)
     await http_server.aclose(within_ms=settings.limits.drain_ms if not cut else 0)
     link_server.close()
--- a/plantainhitch/coordination/dispatcher.py
+++ b/plantainhitch/coordination/dispatcher.py
@@ -66,7 +66,7 @@
 class Dispatcher:
     """Submissions, queues and placement of one entry."""
 
-    def __init__(self, clock, issuer, *, book=None, admission=None):
+    def __init__(self, clock, issuer, *, book=None, admission=None, metrics=None):
         self._clock = clock
         self._issuer = issuer
         self._book = book or SubmissionBook(issuer, clock)
@@ -83,6 +83,7 @@
         # Tasks in flight, by class.
         self._running = Counter()
         self._counts = DispatchCounts()
+        self._metrics = metrics
 
     @property
     def book(self):
@@ -295,12 +296,18 @@
 
     def _enqueue(self, submission):
         job = submission.job
+        if self._metrics is not None:
+            submission.on_end.append(self._count_job)
         queue = self._queues.of(job.class_name)
         now_ms = self._clock.now_ms()
         for spec in job.tasks:
             self._estimates.declare(job.class_name, spec.declared_ms)
             queue.push(Work(submission, spec, now_ms))
 
+    def _count_job(self, submission):
+        elapsed_ms = submission.ended_ms - submission.begun_ms
+        self._metrics.job_ended(submission.job.class_name, submission.state, elapsed_ms)
+
     def _withdraw_queued(self, submission, outcome):
         queue = self._queues.of(submission.job.class_name)
         for work in list(submission.queued):
@@ -364,6 +371,8 @@
         )
         self._outbox.starts.setdefault(agent.incarnation, []).append(start)
         self._counts.started += 1
+        if self._metrics is not None:
+            self._metrics.task_started(definition.name, work.sent_ms - work.enqueued_ms)
         self._admission.started(definition.name)
 
     def _ask(self, definition, waiting):
@@ -382,6 +391,8 @@
             self._counts.late_reports += 1
             return
         self._learn(agent, work, report)
+        if self._metrics is not None:
+            self._metrics.task_ended(work.class_name, report.outcome, report.run_ms)
         self._settle(work, report.outcome, agent.name)
 
     def _learn(self, agent, work, report):
--- a/plantainhitch/coordination/entry.py
+++ b/plantainhitch/coordination/entry.py
@@ -11,14 +11,17 @@
 import msgspec
 
 from .. import logs
+from ..metrics import EntryMetrics
 from ..protocol import calls, messages as m
 from ..protocol.errors import ErrorCode, Refusal
+from ..settings import Limits
 from ..state.classes import ClassDocument
 from ..state.ids import IdIssuer, SubmissionId
 from ..state.members import Member
 from ..transport import links
 from ..transport.addresses import Address
 from . import events as e
+from .admission import Admission
 from .agent_links import AgentDialer
 from .configuration import ConfigurationStore
 from .dispatcher import Dispatcher
@@ -26,7 +29,7 @@
 from .keys import KeyBinder
 from .membership import Membership
 from .peers import OtherIncarnation, PeerCaller, PeerServer, lost_owner
-from .submissions import Submission
+from .submissions import Submission, SubmissionBook
 
 BUSY_TICK_MS = 25
 IDLE_TICK_MS = 250
@@ -93,11 +96,19 @@
 class EntryNode:
     """One entry process, without its HTTP server."""
 
-    def __init__(self, member, issuer, clock, platform):
+    def __init__(self, member, issuer, clock, platform, limits=None):
+        limits = limits or Limits()
         self._member = member
         self._clock = clock
+        self._metrics = EntryMetrics(clock)
         self._inbox = Inbox()
-        self._dispatcher = Dispatcher(clock, issuer)
+        self._dispatcher = Dispatcher(
+            clock,
+            issuer,
+            book=SubmissionBook(issuer, clock, retention_ms=limits.retention_ms),
+            admission=Admission(clock, max_queue=limits.queued_tasks),
+            metrics=self._metrics,
+        )
         self._membership = Membership(
             platform,
             clock,
@@ -137,7 +148,7 @@
             link=str(settings.advertise_link or addresses.link),
             http=str(addresses.http),
         )
-        return cls(member, issuer, clock, platform)
+        return cls(member, issuer, clock, platform, settings.limits)
 
     @property
     def configuration(self):
@@ -149,6 +160,11 @@
         """This entry as other processes know it."""
         return self._member
 
+    @property
+    def metrics(self):
+        """The entry's metrics."""
+        return self._metrics
+
     @property
     def ready(self):
         """Whether the balancer may send calls here."""
@@ -364,6 +380,8 @@
             return
         found = self._begin(event.call)
         if not isinstance(found, Submission):
+            if isinstance(found, Refusal):
+                self._metrics.refused(getattr(event.call, "class_name", ""), found.code)
             reply.set_result(found)
         elif found.has_ended:
             self._give_answer(reply, found)
