Compare what endpoints started with what callers were told

An answer book notes every call; it finds second starts, NotRun of what ran, partial answers and answers of another task. Each kind has a test that feeds it wrong records.

--- /dev/null
+++ b/plantainhitch/verify/ledger.py
@@ -0,0 +1,184 @@
+"""Compares what endpoints have started with what callers were told.
+
+An ``AnswerBook`` notes every job and request of a trial and each answer that came
+back; ``violations`` checks them against the starts that the endpoints noted. Jobs
+and requests are known by a mark, the trace id of their calls, which entries and
+agents hand on to the endpoint.
+"""
+
+import itertools
+import secrets
+from collections import Counter, defaultdict
+from dataclasses import dataclass, field
+
+SUCCEEDED = "succeeded"
+NOT_RUN = "not_run"
+COMPLETE = "complete"
+FAILED = "failed"
+
+
+@dataclass(frozen=True, slots=True)
+class Start:
+    """One start at an endpoint; the time is wall-clock milliseconds."""
+
+    endpoint: str
+    submission: str
+    index: int
+    attempt: int
+    mark: str
+    start_ms: int
+
+    @classmethod
+    def from_entry(cls, endpoint, entry):
+        """Return the start in a decoded line of a stand-in's ledger."""
+        parts = entry["traceparent"].split("-")
+        return cls(
+            endpoint=endpoint,
+            submission=entry["submission"],
+            index=entry["index"],
+            attempt=entry["attempt"],
+            mark=parts[1] if len(parts) > 1 else "",
+            start_ms=entry["start_ms"],
+        )
+
+
+@dataclass(slots=True)
+class JobRecord:
+    """One job: the bodies sent by index, and what callers were told of it.
+
+    ``answers`` are decoded final answers; ``refusals`` holds for each refused
+    call whether it said that nothing ran. A caller that resubmits takes that for
+    the job, not for the one call, so it must hold for all calls of the job.
+    """
+
+    mark: str
+    bodies: dict
+    answers: list = field(default_factory=list)
+    refusals: list = field(default_factory=list)
+
+    @property
+    def traceparent(self):
+        """The header that carries the mark."""
+        return f"00-{self.mark}-{self.mark[:16]}-00"
+
+
+@dataclass(slots=True)
+class RequestRecord:
+    """One request; ``answer`` is decoded, None where none came."""
+
+    mark: str
+    body: object
+    repeatable: bool
+    answer: dict | None = None
+    refused_as_not_run: bool = False
+
+    @property
+    def traceparent(self):
+        """The header that carries the mark."""
+        return f"00-{self.mark}-{self.mark[:16]}-00"
+
+
+class AnswerBook:
+    """Every job and request of a trial."""
+
+    def __init__(self):
+        self._jobs = {}
+        self._requests = {}
+        self._numbers = itertools.count(1)
+        self._prefix = secrets.token_hex(8)
+
+    @property
+    def jobs(self):
+        """The jobs in the order of their making."""
+        return list(self._jobs.values())
+
+    @property
+    def requests(self):
+        """The requests in the order of their making."""
+        return list(self._requests.values())
+
+    def new_job(self, bodies):
+        """Return a record for a job with the bodies by index."""
+        job = JobRecord(self._mark(), bodies)
+        self._jobs[job.mark] = job
+        return job
+
+    def new_request(self, body, repeatable):
+        """Return a record for a single request."""
+        request = RequestRecord(self._mark(), body, repeatable)
+        self._requests[request.mark] = request
+        return request
+
+    def violations(self, starts):
+        """Return a text for each promise that is broken."""
+        by_mark = defaultdict(list)
+        for start in starts:
+            by_mark[start.mark].append(start)
+        found = list(self._strangers(by_mark))
+        for job in self._jobs.values():
+            found += _check_job(job, by_mark[job.mark])
+        for request in self._requests.values():
+            found += _check_request(request, by_mark[request.mark])
+        return found
+
+    def _mark(self):
+        return f"{self._prefix}{next(self._numbers):016x}"
+
+    def _strangers(self, by_mark):
+        for mark, starts in by_mark.items():
+            if mark not in self._jobs and mark not in self._requests:
+                yield f"{len(starts)} starts of unknown mark {mark!r}"
+
+
+def _check_job(job, starts):
+    counts = Counter(start.index for start in starts)
+    for index, count in counts.items():
+        if count > 1:
+            yield f"job {job.mark}: task {index} started {count} times"
+    if len({start.submission for start in starts}) > 1:
+        yield f"job {job.mark}: ran under several submissions"
+    for answer in job.answers:
+        yield from _check_answer(job, answer, counts)
+    if job.answers and any(answer != job.answers[0] for answer in job.answers):
+        yield f"job {job.mark}: callers were told different things"
+    if counts and any(job.refusals):
+        yield f"job {job.mark}: refused as not run, and ran"
+
+
+def _check_answer(job, answer, counts):
+    told = {task["index"]: task for task in answer["tasks"]}
+    name = f"job {job.mark}"
+    if answer["state"] not in (COMPLETE, FAILED):
+        yield f"{name}: answer is neither complete nor failed: {answer['state']}"
+    whole = set(told) == set(job.bodies) and len(answer["tasks"]) == len(told)
+    succeeded = all(task["outcome"] == SUCCEEDED for task in told.values())
+    if (answer["state"] == COMPLETE) != (whole and succeeded):
+        yield f"{name}: marked {answer['state']}, {len(told)} of {len(job.bodies)}"
+    if answer["not_run"] and counts:
+        yield f"{name}: said not run, and {len(counts)} tasks ran"
+    for index, task in told.items():
+        if task["outcome"] == NOT_RUN and counts[index]:
+            yield f"{name}: task {index} said not run, and ran"
+        if task["outcome"] == SUCCEEDED:
+            yield from _check_body(name, index, task["body"], job.bodies.get(index))
+            if not counts[index]:
+                yield f"{name}: task {index} succeeded without a start"
+
+
+def _check_body(name, index, answered, sent):
+    if answered["index"] != index or answered["body"] != sent:
+        yield f"{name}: task {index} has another task's answer: {answered}"
+
+
+def _check_request(request, starts):
+    name = f"request {request.mark}"
+    if not request.repeatable and len(starts) > 1:
+        yield f"{name}: unrepeatable, started {len(starts)} times"
+    answer = request.answer
+    said_not_run = request.refused_as_not_run
+    if answer is not None:
+        said_not_run = said_not_run or answer.get("not_run", False)
+        if answer["outcome"] == SUCCEEDED:
+            yield from _check_body(name, 0, answer["body"], request.body)
+    if said_not_run and starts:
+        yield f"{name}: said not run, and ran"
--- /dev/null
+++ b/tests/harness.py
@@ -0,0 +1,463 @@
+"""Separate processes on loopback for the tests of failures.
+
+A ``Fleet`` starts a platform stand-in, entries, and agents with their endpoint
+stand-ins, on ports that the system chooses. Links to agents and the connections to
+the platform go through a ``Forwarder`` each, which can be cut, held and healed.
+"""
+
+import asyncio
+import json
+import os
+import signal
+import sys
+import tempfile
+import time
+from dataclasses import dataclass
+from pathlib import Path
+
+import httpx
+
+from plantainhitch.verify.ledger import AnswerBook, Start
+
+ROOT = Path(__file__).resolve().parent.parent
+READY_S = 30
+SETTLE_S = 30
+STOP_S = 60
+CALL_S = 60
+CLASSES = {
+    "render": {"answers_within_ms": 1_000, "timeout_ms": 20_000},
+    "ping": {"answers_within_ms": 1_000, "timeout_ms": 20_000},
+    "sync": {
+        "answers_within_ms": 500,
+        "claims_at_least": 0.3,
+        "repeatable": True,
+        "timeout_ms": 2_000,
+    },
+}
+
+
+class Process:
+    """One process of ours, ended by its own id only."""
+
+    def __init__(self, name, process, ready, log_path):
+        self.name = name
+        self.ready = ready
+        self.log_path = log_path
+        self._process = process
+
+    @classmethod
+    async def start(cls, name, folder, *words):
+        """Start ``plantainhitch`` with ``words`` and wait for its ready line."""
+        log_path = Path(folder) / f"{name}-{time.monotonic_ns()}.log"
+        with log_path.open("wb") as log:
+            process = await asyncio.create_subprocess_exec(
+                *(sys.executable, "-m", "plantainhitch", *words),
+                cwd=ROOT,
+                stdin=asyncio.subprocess.DEVNULL,
+                stdout=asyncio.subprocess.PIPE,
+                stderr=log,
+            )
+        try:
+            line = await asyncio.wait_for(process.stdout.readline(), READY_S)
+        except TimeoutError:
+            line = b""
+        if not line:
+            if process.returncode is None:
+                process.kill()
+            raise AssertionError(f"{name} isn't ready: {log_path.read_text()[-2000:]}")
+        return cls(name, process, json.loads(line), log_path)
+
+    @property
+    def is_running(self):
+        return self._process.returncode is None
+
+    def send(self, number):
+        if self.is_running:
+            os.kill(self._process.pid, number)
+
+    def pause(self):
+        self.send(signal.SIGSTOP)
+
+    def resume(self):
+        self.send(signal.SIGCONT)
+
+    def terminate(self):
+        self.send(signal.SIGTERM)
+
+    async def kill(self):
+        self.send(signal.SIGKILL)
+        return await self.wait()
+
+    async def wait(self, within_s=STOP_S):
+        """Return the exit code."""
+        return await asyncio.wait_for(self._process.wait(), within_s)
+
+
+class Forwarder:
+    """Forwards connections to a target; can hold, cut and refuse them."""
+
+    def __init__(self):
+        self.target = None
+        self._server = None
+        self._open = asyncio.Event()
+        self._open.set()
+        self._refuses = False
+        self._writers = set()
+        self._tasks = set()
+
+    @classmethod
+    async def start(cls):
+        forwarder = cls()
+        forwarder._server = await asyncio.start_server(
+            forwarder._accept, "127.0.0.1", 0
+        )
+        return forwarder
+
+    @property
+    def address(self):
+        host, port = self._server.sockets[0].getsockname()
+        return f"{host}:{port}"
+
+    def hold(self):
+        """Pass no bytes on, in either direction, until ``heal``."""
+        self._open.clear()
+
+    def cut(self):
+        """Reset all connections, drop what is under way, and take no new one."""
+        self._refuses = True
+        for writer in list(self._writers):
+            writer.transport.abort()
+
+    def heal(self):
+        self._refuses = False
+        self._open.set()
+
+    async def aclose(self):
+        self._server.close()
+        self.cut()
+        for task in list(self._tasks):
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+    async def _accept(self, reader, writer):
+        self._writers.add(writer)
+        task = asyncio.current_task()
+        self._tasks.add(task)
+        try:
+            await self._forward(reader, writer)
+        except (OSError, asyncio.CancelledError):
+            pass
+        finally:
+            writer.transport.abort()
+            self._writers.discard(writer)
+            self._tasks.discard(task)
+
+    async def _forward(self, reader, writer):
+        if self._refuses or self.target is None:
+            return
+        host, _, port = self.target.rpartition(":")
+        far_reader, far_writer = await asyncio.open_connection(host, int(port))
+        self._writers.add(far_writer)
+        pumps = [
+            asyncio.create_task(self._pump(reader, far_writer)),
+            asyncio.create_task(self._pump(far_reader, writer)),
+        ]
+        try:
+            await asyncio.wait(pumps, return_when=asyncio.FIRST_COMPLETED)
+            await asyncio.sleep(0)
+        finally:
+            for pump in pumps:
+                pump.cancel()
+            far_writer.transport.abort()
+            self._writers.discard(far_writer)
+
+    async def _pump(self, reader, writer):
+        while data := await reader.read(65_536):
+            await self._open.wait()
+            writer.write(data)
+            await writer.drain()
+        writer.write_eof()
+
+
+@dataclass
+class Agent:
+    """An agent, its endpoint, and the forwarder of links to the agent."""
+
+    process: Process
+    endpoint: Process
+    link: Forwarder
+
+    @property
+    def name(self):
+        return self.endpoint.name
+
+
+class Fleet:
+    """A small fleet; use it in ``async with``."""
+
+    def __init__(self, *, entries=2, agents=2, slots=4, classes=None):
+        self._entry_count = entries
+        self._agent_count = agents
+        self._slots = slots
+        self._classes = classes or CLASSES
+        self._folder = tempfile.TemporaryDirectory(prefix="plantainhitch-")
+        self._numbers = iter(range(1, 10_000))
+        self._processes = []
+        self._forwarders = []
+        self.book = AnswerBook()
+        self.http = httpx.AsyncClient(
+            timeout=CALL_S, limits=httpx.Limits(max_connections=2_000)
+        )
+        self.entries = []
+        self.agents = []
+        self.platform = None
+        self.platform_link = None
+        # Faults brought about so far, for the report of a longer run.
+        self.faults = 0
+
+    async def __aenter__(self):
+        try:
+            await self._start()
+        except BaseException:
+            await self.__aexit__(None, None, None)
+            raise
+        return self
+
+    async def __aexit__(self, *error):
+        for process in self._processes:
+            if process.is_running:
+                await process.kill()
+        for forwarder in self._forwarders:
+            await forwarder.aclose()
+        await self.http.aclose()
+        self._folder.cleanup()
+
+    async def _start(self):
+        words = ("standin", "platform")
+        self.platform = await self._process("platform", *words)
+        self.platform_link = await self._forwarder(self.platform.ready["http"])
+        starts = [self.start_entry() for _ in range(self._entry_count)]
+        starts += [self.start_agent() for _ in range(self._agent_count)]
+        await asyncio.gather(*starts)
+        await self.apply_first()
+        await self.until_linked()
+
+    # Processes
+
+    async def start_entry(self, http="127.0.0.1:0", link="127.0.0.1:0"):
+        """Start one more entry, perhaps at given addresses."""
+        name = f"entry-{next(self._numbers)}"
+        settings = self._settings(name, http, link)
+        entry = await self._process(name, "entry", "--settings", settings)
+        self.entries.append(entry)
+        return entry
+
+    async def start_agent(self, **options):
+        """Start one more agent with its endpoint."""
+        number = next(self._numbers)
+        link = await self._forwarder()
+        process = await self._agent_process(number, link)
+        options = {"name": f"endpoint-{number}", "slots": self._slots, **options}
+        words = [f"--{key}={value}" for key, value in options.items()]
+        words.append(f"--agent={process.ready['http']}")
+        endpoint = await self._process(options["name"], "standin", "endpoint", *words)
+        agent = Agent(process, endpoint, link)
+        self.agents.append(agent)
+        return agent
+
+    async def restart_agent(self, agent):
+        """Start a new process of the agent at the same addresses."""
+        number = next(self._numbers)
+        ready = agent.process.ready
+        agent.process = await self._agent_process(
+            number, agent.link, ready["http"], ready["link"]
+        )
+
+    async def restart_entry(self, entry):
+        """Start a new process at the addresses of a dead entry."""
+        return await self.start_entry(entry.ready["http"], entry.ready["link"])
+
+    async def _agent_process(
+        self, number, link, http="127.0.0.1:0", address="127.0.0.1:0"
+    ):
+        name = f"agent-{number}"
+        settings = self._settings(name, http, address, link.address)
+        process = await self._process(name, "agent", "--settings", settings)
+        link.target = process.ready["link"]
+        return process
+
+    async def _process(self, name, *words):
+        process = await Process.start(name, self._folder.name, *words)
+        self._processes.append(process)
+        return process
+
+    async def _forwarder(self, target=None):
+        forwarder = await Forwarder.start()
+        forwarder.target = target
+        self._forwarders.append(forwarder)
+        return forwarder
+
+    def _settings(self, name, http, link, advertised=""):
+        lines = [
+            "[process]",
+            f'name = "{name}"',
+            'zone = "zone-a"',
+            "[listen]",
+            f'http = "{http}"',
+            f'link = "{link}"',
+            f'advertise_link = "{advertised}"' if advertised else "",
+            "[platform]",
+            f'address = "{self.platform_link.address}"',
+        ]
+        path = Path(self._folder.name) / f"{name}.toml"
+        path.write_text("\n".join(lines) + "\n")
+        return str(path)
+
+    # Operators
+
+    async def apply(self, entry, base_version, classes, author="operator"):
+        """Apply a class document; return the HTTP response."""
+        change = {
+            "base_version": base_version,
+            "change_id": f"change-{next(self._numbers)}",
+            "author": author,
+            "classes": classes,
+        }
+        return await self.http.put(self.url(entry, "/v1/classes"), json=change)
+
+    async def apply_first(self):
+        response = await self.apply(self.entries[0], 0, self._classes)
+        if response.status_code != 200:
+            raise AssertionError(f"classes not applied: {response.text}")
+
+    async def until_linked(self, agents=None, entries=None):
+        """Wait until the entries are ready and linked to ready endpoints."""
+        wanted = {agent.name for agent in agents or self.agents}
+
+        async def is_linked(entry):
+            ready = await self.http.get(self.url(entry, "/ready"))
+            found = await self.http.get(self.url(entry, "/v1/endpoints"))
+            names = {
+                item["name"]
+                for item in found.json()["endpoints"]
+                if item["linked"] and item["ready"] and item["slots"]
+            }
+            return ready.status_code == 200 and wanted <= names
+
+        for entry in entries or self.entries:
+            await self.until(lambda entry=entry: is_linked(entry), "endpoints linked")
+
+    async def until(self, condition, what, within_s=SETTLE_S):
+        """Wait until the coroutine function ``condition`` returns True."""
+        give_up = time.monotonic() + within_s
+        while not await condition():
+            if time.monotonic() > give_up:
+                raise AssertionError(f"not within {within_s} s: {what}")
+            await asyncio.sleep(0.05)
+
+    async def set_platform_faults(self, **faults):
+        """Set faults at the platform stand-in; none given clears them."""
+        self.faults += bool(faults)
+        url = f"http://{self.platform.ready['http']}/faults"
+        (await self.http.post(url, json=faults)).raise_for_status()
+
+    async def set_endpoint_faults(self, agent, **faults):
+        """Set faults at an endpoint stand-in; none given clears them."""
+        self.faults += bool(faults)
+        url = f"http://{agent.endpoint.ready['http']}/faults"
+        (await self.http.post(url, json=faults)).raise_for_status()
+
+    # Callers
+
+    def url(self, process, path):
+        return f"http://{process.ready['http']}{path}"
+
+    async def open_ids(self, entry, count=1):
+        response = await self.http.post(
+            self.url(entry, "/v1/ids"), json={"count": count}
+        )
+        response.raise_for_status()
+        return response.json()["ids"]
+
+    def new_job(self, tasks=4, **body):
+        """Return the record of a job; each task's body tells its index."""
+        bodies = {
+            index: {"sleep_ms": 20, "tag": index, **body} for index in range(tasks)
+        }
+        return self.book.new_job(bodies)
+
+    async def submit(
+        self, entry, identity, job, class_name="render", wait_ms=30_000, key=None
+    ):
+        """Submit the job under an id, or under a key; return the HTTP response.
+
+        None stands for no answer. What is told goes into the answer book.
+        """
+        content = {
+            "class": class_name,
+            "tasks": [{"index": i, "body": body} for i, body in job.bodies.items()],
+        }
+        headers = {"traceparent": job.traceparent}
+        path, method = f"/v1/submissions/{identity}", "PUT"
+        if key is not None:
+            path, method = "/v1/submissions", "POST"
+            headers["idempotency-key"] = key
+        return await self._call(
+            job, method, entry, f"{path}?wait_ms={wait_ms}", headers, content
+        )
+
+    async def fetch(self, entry, identity, job, wait_ms=30_000):
+        """Ask for a submission's answer."""
+        path = f"/v1/submissions/{identity}?wait_ms={wait_ms}"
+        return await self._call(job, "GET", entry, path, {}, None)
+
+    async def _call(self, job, method, entry, path, headers, content):
+        try:
+            response = await self.http.request(
+                method, self.url(entry, path), headers=headers, json=content
+            )
+            told = response.json()
+        except (httpx.HTTPError, ValueError):
+            return None
+        if response.status_code == 200:
+            job.answers.append(told)
+        elif response.status_code != 202:
+            job.refusals.append(told["error"]["not_run"])
+        return response
+
+    async def request(self, entry, class_name="ping", repeatable=False, **body):
+        """Make a single request; return its record."""
+        record = self.book.new_request({"sleep_ms": 20, **body}, repeatable)
+        content = {"class": class_name, "body": record.body, "repeatable": repeatable}
+        try:
+            response = await self.http.post(
+                self.url(entry, "/v1/requests"),
+                headers={"traceparent": record.traceparent},
+                json=content,
+            )
+            told = response.json()
+        except (httpx.HTTPError, ValueError):
+            return record
+        if response.status_code == 200:
+            record.answer = told
+        else:
+            record.refused_as_not_run = told["error"]["not_run"]
+        return record
+
+    # The check
+
+    async def starts(self):
+        """Return all starts at all endpoints."""
+        found = []
+        for agent in self.agents:
+            response = await self.http.get(
+                f"http://{agent.endpoint.ready['http']}/ledger"
+            )
+            found += [
+                Start.from_entry(agent.name, line) for line in response.json()["starts"]
+            ]
+        return found
+
+    async def violations(self):
+        """Return what callers were told wrongly, or what ran twice."""
+        return self.book.violations(await self.starts())
--- /dev/null
+++ b/tests/test_ledger.py
@@ -0,0 +1,87 @@
+"""The comparison of starts and answers finds each kind of broken promise."""
+
+import unittest
+
+from plantainhitch.verify.ledger import AnswerBook, Start
+
+
+class LedgerTests(unittest.TestCase):
+    """One job of two tasks and one request, right and then wrong."""
+
+    def setUp(self):
+        self.book = AnswerBook()
+        self.job = self.book.new_job({0: "a", 1: "b"})
+        self.request = self.book.new_request("c", repeatable=False)
+        self.starts = [
+            self.start(self.job, 0),
+            self.start(self.job, 1),
+            self.start(self.request, 0),
+        ]
+        self.job.answers.append(self.answer("complete", a=0, b=1))
+        self.request.answer = {
+            "outcome": "succeeded",
+            "body": {"index": 0, "body": "c"},
+        }
+
+    def start(self, record, index, attempt=1):
+        return Start("endpoint-1", record.mark, index, attempt, record.mark, 0)
+
+    def answer(self, state, **bodies):
+        tasks = [
+            {
+                "index": index,
+                "outcome": "succeeded",
+                "body": {"index": index, "body": body},
+            }
+            for body, index in bodies.items()
+        ]
+        return {"state": state, "not_run": False, "tasks": tasks}
+
+    def not_run(self, *indexes):
+        tasks = [{"index": index, "outcome": "not_run"} for index in indexes]
+        return {"state": "failed", "not_run": True, "tasks": tasks}
+
+    def assert_found(self, text):
+        found = self.book.violations(self.starts)
+        self.assertTrue(any(text in line for line in found), found)
+
+    def test_right(self):
+        self.assertEqual(self.book.violations(self.starts), [])
+
+    def test_second_start(self):
+        self.starts.append(self.start(self.job, 1, attempt=2))
+        self.assert_found("task 1 started 2 times")
+
+    def test_unrepeatable_request_twice(self):
+        self.starts.append(self.start(self.request, 0, attempt=2))
+        self.assert_found("unrepeatable, started 2 times")
+
+    def test_not_run_and_ran(self):
+        self.job.answers[:] = [self.not_run(0, 1)]
+        self.assert_found("task 0 said not run, and ran")
+        self.assert_found("said not run, and 2 tasks ran")
+
+    def test_refused_and_ran(self):
+        self.job.answers.clear()
+        self.job.refusals.append(True)
+        self.assert_found("refused as not run, and ran")
+
+    def test_request_not_run_and_ran(self):
+        self.request.answer = {"outcome": "not_run", "not_run": True}
+        self.assert_found("said not run, and ran")
+
+    def test_partial_answer(self):
+        self.job.answers[:] = [self.answer("complete", a=0)]
+        self.assert_found("marked complete, 1 of 2")
+
+    def test_answers_swapped(self):
+        self.job.answers[:] = [self.answer("complete", b=0, a=1)]
+        self.assert_found("another task's answer")
+
+    def test_two_answers_differ(self):
+        self.job.answers.append(self.answer("failed", a=0))
+        self.assert_found("told different things")
+
+    def test_start_without_a_caller(self):
+        self.starts.append(Start("endpoint-1", "x", 0, 1, "x", 0))
+        self.assert_found("unknown mark")
