--- a/tests/harness.py
+++ b/tests/harness.py
@@ -24,6 +24,7 @@
 SETTLE_S = 30
 STOP_S = 60
 CALL_S = 60
+LOG_LINES = 15
 CLASSES = {
     "render": {"answers_within_ms": 1_000, "timeout_ms": 20_000},
     "ping": {"answers_within_ms": 1_000, "timeout_ms": 20_000},
@@ -219,7 +220,7 @@
         try:
             await self._start()
         except BaseException:
-            await self.__aexit__(None, None, None)
+            await self.__aexit__(*sys.exc_info())
             raise
         return self
 
@@ -230,6 +231,8 @@
         for forwarder in self._forwarders:
             await forwarder.aclose()
         await self.http.aclose()
+        if error[0] is not None:
+            self._print_logs()
         self._folder.cleanup()
 
     async def _start(self):
@@ -242,6 +245,12 @@
         await self.apply_first()
         await self.until_linked()
 
+    def _print_logs(self):
+        """Show the end of each process's log, for a test that has failed."""
+        for process in self._processes:
+            lines = process.log_path.read_text().splitlines()[-LOG_LINES:]
+            print(f"--- {process.name}", *lines, sep="\n", file=sys.stderr)
+
     # Processes
 
     async def start_entry(self, http="127.0.0.1:0", link="127.0.0.1:0"):
@@ -335,7 +344,7 @@
         wanted = {agent.name for agent in agents or self.agents}
 
         async def is_linked(entry):
-            ready = await self.http.get(self.url(entry, "/ready"))
+            ready = await self.http.get(self.url(entry, "/health/ready"))
             found = await self.http.get(self.url(entry, "/v1/endpoints"))
             names = {
                 item["name"]
