Ask for credits without walking all agents

Cause: each round summed the slots of all agents and walked the whole ranking to withdraw demand. Ruled out: the ranking's sort, made anew only each 250 ms.

--- a/plantainhitch/coordination/dispatcher.py
+++ b/plantainhitch/coordination/dispatcher.py
@@ -326,6 +326,9 @@
 
     def _by_urgency(self):
         """Return queues: classes below their claim first, then by time left."""
+        waiting = self._queues.waiting()
+        if len(waiting) < 2:
+            return waiting
         now_ms = self._clock.now_ms()
         slots = sum(agent.slots for agent in self._agents.values())
         running = self._running
@@ -340,8 +343,7 @@
             left_ms = head.enqueued_ms + definition.answers_within_ms - now_ms
             return (running[name] >= claim, left_ms)
 
-        waiting = self._queues.waiting()
-        return sorted(waiting, key=order) if len(waiting) > 1 else waiting
+        return sorted(waiting, key=order)
 
     def _place_class(self, definition, queue):
         now_ms = self._clock.now_ms()
--- a/plantainhitch/coordination/placement.py
+++ b/plantainhitch/coordination/placement.py
@@ -23,6 +23,8 @@
         self._judge = judge
         self._agents = {}
         self._rankings = {}
+        # The agents last asked for credits, by class, with the count.
+        self._asked = {}
         self._entry_count = 1
 
     def set_agents(self, agents):
@@ -68,33 +70,43 @@
         return fallback
 
     def wants(self, definition, waiting):
-        """Yield (agent, Credit): the credits to ask for so that tasks can go."""
-        candidates = [
-            (expected_ms, agent)
-            for expected_ms, agent in self._ranking(definition)
-            if self._usable(agent) and agent.slots
-        ]
-        remaining = waiting
+        """Return (agent, Credit) pairs: the credits to ask for.
+
+        Covers the agents that are to be asked now, and those asked before of
+        which nothing is wanted any more (count 0).
+        """
         name = definition.name
-        for position, (expected_ms, agent) in enumerate(candidates):
-            if remaining <= 0:
-                count = 0
-            elif agent.has_credit(name):
+        before = self._asked.pop(name, ())
+        asked = self._spread(definition, waiting) if waiting else {}
+        if asked:
+            self._asked[name] = asked
+        dropped = [a for a in before if a not in asked and a.wanted.get(name)]
+        wanted = [(agent, Credit(name, count)) for agent, count in asked.items()]
+        return wanted + [(agent, Credit(name, 0)) for agent in dropped]
+
+    def _spread(self, definition, waiting):
+        """Spread the waiting tasks over the agents whose slots free first."""
+        ranking = self._ranking(definition)
+        limit_ms = self._slowest_with_credit_ms(ranking)
+        asked = {}
+        for expected_ms, agent in ranking:
+            if waiting <= 0:
+                break
+            if agent.has_credit(definition.name) or not self._usable(agent):
                 continue
-            else:
-                limit_ms = self._limit_ms(candidates, position)
-                free_in_time = int((limit_ms - expected_ms) / self._gap_ms(agent, name))
-                count = min(remaining, max(1, free_in_time), agent.slots)
-            remaining -= count
-            if count or agent.wanted.get(name):
-                yield agent, Credit(name, count)
-
-    def _limit_ms(self, candidates, position):
-        """Return the run time of the next slower agent that has a credit."""
-        for expected_ms, agent in candidates[position:]:
+            gap_ms = self._gap_ms(agent, definition.name)
+            free_in_time = int((limit_ms - expected_ms) / gap_ms)
+            count = min(waiting, max(1, free_in_time), agent.slots)
+            asked[agent] = count
+            waiting -= count
+        return asked
+
+    def _slowest_with_credit_ms(self, ranking):
+        """Return up to which run time it is worth while to wait for a slot."""
+        for expected_ms, agent in ranking:
             if agent.credit_count:
                 return expected_ms
-        return candidates[-1][0] * 2
+        return ranking[-1][0] * 2 if ranking else 0
 
     def _better_later(self, definition, limit_ms):
         """Count the slots that free so early that waiting beats ``limit_ms``."""
