--- a/plantainhitch/coordination/configuration.py
+++ b/plantainhitch/coordination/configuration.py
@@ -17,6 +17,7 @@
 
 from ..logs import get_logger
 from ..protocol.errors import ErrorCode, Refusal
+from ..state import class_files
 from ..state.classes import NO_VERSION, ClassDocument
 from ..transport.platform import (
     ABSENT,
@@ -268,8 +269,6 @@
 
 def _problems(change_id, classes, teams):
     """Return what is wrong with a change, as lines; empty where it is valid."""
-    from ..state import class_files
-
     problems = [] if change_id else ["change_id: must not be empty"]
     checked = class_files.from_tables(
         {"classes": _tables(classes), "teams": _tables(teams)}
--- /dev/null
+++ b/tests/test_configuration.py
@@ -0,0 +1,168 @@
+"""Versions of the class document: one winner each, never back, settled replies."""
+
+import asyncio
+import random
+import unittest
+
+from returns.result import Failure, Success
+
+from plantainhitch.clock import ManualClock
+from plantainhitch.coordination.configuration import ConfigurationStore
+from plantainhitch.protocol.errors import ErrorCode
+from plantainhitch.standins.table import Faults, MemoryPlatform, TableService
+from plantainhitch.state.classes import ClassDefinition, ClassDocument
+
+TEAMS = {}
+
+
+def classes_with(target_ms):
+    """Return one class with that target."""
+    return {"render": ClassDefinition("render", answers_within_ms=target_ms)}
+
+
+class ScheduledPlatform(MemoryPlatform):
+    """Calls take effect in an order drawn from a seed; some writes lose replies."""
+
+    def __init__(self, tables, rng):
+        super().__init__(ManualClock(), tables)
+        self._rng = rng
+
+    async def write(self, table, writes):
+        if self._rng.random() < 0.2:
+            self.set_faults(Faults(lose_replies=1))
+        elif self._rng.random() < 0.1:
+            self.set_faults(Faults(lose_requests=1))
+        return await super().write(table, writes)
+
+    async def _before_call(self):
+        for _ in range(self._rng.randrange(5)):
+            await asyncio.sleep(0)
+        return await super()._before_call()
+
+
+class Operator:
+    """Applies changes one after another, each to the version it has read."""
+
+    def __init__(self, name, tables, rng):
+        self.name = name
+        self.store = ConfigurationStore(ScheduledPlatform(tables, rng), ManualClock())
+        self.seen = []
+        self.won = []
+        self.told = []
+        self.store.set_callbacks(on_taken=lambda taken: self.seen.append(taken.version))
+
+    async def apply_many(self, count):
+        for number in range(count):
+            await self.store.refresh()
+            change_id = f"{self.name}-{number}"
+            result = await self.store.apply(
+                self.store.version, change_id, self.name, classes_with(number + 1), {}
+            )
+            match result:
+                case Success(document):
+                    self.won.append((document.version, document.change_id))
+                case Failure(refusal):
+                    self.told.append((change_id, refusal))
+
+
+class ConcurrentOperatorsTest(unittest.IsolatedAsyncioTestCase):
+    """Two operators apply at once, with lost replies and requests."""
+
+    async def test_each_version_has_one_winner(self):
+        for seed in (1, 2, 3):
+            with self.subTest(seed=seed):
+                await self.run_operators(random.Random(seed), count=200)
+
+    async def run_operators(self, rng, count):
+        tables = TableService()
+        operators = [Operator(name, tables, rng) for name in ("ann", "ben")]
+        await asyncio.gather(*(item.apply_many(count) for item in operators))
+        reader = ConfigurationStore(MemoryPlatform(tables=tables), ManualClock())
+        await reader.refresh()
+        won = [win for item in operators for win in item.won]
+        self.assertEqual(
+            sorted(version for version, _ in won),
+            list(range(1, reader.version + 1)),
+        )
+        by_version = dict(won)
+        for document in (await reader.history(100)).unwrap():
+            self.assertEqual(document.change_id, by_version[document.version])
+        for operator in operators:
+            self.assertEqual(operator.seen, sorted(set(operator.seen)))
+            for change_id, refusal in operator.told:
+                self.assertIs(refusal.code, ErrorCode.VERSION_CONFLICT, change_id)
+                other = "ben" if operator.name == "ann" else "ann"
+                self.assertIn(f"by {other!r}", refusal.message)
+        self.assertTrue(all(item.told for item in operators), "no race came about")
+
+
+class ConfigurationTest(unittest.IsolatedAsyncioTestCase):
+    """One store under faults."""
+
+    def setUp(self):
+        self.clock = ManualClock()
+        self.platform = MemoryPlatform(self.clock)
+        self.accepted = []
+        self.store = ConfigurationStore(
+            self.platform, self.clock, on_accepted=self.accepted.append
+        )
+
+    async def apply(self, base_version, change_id, target_ms=100):
+        return await self.store.apply(
+            base_version, change_id, "ann", classes_with(target_ms), TEAMS
+        )
+
+    async def test_lost_reply_is_settled_and_pushed(self):
+        self.platform.set_faults(Faults(lose_replies=1))
+        document = (await self.apply(0, "c1")).unwrap()
+        self.assertEqual(document.version, 1)
+        self.assertEqual(self.accepted, [document])
+        self.assertEqual(self.platform.table("configuration").revision, 1)
+
+    async def test_lost_request_is_written_again(self):
+        self.platform.set_faults(Faults(lose_requests=1))
+        self.assertEqual((await self.apply(0, "c1")).unwrap().version, 1)
+
+    async def test_same_change_id_takes_effect_once(self):
+        await self.apply(0, "c1")
+        await self.apply(1, "c2", target_ms=200)
+        again = (await self.apply(0, "c1")).unwrap()
+        self.assertEqual((again.version, self.store.version), (1, 2))
+        other_content = (await self.apply(2, "c1", target_ms=300)).failure()
+        self.assertIs(other_content.code, ErrorCode.VERSION_CONFLICT)
+        self.assertEqual([document.version for document in self.accepted], [1, 2])
+
+    async def test_outage_refuses_and_keeps_the_version(self):
+        await self.apply(0, "c1")
+        self.platform.set_faults(Faults(outage=True))
+        refusal = (await self.apply(1, "c2")).failure()
+        self.assertEqual((refusal.code, refusal.not_run), (ErrorCode.STORE_DOWN, True))
+        self.assertFalse(await self.store.refresh())
+        self.assertEqual(self.store.version, 1)
+
+    async def test_unsettled_outcome_is_said_to_be_unknown(self):
+        self.platform.set_faults(Faults(lose_requests=1_000))
+        refusal = (await self.apply(0, "c1")).failure()
+        self.assertEqual((refusal.code, refusal.not_run), (ErrorCode.STORE_DOWN, False))
+        self.assertIn("unknown", refusal.message)
+
+    async def test_older_offer_is_never_taken(self):
+        self.assertTrue(self.store.offer(ClassDocument(5, "c5", "ann")))
+        for version in (4, 5):
+            offered = ClassDocument(version, "other", "ben")
+            self.assertFalse(self.store.offer(offered))
+        self.assertEqual(self.store.current.change_id, "c5")
+
+    async def test_bad_document_is_refused_whole(self):
+        bad = {
+            "render": ClassDefinition("render", 0, claims_at_least=0.7),
+            "sync": ClassDefinition("sync", 100, claims_at_least=0.7, team="none"),
+        }
+        refusal = (await self.store.apply(0, "", "ann", bad, TEAMS)).failure()
+        self.assertIs(refusal.code, ErrorCode.BAD_CONFIGURATION)
+        self.assertEqual(len(refusal.details), 4, refusal.details)
+        self.assertEqual(self.platform.counters.writes, 0)
+
+    async def test_document_survives_json(self):
+        document = (await self.apply(0, "c1")).unwrap()
+        self.assertEqual(ClassDocument.from_json(document.to_json()), document)
