--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 BIN := $(VENV)/bin
 READY := $(VENV)/.ready
 
-.PHONY: setup demo test format lint check model-check
+.PHONY: setup demo test format lint check model-check binary
 
 $(READY): requirements-dev.lock
 	$(PYTHON) -m venv $(VENV)
@@ -29,3 +29,7 @@
 
 model-check: $(READY)
 	$(BIN)/python -m plantainhitch.verify
+
+binary: $(READY)
+	$(BIN)/python tools/make_binary.py
+	$(BIN)/python tools/check_binary.py
