Add the load command and the bench on real processes

plantainhitch load sends planned jobs open-loop and checks that each answer is whole and the caller's own. benchmarks/bench.py starts a platform stand-in, three entries, ten agents and ten endpoint stand-ins (8 slots, speeds 0.5 to 2) and runs scenarios against the stated targets; make bench SCENARIO=name runs one.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,10 @@
 BIN := $(VENV)/bin
 READY := $(VENV)/.ready
 
-.PHONY: setup demo test format lint check model-check binary
+# make bench SCENARIO=load60 runs one scenario, make bench all of them.
+SCENARIO ?=
+
+.PHONY: bench decisions setup demo test format lint check model-check binary
 
 $(READY): requirements-dev.lock
 	$(PYTHON) -m venv $(VENV)
@@ -33,3 +36,9 @@
 binary: $(READY)
 	$(BIN)/python tools/make_binary.py
 	$(BIN)/python tools/check_binary.py
+
+bench: $(READY)
+	$(BIN)/python -m benchmarks.bench $(SCENARIO)
+
+decisions: $(READY)
+	$(BIN)/python -m benchmarks.decisions
--- /dev/null
+++ b/benchmarks/processes.py
@@ -0,0 +1,241 @@
+"""Real processes on loopback: a platform, entries, agents and endpoint stand-ins.
+
+All ports are chosen by the system and read from each process's ready line.
+"""
+
+import asyncio
+import json
+import os
+import signal
+import sys
+import tempfile
+import time
+from dataclasses import asdict, dataclass
+from pathlib import Path
+
+from plantainhitch.clock import Clock
+from plantainhitch.transport.addresses import Address
+from plantainhitch.transport.http_client import HttpAnswer, HttpClient
+
+from .product_policy import document_of
+
+ROOT = Path(__file__).resolve().parent.parent
+READY_S = 30
+STOP_S = 20
+TICKS_PER_S = os.sysconf("SC_CLK_TCK")
+JSON_TYPE = (b"Content-Type", b"application/json")
+ENDPOINTS_PER_RACK = 3
+ZONES = 4
+
+
+class Process:
+    """One process, ended by its own id only."""
+
+    def __init__(self, name, process, ready):
+        self.name = name
+        self.ready = ready
+        self._process = process
+        self._client = None
+
+    @classmethod
+    async def start(cls, name, folder, *words):
+        """Start ``plantainhitch`` with ``words``; wait for its ready line."""
+        with (Path(folder) / f"{name}.log").open("ab") as log:
+            process = await asyncio.create_subprocess_exec(
+                *(sys.executable, "-m", "plantainhitch", *words),
+                cwd=ROOT,
+                stdin=asyncio.subprocess.DEVNULL,
+                stdout=asyncio.subprocess.PIPE,
+                stderr=log,
+            )
+        line = await asyncio.wait_for(process.stdout.readline(), READY_S)
+        if not line:
+            raise RuntimeError(f"{name} is not ready; see {folder}/{name}.log")
+        return cls(name, process, json.loads(line))
+
+    @property
+    def address(self):
+        """Its HTTP address."""
+        return Address.from_text(self.ready.get("http") or self.ready["address"])
+
+    @property
+    def is_running(self):
+        """Whether it has not ended."""
+        return self._process.returncode is None
+
+    def cpu_s(self):
+        """Return the processor time that it has used, in seconds."""
+        fields = Path(f"/proc/{self._process.pid}/stat").read_text().rsplit(")", 1)[1]
+        user, system = fields.split()[11:13]
+        return (int(user) + int(system)) / TICKS_PER_S
+
+    def resident_mb(self):
+        """Return its resident memory in MB."""
+        pages = int(Path(f"/proc/{self._process.pid}/statm").read_text().split()[1])
+        return pages * os.sysconf("SC_PAGESIZE") / 1e6
+
+    async def call(self, method, path, body=None):
+        """Return (status, decoded JSON or text) of one HTTP call."""
+        if self._client is None:
+            self._client = HttpClient(self.address, Clock())
+        data = b"" if body is None else json.dumps(body).encode()
+        result = await self._client.request(
+            method.encode(), path.encode(), data, (JSON_TYPE,) if data else ()
+        )
+        if not isinstance(result, HttpAnswer):
+            raise RuntimeError(f"{self.name} {path}: {result}")
+        try:
+            return result.status, json.loads(result.body) if result.body else None
+        except ValueError:
+            return result.status, result.body.decode()
+
+    def kill(self):
+        """Kill it at once."""
+        if self.is_running:
+            os.kill(self._process.pid, signal.SIGKILL)
+
+    async def stop(self):
+        """End it."""
+        if self._client is not None:
+            await self._client.aclose()
+        if self.is_running:
+            os.kill(self._process.pid, signal.SIGKILL)
+        await asyncio.wait_for(self._process.wait(), STOP_S)
+
+
+@dataclass(frozen=True, slots=True)
+class Shape:
+    """How many processes of each kind; the fleet gives slots and speeds."""
+
+    fleet: object
+    entries: int = 3
+
+
+class Deployment:
+    """All processes of one run; use as an asynchronous context manager."""
+
+    def __init__(self, shape, mix):
+        self.shape = shape
+        self.mix = mix
+        self.platform = None
+        self.entries = []
+        self.agents = []
+        self.endpoints = []
+        self._folder = tempfile.TemporaryDirectory(prefix="plantainhitch-bench-")
+
+    @property
+    def addresses(self):
+        """The HTTP addresses of the entries."""
+        return [entry.address for entry in self.entries]
+
+    async def __aenter__(self):
+        try:
+            await self._start()
+        except BaseException:
+            await self.aclose()
+            raise
+        return self
+
+    async def __aexit__(self, *_):
+        await self.aclose()
+
+    async def aclose(self):
+        """End every process that was started."""
+        platform = [self.platform] if self.platform else []
+        for process in self.entries + self.agents + self.endpoints + platform:
+            await process.stop()
+        self._folder.cleanup()
+
+    async def starts(self):
+        """Return the starts that each endpoint's ledger holds, by endpoint."""
+        pages = await asyncio.gather(
+            *(each.call("GET", "/ledger?since=0") for each in self.endpoints)
+        )
+        return [page["starts"] for _, page in pages]
+
+    async def statuses(self):
+        """Return the status documents of the entries that run."""
+        running = [entry for entry in self.entries if entry.is_running]
+        return [(await entry.call("GET", "/v1/status"))[1] for entry in running]
+
+    async def _start(self):
+        folder = self._folder.name
+        self.platform = await Process.start("platform", folder, "standin", "platform")
+        numbers = range(len(self.shape.fleet.endpoints))
+        self.agents = await asyncio.gather(
+            *(self._start_node("agent", number) for number in numbers)
+        )
+        self.endpoints = await asyncio.gather(
+            *(self._start_endpoint(number) for number in numbers)
+        )
+        self.entries = await asyncio.gather(
+            *(self._start_node("entry", number) for number in range(self.shape.entries))
+        )
+        await self._apply_classes()
+        await self._wait_linked()
+
+    async def _start_node(self, role, number):
+        name = f"{role}-{number}"
+        path = Path(self._folder.name) / f"{name}.toml"
+        path.write_text(
+            f'[process]\nname = "{name}"\nzone = "zone-{number % ZONES}"\n'
+            f'rack = "rack-{number // ENDPOINTS_PER_RACK}"\n'
+            '[listen]\nhttp = "127.0.0.1:0"\nlink = "127.0.0.1:0"\n'
+            f'[platform]\naddress = "{self.platform.address}"\n'
+            '[log]\nlevel = "warning"\n'
+        )
+        return await Process.start(
+            name, self._folder.name, role, "--settings", str(path)
+        )
+
+    async def _start_endpoint(self, number):
+        model = self.shape.fleet.endpoints[number]
+        return await Process.start(
+            f"endpoint-{number}",
+            self._folder.name,
+            *("standin", "endpoint", "--name", f"endpoint-{number}"),
+            *("--slots", str(model.slots), "--speed", str(model.speed)),
+            *("--agent", str(self.agents[number].address)),
+        )
+
+    async def _apply_classes(self):
+        classes = {}
+        for name, definition in document_of(self.mix).classes.items():
+            classes[name] = asdict(definition)
+            del classes[name]["name"]
+        change = {
+            "base_version": 0,
+            "change_id": "bench",
+            "author": "bench",
+            "classes": classes,
+        }
+        await self._until(
+            lambda: self._answers(self.entries[0], "PUT", "/v1/classes", change)
+        )
+
+    async def _wait_linked(self):
+        wanted = len(self.agents)
+
+        async def is_linked():
+            for entry in self.entries:
+                _, page = await entry.call("GET", "/v1/endpoints")
+                ready = [e for e in page["endpoints"] if e["linked"] and e["ready"]]
+                _, status = await entry.call("GET", "/v1/status")
+                if len(ready) < wanted or not status["configuration_version"]:
+                    return False
+            return True
+
+        await self._until(is_linked)
+
+    async def _answers(self, process, *call):
+        status, body = await process.call(*call)
+        if 400 <= status < 500:
+            raise RuntimeError(f"{process.name} refused {call[:2]}: {body}")
+        return status == 200
+
+    async def _until(self, check):
+        until_s = time.monotonic() + READY_S
+        while not await check():
+            if time.monotonic() > until_s:
+                raise RuntimeError(f"not within {READY_S} s: {check}")
+            await asyncio.sleep(0.1)
--- a/benchmarks/product_policy.py
+++ b/benchmarks/product_policy.py
@@ -20,6 +20,7 @@
 from .policies import Policy
 
 TICK_MS = 100
+DEFAULT_TIMEOUT_MS = 60_000
 EXTRA_MESSAGES = (m.Demand, m.GrantBatch, m.Recall, m.Returned)
 
 
@@ -32,6 +33,7 @@
             quantile=model.quantile,
             claims_at_least=model.claims_at_least,
             repeatable=model.repeatable,
+            timeout_ms=max(DEFAULT_TIMEOUT_MS, model.answers_within_ms),
         )
         for model in mix.classes
     }
--- /dev/null
+++ b/plantainhitch/loadgen/runner.py
@@ -0,0 +1,192 @@
+"""Sends planned jobs to entries over HTTP when they are due, and records their ends.
+
+The callers' side of the promises is checked on the way: a complete answer has to
+hold each of the job's tasks once, with the content that was sent.
+"""
+
+import asyncio
+import itertools
+import time
+from collections import Counter
+from dataclasses import dataclass, field
+
+import msgspec
+
+from ..protocol import models
+from ..transport.http_client import HttpAnswer, HttpClient, NotSent
+from .ideal import ideal_ms
+from .recorder import Ending, JobRecord
+
+MAX_CONNECTIONS = 8_000
+WAIT_MS = 30_000
+ANSWER_TIMEOUT_MS = 90_000
+STATUS_OK = 200
+STATUS_RUNNING = 202
+JSON_TYPE = (b"Content-Type", b"application/json")
+
+_ANSWER = msgspec.json.Decoder(models.AnswerModel)
+_ERROR = msgspec.json.Decoder(models.ErrorModel)
+
+
+class Echo(msgspec.Struct):
+    """The part of an endpoint stand-in's answer that is checked."""
+
+    index: int
+    body: dict
+
+
+@dataclass(slots=True)
+class Fault:
+    """A job that did not end complete: what its caller was told."""
+
+    number: int
+    entry: int
+    submission: str
+    ending: Ending
+    detail: str
+
+
+@dataclass(slots=True)
+class Tally:
+    """Counts of a run beside the recorder's."""
+
+    task_reasons: Counter = field(default_factory=Counter)
+    refusals: Counter = field(default_factory=Counter)
+    faults: list[Fault] = field(default_factory=list)
+    wrong_answers: int = 0
+    latest_send_ms: float = 0.0
+
+
+class LoadRunner:
+    """Sends jobs open-loop to the entries in turn, as a balancer would."""
+
+    def __init__(self, addresses, clock, fleet, recorder):
+        self._clients = [
+            HttpClient(address, clock, max_connections=MAX_CONNECTIONS)
+            for address in addresses
+        ]
+        self._turns = itertools.cycle(range(len(self._clients)))
+        self._fleet = fleet
+        self._recorder = recorder
+        self._tally = Tally()
+        self._began_s = 0.0
+
+    @property
+    def tally(self):
+        """Counts of what ended otherwise than complete."""
+        return self._tally
+
+    async def run(self, jobs, *, measured_from_ms=0.0):
+        """Send each job when it is due; return once all have ended.
+
+        Jobs due before ``measured_from_ms`` are sent and not recorded.
+        """
+        self._began_s = time.perf_counter()
+        sending = []
+        for job in jobs:
+            wait_ms = job.due_ms - self.now_ms()
+            if wait_ms > 0:
+                await asyncio.sleep(wait_ms / 1000)
+            late_ms = self.now_ms() - job.due_ms
+            self._tally.latest_send_ms = max(self._tally.latest_send_ms, late_ms)
+            is_measured = job.due_ms >= measured_from_ms
+            sending.append(asyncio.create_task(self._send(job, is_measured)))
+        await asyncio.gather(*sending)
+
+    def now_ms(self):
+        """Return the time since the run began."""
+        return (time.perf_counter() - self._began_s) * 1000
+
+    async def aclose(self):
+        """Close all connections."""
+        for client in self._clients:
+            await client.aclose()
+
+    async def _send(self, job, is_measured):
+        body = _write_job(job)
+        path = b"/v1/submissions?wait_ms=%d" % WAIT_MS
+        for _ in self._clients:
+            entry = next(self._turns)
+            result = await self._call(entry, b"POST", path, body)
+            if not isinstance(result, NotSent):
+                break
+        while isinstance(result, HttpAnswer) and result.status == STATUS_RUNNING:
+            submission = _ANSWER.decode(result.body).id
+            again = b"/v1/submissions/%b?wait_ms=%d" % (submission.encode(), WAIT_MS)
+            result = await self._call(entry, b"GET", again)
+        response_ms = self.now_ms() - job.due_ms
+        ending = self._judge(job, entry, result)
+        if is_measured:
+            times = [task.run_ms for task in job.tasks]
+            self._recorder.add(
+                JobRecord(
+                    class_name=job.class_name,
+                    due_ms=job.due_ms,
+                    response_ms=response_ms,
+                    ideal_ms=ideal_ms(times, self._fleet),
+                    ending=ending,
+                    tasks=len(times),
+                    work_ms=job.work_ms,
+                )
+            )
+
+    async def _call(self, entry, method, path, body=b""):
+        headers = (JSON_TYPE,) if body else ()
+        return await self._clients[entry].request(
+            method, path, body, headers, timeout_ms=ANSWER_TIMEOUT_MS
+        )
+
+    def _judge(self, job, entry, result):
+        if not isinstance(result, HttpAnswer):
+            ending = Ending.NOT_RUN if isinstance(result, NotSent) else Ending.UNKNOWN
+            self._note(job, entry, "", ending, type(result).__name__)
+            return ending
+        if result.status != STATUS_OK:
+            error = _ERROR.decode(result.body).error
+            self._tally.refusals[error.code] += 1
+            ending = Ending.NOT_RUN if error.not_run else Ending.UNKNOWN
+            self._note(job, entry, "", ending, error.code)
+            return ending
+        answer = _ANSWER.decode(result.body)
+        if answer.state == "complete":
+            if not _is_whole(job, answer):
+                self._tally.wrong_answers += 1
+            return Ending.COMPLETE
+        self._tally.task_reasons.update(
+            task.reason for task in answer.tasks if task.reason
+        )
+        ending = Ending.NOT_RUN if answer.not_run else Ending.FAILED
+        self._note(job, entry, answer.id, ending, _main_reason(answer))
+        return ending
+
+    def _note(self, job, entry, submission, ending, detail):
+        self._tally.faults.append(Fault(job.number, entry, submission, ending, detail))
+
+
+def _write_job(job):
+    tasks = [
+        {
+            "index": task.index,
+            "body": {"sleep_ms": round(task.run_ms, 3)},
+            "declared_ms": task.declared_ms,
+        }
+        for task in job.tasks
+    ]
+    return msgspec.json.encode({"class": job.class_name, "tasks": tasks})
+
+
+def _is_whole(job, answer):
+    """Return whether the answer holds each task once with its own content."""
+    sent = {task.index: {"sleep_ms": round(task.run_ms, 3)} for task in job.tasks}
+    got = {}
+    for task in answer.tasks:
+        echo = msgspec.json.decode(task.body, type=Echo)
+        if echo.index == task.index:
+            got[task.index] = echo.body
+    return got == sent and len(answer.tasks) == len(sent)
+
+
+def _main_reason(answer):
+    reasons = Counter(task.reason for task in answer.tasks if task.reason)
+    reasons.pop("cancelled", None)
+    return reasons.most_common(1)[0][0] if reasons else "cancelled"
--- a/plantainhitch/loadgen/workloads.py
+++ b/plantainhitch/loadgen/workloads.py
@@ -105,18 +105,24 @@
 TICKMARK = Mix(
     "tickmark",
     (
-        ClassModel("sync", 0.30, TaskTimes(150, 0.6), 10, 100, 3_000, 0.99, 0.35),
+        ClassModel("sync", 0.30, TaskTimes(150, 0.6, 0.0), 10, 100, 3_000, 0.99, 0.35),
         ClassModel("ping", 0.20, TaskTimes(80, 0.4, 0.0), 1, 10, 5_000, 0.99, 0.15),
-        ClassModel("render", 0.50, TaskTimes(220, 0.7), 1, 40, 8_000, 0.95, 0.30, True),
+        ClassModel(
+            "render", 0.50, TaskTimes(220, 0.7, 0.02), 1, 40, 8_000, 0.95, 0.30, True
+        ),
     ),
 )
 
 CANEGROVE = Mix(
     "canegrove",
     (
-        ClassModel("freight", 0.15, TaskTimes(180, 0.5), 1, 4, 3_000, 0.99, 0.20),
-        ClassModel("quote", 0.55, TaskTimes(250, 0.7), 1, 100, 4_000, 0.99, 0.40, True),
-        ClassModel("stock", 0.30, TaskTimes(120, 0.6), 1, 50, 8_000, 0.95, 0.20, True),
+        ClassModel("freight", 0.15, TaskTimes(180, 0.5, 0.0), 1, 4, 3_000, 0.99, 0.20),
+        ClassModel(
+            "quote", 0.55, TaskTimes(250, 0.7, 0.002), 1, 100, 4_000, 0.99, 0.40, True
+        ),
+        ClassModel(
+            "stock", 0.30, TaskTimes(120, 0.6, 0.02), 1, 50, 8_000, 0.95, 0.20, True
+        ),
     ),
 )
 
