Push configurations to all regions and clean up the table

An entry that had a change accepted sends it to its whole region and to two entries of each other region, which pass it on, and answers the operator after that (1 s at most): a version is in force everywhere also where the store, or the entry itself, fails right after the answer.

Found and mended: a kept link to an incarnation that had died without a word made the next one at the same address look dead for good, since the old hello was taken for an answer of now. The entry dials anew before it concludes anything (tests.test_peers fails before this change), and says when it dialled.

Rows of old members and expired keys are deleted by every entry now and then. The platform's timeout is 5 s by default: at 2 s, a store that takes 2 s a call was no different from one that is down.

--- a/plantainhitch/coordination/configuration.py
+++ b/plantainhitch/coordination/configuration.py
@@ -10,6 +10,7 @@
 Versions only grow here: an older document is never taken, from wherever it comes.
 """
 
+import asyncio
 from dataclasses import asdict, dataclass
 
 import msgspec
@@ -32,6 +33,7 @@
 REFRESH_MS = 1_000
 # How long ``apply`` tries to find out whether its change took effect.
 SETTLE_LIMIT_MS = 15_000
+PUSH_LIMIT_MS = 1_000
 MAX_HISTORY = 100
 RETRY_AFTER_MS = 1_000
 
@@ -77,7 +79,9 @@
 
     ``on_taken(document)`` is called each time a newer version comes into force
     here, ``on_accepted(document)`` also where this process has just had it
-    accepted, and so is the first to know: it pushes it to all of its links.
+    accepted, and so is the first to know. It returns a task that sends the
+    document on; ``apply`` waits for it, up to ``PUSH_LIMIT_MS``, so that others
+    have the version before its author is told that it is accepted.
     """
 
     def __init__(self, platform, clock, *, on_taken=None, on_accepted=None):
@@ -152,7 +156,7 @@
         accepted = await self._settle(document)
         match accepted:
             case Success(accepted_document):
-                self._accept(accepted_document)
+                await self._accept(accepted_document)
         return accepted
 
     async def history(self, limit):
@@ -172,11 +176,12 @@
                     return Failure(_store_down("the history can't be read"))
         return Success(documents)
 
-    def _accept(self, document):
+    async def _accept(self, document):
         self.offer(document)
         is_newest = document.version == self.version
         if is_newest and self._on_accepted is not None:
-            self._on_accepted(document)
+            push = self._on_accepted(document)
+            await asyncio.wait((push,), timeout=PUSH_LIMIT_MS / 1000)
 
     async def _settle(self, document):
         """Try until the change is accepted, refused, or time is up.
--- a/plantainhitch/coordination/entry.py
+++ b/plantainhitch/coordination/entry.py
@@ -24,9 +24,11 @@
 from .admission import Admission
 from .agent_links import AgentDialer
 from .configuration import ConfigurationStore
+from .configuration_push import ConfigurationPusher
 from .dispatcher import Dispatcher
+from .housekeeping import Housekeeper
 from .inbox import Inbox
-from .keys import KeyBinder
+from .keys import KeyBinder, KeySweeper
 from .membership import Membership
 from .peers import OtherIncarnation, PeerCaller, PeerServer, lost_owner
 from .submissions import Submission, SubmissionBook
@@ -119,7 +121,7 @@
             platform,
             clock,
             on_taken=lambda document: self._inbox.post(e.Taken(document)),
-            on_accepted=self._push_to_entries,
+            on_accepted=self._push_everywhere,
         )
         self._keys = KeyBinder(platform, clock)
         self._links = {}
@@ -127,6 +129,9 @@
         self._tasks = set()
         self._peers = PeerCaller(self._hello, clock)
         self._server = PeerServer(self._hello, self.ask, self._offer)
+        self._pusher = ConfigurationPusher(member, self._membership, self._peers.push)
+        sweeper = KeySweeper(platform, clock)
+        self._housekeeper = Housekeeper(self._membership, sweeper, clock)
         self._registered = False
         self._draining = False
         self._refusing = False
@@ -180,6 +185,7 @@
             self._tick(),
             self._configuration.run(),
             self._membership.run(),
+            self._housekeeper.run(),
             self._register(),
         )
         for job in jobs:
@@ -299,7 +305,7 @@
             return Refusal(ErrorCode.ID_UNKNOWN, "no known entry issued this id")
         answer = await self._peers.forward(member, call)
         if isinstance(answer, OtherIncarnation):
-            self._membership.seen_at(member.link, answer.incarnation)
+            self._membership.seen_at(member.link, answer.incarnation, answer.dialled_ms)
             return lost_owner()
         return answer
 
@@ -478,10 +484,9 @@
         self._registered = True
         log.info("registered", name=self._member.name)
 
-    def _push_to_entries(self, document):
+    def _push_everywhere(self, document):
         message = _configuration_message(document)
-        for member in self._other_entries():
-            self._spawn(self._peers.push(member, message))
+        return self._spawn(self._pusher.push_everywhere(message))
 
     def _offer(self, message):
         """Take a configuration that another process has pushed."""
@@ -492,7 +497,7 @@
             return
         if self._configuration.offer(document):
             # Whoever pushed it may have failed before it reached the others.
-            self._push_to_entries(document)
+            self._spawn(self._pusher.push_region(message))
 
     async def _drain(self):
         """Finish what is in flight; nothing is cut off."""
--- a/plantainhitch/coordination/membership.py
+++ b/plantainhitch/coordination/membership.py
@@ -84,6 +84,12 @@
         """Names of the endpoints that operators have drained."""
         return self._drained
 
+    @property
+    def regions(self):
+        """The regions that have entries."""
+        present = (m for m in self._members.values() if not m.left)
+        return {member.region for member in present if member.role == ROLE_ENTRY}
+
     def agents(self, region):
         """Return the agents of a region that have not left."""
         return self._present(ROLE_AGENT, region)
--- a/plantainhitch/coordination/peers.py
+++ b/plantainhitch/coordination/peers.py
@@ -45,9 +45,13 @@
 
 @dataclass(frozen=True, slots=True)
 class OtherIncarnation:
-    """Another incarnation answers at the owner's address: the owner is dead."""
+    """Another incarnation answers at the owner's address: the owner is dead.
+
+    ``dialled_ms`` is when the connection was begun, for ``Membership.seen_at``.
+    """
 
     incarnation: bytes
+    dialled_ms: int
 
 
 class PeerLink:
@@ -70,6 +74,10 @@
         """Whether calls can still be sent."""
         return not self._task.done() and self._link.is_open
 
+    def serves(self, member):
+        """Whether this link leads to that incarnation and is open."""
+        return self.is_open and self.incarnation == member.incarnation
+
     def send(self, message):
         """Send a message that has no reply."""
         return self._link.send(message)
@@ -91,6 +99,10 @@
         finally:
             self._pending.pop(number, None)
 
+    def close(self, detail):
+        """Close the link; calls that wait on it get no reply."""
+        self._link.close(detail)
+
     async def aclose(self):
         """Close the link and wait for its task."""
         self._link.close()
@@ -155,15 +167,26 @@
         lock = self._locks.setdefault(member.link, asyncio.Lock())
         async with lock:
             known = self._links.get(member.link)
-            if known is None or not known.is_open:
-                known = await self._dial(member)
-                if not isinstance(known, PeerLink):
-                    return known
-                self._links[member.link] = known
-        if known.incarnation != member.incarnation:
-            return OtherIncarnation(known.incarnation)
+            if known is None or not known.serves(member):
+                return await self._dial_anew(member, known)
         return known
 
+    async def _dial_anew(self, member, known):
+        """Dial even where a link to another incarnation seems to be open.
+
+        That one may have died without a word, and ours have followed it.
+        """
+        if known is not None:
+            known.close("another incarnation is to answer here")
+        dialled_ms = self._clock.now_ms()
+        found = await self._dial(member)
+        if not isinstance(found, PeerLink):
+            return found
+        self._links[member.link] = found
+        if found.incarnation != member.incarnation:
+            return OtherIncarnation(found.incarnation, dialled_ms)
+        return found
+
     async def _dial(self, member):
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_MS / 1000):
--- a/plantainhitch/settings.py
+++ b/plantainhitch/settings.py
@@ -90,7 +90,8 @@
     rack: str = ""
     # What other processes connect to, where it differs from ``link``.
     advertise_link: Address | None = None
-    platform_timeout_ms: int = 2_000
+    # Above the 2 s that a call takes while the store is slow.
+    platform_timeout_ms: int = 5_000
     log_level: str = "info"
     # Address of an OTLP/HTTP collector; empty turns traces off.
     collector: str = ""
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -104,9 +104,18 @@
         self.platform = MemoryPlatform(self.clock)
         self.accepted = []
         self.store = ConfigurationStore(
-            self.platform, self.clock, on_accepted=self.accepted.append
+            self.platform, self.clock, on_accepted=self.push
         )
 
+    def push(self, document):
+        """Send the document on, a moment later."""
+
+        async def send():
+            await asyncio.sleep(0)
+            self.accepted.append(document)
+
+        return asyncio.create_task(send())
+
     async def apply(self, base_version, change_id, target_ms=100):
         return await self.store.apply(
             base_version, change_id, "ann", classes_with(target_ms), TEAMS
--- /dev/null
+++ b/tests/test_peers.py
@@ -0,0 +1,134 @@
+"""What an answer at an entry's address proves, over real links on loopback."""
+
+import unittest
+
+from returns.result import Success
+
+from plantainhitch.clock import Clock
+from plantainhitch.coordination.configuration_push import ConfigurationPusher
+from plantainhitch.coordination.membership import Membership
+from plantainhitch.coordination.peers import OtherIncarnation, PeerCaller, PeerServer
+from plantainhitch.protocol import messages as m
+from plantainhitch.protocol.calls import Fetch, JobAnswer, JobState
+from plantainhitch.standins.table import MemoryPlatform
+from plantainhitch.state.members import Member
+from plantainhitch.transport import links
+from plantainhitch.transport.addresses import Address
+from plantainhitch.transport.platform import TABLE_MEMBERS, Write
+
+OLD, NEW, CALLER = (bytes([number]) * 16 for number in (1, 2, 3))
+ID = b"i" * 40
+
+
+def entry(incarnation, link, region="south"):
+    """Return an entry that is registered at ``link``."""
+    name = f"entry-{incarnation[0]}"
+    return Member(
+        m.ROLE_ENTRY, incarnation, name, f"{region}-1", region, "r1", link, ""
+    )
+
+
+class ListeningEntry:
+    """An entry that answers every fetch with its own incarnation's name."""
+
+    def __init__(self, incarnation):
+        self.incarnation = incarnation
+        self.offered = []
+        self._peers = PeerServer(self._hello, self._ask, self.offered.append)
+        self._server = None
+
+    async def listen(self, port=0):
+        """Listen and return the address."""
+        self._server = await links.listen(
+            Address("127.0.0.1", port), Clock(), self._peers.serve
+        )
+        return Address(*self._server.sockets[0].getsockname()[:2])
+
+    def stop_listening(self):
+        """Free the port; links at hand stay, as after a loss of power."""
+        self._server.close()
+
+    async def aclose(self):
+        """Close the port and all links."""
+        self._server.close()
+        self._peers.close()
+
+    def _hello(self):
+        return m.Hello(m.ROLE_ENTRY, self.incarnation, "listening")
+
+    async def _ask(self, call):
+        return JobAnswer(call.submission + self.incarnation, JobState.RUNNING, {})
+
+
+class PeerTest(unittest.IsolatedAsyncioTestCase):
+    """A caller and entries that follow one another at one address."""
+
+    async def asyncSetUp(self):
+        self.old, self.new = ListeningEntry(OLD), ListeningEntry(NEW)
+        self.address = await self.old.listen()
+        self.addAsyncCleanup(self.old.aclose)
+        self.caller = PeerCaller(
+            lambda: m.Hello(m.ROLE_ENTRY, CALLER, "caller"), Clock()
+        )
+        self.addAsyncCleanup(self.caller.aclose)
+
+    async def fetch(self, incarnation):
+        return await self.caller.forward(
+            entry(incarnation, str(self.address)), Fetch(ID)
+        )
+
+    async def replace_old(self):
+        self.old.stop_listening()
+        await self.new.listen(self.address.port)
+        self.addAsyncCleanup(self.new.aclose)
+
+    async def test_a_kept_link_to_the_old_proves_nothing_about_the_new(self):
+        self.assertEqual((await self.fetch(OLD)).submission, ID + OLD)
+        await self.replace_old()
+        self.assertEqual((await self.fetch(NEW)).submission, ID + NEW)
+
+    async def test_a_new_answer_at_the_address_proves_the_old_dead(self):
+        await self.replace_old()
+        answer = await self.fetch(OLD)
+        self.assertIsInstance(answer, OtherIncarnation)
+        self.assertEqual(answer.incarnation, NEW)
+
+
+class PusherTest(unittest.IsolatedAsyncioTestCase):
+    """Who is sent a configuration that was accepted here."""
+
+    async def asyncSetUp(self):
+        platform = MemoryPlatform()
+        self.members = [
+            entry(bytes([16 * region + number]) * 16, "", f"region-{region}")
+            for region in range(3)
+            for number in range(6)
+        ]
+        writes = [Write(member.key, member.to_json()) for member in self.members]
+        self.assertIsInstance(await platform.write(TABLE_MEMBERS, writes), Success)
+        self.membership = Membership(platform, Clock())
+        await self.membership.refresh()
+        self.own = self.members[0]
+        self.dead = set()
+        self.sent = []
+
+    async def push(self, member, message):
+        self.sent.append(member)
+        return member not in self.dead
+
+    def count(self, region):
+        return sum(member.region == region for member in self.sent)
+
+    def pusher(self):
+        return ConfigurationPusher(self.own, self.membership, self.push)
+
+    async def test_whole_own_region_and_some_of_each_other(self):
+        await self.pusher().push_everywhere(m.Configuration(1, b"{}"))
+        self.assertNotIn(self.own, self.sent)
+        self.assertEqual(self.count("region-0"), 5)
+        self.assertEqual((self.count("region-1"), self.count("region-2")), (2, 2))
+
+    async def test_unreachable_entries_are_made_up_for(self):
+        self.dead = set(self.members[6:11])
+        await self.pusher().push_everywhere(m.Configuration(1, b"{}"))
+        self.assertIn(self.members[11], self.sent)
