Separate observing and the retry rules from the dispatcher's decisions

The dispatcher records spans for each job and each task, so a trace shows both hops. Cancelling walks the submission's own attempts instead of all in flight. A task whose job has already failed is not tried again: it would run for nothing.

--- a/plantainhitch/coordination/dispatcher.py
+++ b/plantainhitch/coordination/dispatcher.py
@@ -8,7 +8,7 @@
 from collections import Counter
 from dataclasses import dataclass, field
 
-from ..outcomes import Failed, NotRun, Reason, Succeeded, Unknown
+from ..outcomes import NotRun, Reason, Succeeded, Unknown
 from ..protocol import messages as m
 from ..protocol.calls import Job, TaskSpec
 from ..protocol.errors import ErrorCode, Refusal
@@ -16,8 +16,10 @@
 from .admission import Admission
 from .agents import AgentView
 from .health import HealthJudge
+from .observer import DispatchObserver
 from .placement import Placement
 from .queues import ClassQueues, Work
+from .retries import is_endpoint_fault, may_retry
 from .submissions import Submission, SubmissionBook
 
 # An agent that refuses connections is given this long to come back; silence
@@ -28,31 +30,6 @@
 REPORT_GRACE_MS = 15_000
 NO_FIT_WAIT_MS = 3_000
 NO_AGENT_WAIT_MS = 10_000
-MAX_ATTEMPTS = 8
-MAX_REPEATS = 3
-# Reasons that speak against the endpoint itself.
-ENDPOINT_FAULTS = frozenset(
-    (
-        Reason.BAD_ANSWER,
-        Reason.ENDPOINT_FAILED,
-        Reason.ENDPOINT_LOST,
-        Reason.ENDPOINT_REFUSED,
-        Reason.TASK_FAILED,
-        Reason.TIMED_OUT,
-    )
-)
-
-
-@dataclass(slots=True)
-class DispatchCounts:
-    """Counters since boot."""
-
-    started: int = 0
-    refused_starts: int = 0
-    retried: int = 0
-    demands: int = 0
-    returned_credits: int = 0
-    late_reports: int = 0
 
 
 @dataclass(slots=True)
@@ -66,7 +43,7 @@
 class Dispatcher:
     """Submissions, queues and placement of one entry."""
 
-    def __init__(self, clock, issuer, *, book=None, admission=None, metrics=None):
+    def __init__(self, clock, issuer, *, book=None, admission=None, observer=None):
         self._clock = clock
         self._issuer = issuer
         self._book = book or SubmissionBook(issuer, clock)
@@ -82,8 +59,9 @@
         self._outbox = Outbox()
         # Tasks in flight, by class.
         self._running = Counter()
-        self._counts = DispatchCounts()
-        self._metrics = metrics
+        self._slots = 0
+        self._observer = observer or DispatchObserver(clock)
+        self._counts = self._observer.counts
 
     @property
     def book(self):
@@ -184,7 +162,7 @@
         agent.lost_at_ms = None
         if agent.in_flight:
             self._send(agent, m.Resolve(list(agent.in_flight)))
-        self._placement.invalidate()
+        self._agents_changed()
         return agent
 
     def agent_unlinked(self, incarnation):
@@ -208,7 +186,7 @@
         if agent is None:
             return
         agent.linked = False
-        self._placement.invalidate()
+        self._agents_changed()
         works, agent.in_flight = list(agent.in_flight.values()), {}
         for work in works:
             self._settle(work, Unknown(Reason.ENDPOINT_LOST))
@@ -238,7 +216,7 @@
             case m.AgentStatus():
                 agent.status = message
                 agent.drained = message.endpoint in self._drained_names
-                self._placement.invalidate()
+                self._agents_changed()
 
     # Rounds
 
@@ -275,6 +253,10 @@
 
     # Private parts, from the caller's side to the agents'
 
+    def _agents_changed(self):
+        self._slots = sum(agent.slots for agent in self._agents.values())
+        self._placement.invalidate()
+
     def _resubmit(self, raw_id, job):
         begun = self._book.begin(raw_id, job)
         return begun if isinstance(begun, Refusal) else begun[0]
@@ -296,18 +278,13 @@
 
     def _enqueue(self, submission):
         job = submission.job
-        if self._metrics is not None:
-            submission.on_end.append(self._count_job)
+        self._observer.job_begun(submission)
         queue = self._queues.of(job.class_name)
         now_ms = self._clock.now_ms()
         for spec in job.tasks:
             self._estimates.declare(job.class_name, spec.declared_ms)
             queue.push(Work(submission, spec, now_ms))
 
-    def _count_job(self, submission):
-        elapsed_ms = submission.ended_ms - submission.begun_ms
-        self._metrics.job_ended(submission.job.class_name, submission.state, elapsed_ms)
-
     def _withdraw_queued(self, submission, outcome):
         queue = self._queues.of(submission.job.class_name)
         for work in list(submission.queued):
@@ -315,10 +292,11 @@
             self._book.record(submission, work.spec.index, outcome)
 
     def _stop_running(self, submission):
-        for agent in self._agents.values():
-            keys = [k for k in agent.in_flight if k.submission == submission.id]
-            if keys:
-                self._send(agent, m.CancelBatch(keys))
+        by_agent = {}
+        for key, agent in submission.in_flight.items():
+            by_agent.setdefault(agent, []).append(key)
+        for agent, keys in by_agent.items():
+            self._send(agent, m.CancelBatch(keys))
 
     def _drop_class(self, queue):
         while (work := queue.pop()) is not None:
@@ -330,7 +308,7 @@
         if len(waiting) < 2:
             return waiting
         now_ms = self._clock.now_ms()
-        slots = sum(agent.slots for agent in self._agents.values())
+        slots = self._slots
         running = self._running
 
         def order(item):
@@ -360,21 +338,19 @@
     def _start(self, agent, work, definition):
         agent.use_credit(definition.name)
         work.sent_ms = self._clock.now_ms()
-        work.submission.started_any = True
         key = work.key
         agent.in_flight[key] = work
+        work.submission.in_flight[key] = agent
+        self._observer.task_started(work)
         self._running[work.class_name] += 1
         start = m.Start(
             key=key,
             class_name=definition.name,
             body=work.spec.body,
             timeout_ms=definition.timeout_ms,
-            traceparent=work.submission.job.traceparent,
+            traceparent=work.span.traceparent,
         )
         self._outbox.starts.setdefault(agent.incarnation, []).append(start)
-        self._counts.started += 1
-        if self._metrics is not None:
-            self._metrics.task_started(definition.name, work.sent_ms - work.enqueued_ms)
         self._admission.started(definition.name)
 
     def _ask(self, definition, waiting):
@@ -393,46 +369,35 @@
             self._counts.late_reports += 1
             return
         self._learn(agent, work, report)
-        if self._metrics is not None:
-            self._metrics.task_ended(work.class_name, report.outcome, report.run_ms)
+        self._observer.task_reported(work, report.outcome, report.run_ms)
         self._settle(work, report.outcome, agent.name)
 
     def _learn(self, agent, work, report):
-        match report.outcome:
-            case Succeeded():
-                self._estimates.observe(agent.endpoint, work.class_name, report.run_ms)
-                self._judge.observe(agent.endpoint, failed=False)
-            case Failed(reason) | Unknown(reason) | NotRun(reason):
-                if reason in ENDPOINT_FAULTS:
-                    self._judge.observe(agent.endpoint, failed=True)
+        if isinstance(report.outcome, Succeeded):
+            self._estimates.observe(agent.endpoint, work.class_name, report.run_ms)
+            self._judge.observe(agent.endpoint, failed=False)
+        elif is_endpoint_fault(report.outcome):
+            self._judge.observe(agent.endpoint, failed=True)
 
     def _settle(self, work, outcome, agent_name=""):
         """Finish the task with its outcome, or try it again where that is safe."""
         self._running[work.class_name] -= 1
-        if self._may_retry(work, outcome):
-            work.attempt += 1
-            work.excluded = agent_name
-            self._counts.retried += 1
-            self._queues.of(work.class_name).push_front(work)
+        work.submission.in_flight.pop(work.key, None)
+        if isinstance(outcome, NotRun):
+            self._counts.refused_starts += 1
+        if not may_retry(work, outcome):
+            self._finish(work, outcome)
             return
-        self._finish(work, outcome)
-
-    def _may_retry(self, work, outcome):
-        if work.submission.cancelled:
-            return False
-        match outcome:
-            case NotRun():
-                self._counts.refused_starts += 1
-                return work.attempt < MAX_ATTEMPTS
-            case Unknown() | Failed(reason=Reason.ENDPOINT_FAILED):
-                return work.submission.repeatable and work.attempt <= MAX_REPEATS
-        return False
+        work.attempt += 1
+        work.excluded = agent_name
+        self._counts.retried += 1
+        self._queues.of(work.class_name).push_front(work)
 
     def _finish(self, work, outcome):
         submission = work.submission
         self._book.record(submission, work.spec.index, outcome)
         # The answer can't become complete any more: start nothing further of it.
-        if not isinstance(outcome, Succeeded) and submission.queued:
+        if submission.has_failed and submission.queued:
             self._withdraw_queued(submission, NotRun(Reason.CANCELLED))
 
     def _expire_in_flight(self, agent, now_ms):
--- a/plantainhitch/coordination/entry.py
+++ b/plantainhitch/coordination/entry.py
@@ -10,7 +10,7 @@
 
 import msgspec
 
-from .. import logs
+from .. import logs, traces
 from ..metrics import EntryMetrics
 from ..protocol import calls, messages as m
 from ..protocol.errors import ErrorCode, Refusal
@@ -30,6 +30,7 @@
 from .inbox import Inbox
 from .keys import KeyBinder, KeySweeper
 from .membership import Membership
+from .observer import DispatchObserver
 from .peers import OtherIncarnation, PeerCaller, PeerServer, lost_owner
 from .submissions import Submission, SubmissionBook
 
@@ -98,7 +99,7 @@
 class EntryNode:
     """One entry process, without its HTTP server."""
 
-    def __init__(self, member, issuer, clock, platform, limits=None):
+    def __init__(self, member, issuer, clock, platform, *, limits=None, tracer=None):
         limits = limits or Limits()
         self._member = member
         self._clock = clock
@@ -109,7 +110,7 @@
             issuer,
             book=SubmissionBook(issuer, clock, retention_ms=limits.retention_ms),
             admission=Admission(clock, max_queue=limits.queued_tasks),
-            metrics=self._metrics,
+            observer=DispatchObserver(clock, metrics=self._metrics, tracer=tracer),
         )
         self._membership = Membership(
             platform,
@@ -153,7 +154,14 @@
             link=str(settings.advertise_link or addresses.link),
             http=str(addresses.http),
         )
-        return cls(member, issuer, clock, platform, settings.limits)
+        return cls(
+            member,
+            issuer,
+            clock,
+            platform,
+            limits=settings.limits,
+            tracer=traces.from_settings(settings),
+        )
 
     @property
     def configuration(self):
--- /dev/null
+++ b/plantainhitch/coordination/observer.py
@@ -0,0 +1,65 @@
+"""What the dispatcher tells the world: counters, metrics and spans.
+
+Kept apart from the decisions, so that these read as decisions only.
+"""
+
+from dataclasses import dataclass
+
+from ..metrics import EntryMetrics, outcome_name
+from ..outcomes import Succeeded
+from ..protocol.calls import JobState
+from ..traces import STATUS_OK, NullTracer
+
+JOB_SPAN = "entry.job"
+TASK_SPAN = "entry.task"
+
+
+@dataclass(slots=True)
+class DispatchCounts:
+    """Counters since boot."""
+
+    started: int = 0
+    refused_starts: int = 0
+    retried: int = 0
+    demands: int = 0
+    returned_credits: int = 0
+    late_reports: int = 0
+
+
+class DispatchObserver:
+    """Counts, measures and traces submissions and their tasks."""
+
+    def __init__(self, clock, *, metrics=None, tracer=None):
+        self._clock = clock
+        self._metrics = metrics or EntryMetrics(clock)
+        self._tracer = tracer or NullTracer()
+        self._counts = DispatchCounts()
+
+    @property
+    def counts(self):
+        """Counters since boot."""
+        return self._counts
+
+    def job_begun(self, submission):
+        """A submission has joined its queue."""
+        job = submission.job
+        submission.span = self._tracer.start(JOB_SPAN, job.traceparent)
+        submission.on_end.append(self._job_ended)
+
+    def task_started(self, work):
+        """A task has been sent to an agent; its span goes with it."""
+        self._counts.started += 1
+        self._metrics.task_started(work.class_name, work.sent_ms - work.enqueued_ms)
+        work.span = self._tracer.start(TASK_SPAN, work.submission.span.traceparent)
+
+    def task_reported(self, work, outcome, run_ms):
+        """An agent has reported an attempt."""
+        self._metrics.task_ended(work.class_name, outcome, run_ms)
+        succeeded = isinstance(outcome, Succeeded)
+        work.span.end(STATUS_OK if succeeded else outcome_name(outcome))
+
+    def _job_ended(self, submission):
+        elapsed_ms = submission.ended_ms - submission.begun_ms
+        state = submission.state
+        self._metrics.job_ended(submission.job.class_name, state, elapsed_ms)
+        submission.span.end(STATUS_OK if state is JobState.COMPLETE else state.value)
--- a/plantainhitch/coordination/queues.py
+++ b/plantainhitch/coordination/queues.py
@@ -9,6 +9,7 @@
 
 from ..protocol.calls import TaskSpec
 from ..protocol.messages import TaskKey
+from ..traces import UNTRACED
 from .submissions import Submission
 
 
@@ -26,6 +27,7 @@
     withdrawn: bool = False
     excluded: str = ""
     sent_ms: int = 0
+    span: object = UNTRACED
 
     @property
     def class_name(self):
--- /dev/null
+++ b/plantainhitch/coordination/retries.py
@@ -0,0 +1,45 @@
+"""When a task is tried again, and which outcomes speak against an endpoint.
+
+A task of a submission starts at most once: it is tried again only after a proof
+that it did not run. A request that may be repeated is also tried again after an
+unknown outcome.
+"""
+
+from ..outcomes import Failed, NotRun, Reason, Unknown
+
+# Attempts in all, where each one was proved not to have run.
+MAX_ATTEMPTS = 8
+# Further attempts of a repeatable request after unknown outcomes.
+MAX_REPEATS = 3
+
+ENDPOINT_FAULTS = frozenset(
+    (
+        Reason.BAD_ANSWER,
+        Reason.ENDPOINT_FAILED,
+        Reason.ENDPOINT_LOST,
+        Reason.ENDPOINT_REFUSED,
+        Reason.TASK_FAILED,
+        Reason.TIMED_OUT,
+    )
+)
+
+
+def may_retry(work, outcome):
+    """Return whether ``work`` may be attempted again after ``outcome``."""
+    submission = work.submission
+    if submission.cancelled or submission.has_failed:
+        return False
+    match outcome:
+        case NotRun():
+            return work.attempt < MAX_ATTEMPTS
+        case Unknown() | Failed(reason=Reason.ENDPOINT_FAILED):
+            return submission.repeatable and work.attempt <= MAX_REPEATS
+    return False
+
+
+def is_endpoint_fault(outcome):
+    """Return whether an outcome counts against the endpoint."""
+    match outcome:
+        case NotRun(reason) | Failed(reason) | Unknown(reason):
+            return reason in ENDPOINT_FAULTS
+    return False
--- a/plantainhitch/coordination/submissions.py
+++ b/plantainhitch/coordination/submissions.py
@@ -14,6 +14,7 @@
 from ..protocol.errors import ErrorCode, Refusal
 from ..state.ids import IdVerdict, SubmissionId
 from ..state.sequences import SequenceSet
+from ..traces import UNTRACED
 
 RETENTION_MS = 600_000
 # An id that was opened this long ago and never used can't be used any more.
@@ -36,10 +37,14 @@
     outcomes: dict[int, Outcome] = field(default_factory=dict)
     ended_ms: int | None = None
     cancelled: bool = False
-    started_any: bool = False
+    # Whether some outcome rules out a complete answer.
+    has_failed: bool = False
     fetched: bool = False
     # Tasks of this submission that wait in a queue.
     queued: set = field(default_factory=set)
+    # Attempts that have been sent, with the agent of each.
+    in_flight: dict = field(default_factory=dict)
+    span: object = UNTRACED
     on_end: list[Callable] = field(default_factory=list)
 
     @property
@@ -52,13 +57,7 @@
         """Where the submission stands."""
         if not self.has_ended:
             return JobState.RUNNING
-        succeeded = all(isinstance(o, Succeeded) for o in self.outcomes.values())
-        return JobState.COMPLETE if succeeded else JobState.FAILED
-
-    @property
-    def has_failed_task(self):
-        """Whether some outcome rules out a complete answer."""
-        return any(not isinstance(o, Succeeded) for o in self.outcomes.values())
+        return JobState.FAILED if self.has_failed else JobState.COMPLETE
 
     def answer(self):
         """Return the answer as it stands; outcomes only once it has ended."""
@@ -172,6 +171,8 @@
         if index in submission.outcomes:
             return False
         submission.outcomes[index] = outcome
+        if not isinstance(outcome, Succeeded):
+            submission.has_failed = True
         if len(submission.outcomes) == len(submission.job.tasks):
             self._end(submission)
         return True
--- a/plantainhitch/traces.py
+++ b/plantainhitch/traces.py
@@ -62,7 +62,7 @@
         """Do nothing."""
 
 
-_UNTRACED = NullSpan()
+UNTRACED = NullSpan()
 
 
 class NullTracer:
@@ -72,7 +72,7 @@
 
     def start(self, name, traceparent=""):
         """Return a span that is not recorded."""
-        return NullSpan(traceparent) if traceparent else _UNTRACED
+        return NullSpan(traceparent) if traceparent else UNTRACED
 
     def close(self):
         """Do nothing."""
