--- a/plantainhitch/protocol/codec.py
+++ b/plantainhitch/protocol/codec.py
@@ -11,6 +11,7 @@
 
 from ..outcomes import Failed, NotRun, Reason, Succeeded, Unknown
 from . import messages as m
+from .compression import compress, decompress
 
 capnp.remove_import_hook()
 
@@ -96,7 +97,7 @@
         case m.Configuration():
             target = frame.init("configuration")
             target.version = message.version
-            target.document = message.document
+            target.document = compress(message.document)
         case m.Call():
             _write_call(frame.init("call"), message)
         case m.Reply():
@@ -130,7 +131,7 @@
             return _read_status(frame.status)
         case "configuration":
             source = frame.configuration
-            return m.Configuration(source.version, bytes(source.document))
+            return m.Configuration(source.version, decompress(source.document))
         case "call":
             return _read_call(frame.call)
         case "reply":
--- a/plantainhitch/protocol/messages.py
+++ b/plantainhitch/protocol/messages.py
@@ -142,7 +142,7 @@
 
 @dataclass(slots=True)
 class Configuration:
-    """One version of the class document, as JSON."""
+    """One version of the class document, as JSON; compressed in its frame."""
 
     version: int
     document: bytes
--- a/plantainhitch/protocol/wire.capnp
+++ b/plantainhitch/protocol/wire.capnp
@@ -85,7 +85,7 @@
 
 struct Configuration {
   version @0 :UInt64;
-  document @1 :Data;
+  document @1 :Data;      # JSON, compressed by zlib
 }
 
 struct Call {
