Split the entry node: state's owner, call routing, views, life cycle

Behaviour changes with it, each by a cause found while reading: - A call with no wait could be answered 'running' although it had just been refused, when the owner's task took longer than 1 ms. The answer as it stands is now always awaited, and only the end of a submission is waited for with a limit. - A job under a caller's key is checked before the key is bound.

--- /dev/null
+++ b/plantainhitch/coordination/call_router.py
@@ -0,0 +1,129 @@
+"""Takes callers' calls to the incarnation that owns the id.
+
+A call on an id of this entry goes to the task that owns the state; one on an id
+of another entry is passed on to it; a caller's own key is bound to an id first.
+"""
+
+import asyncio
+from dataclasses import replace
+
+from ..protocol import calls
+from ..protocol.errors import ErrorCode, Refusal
+from ..state.ids import SubmissionId
+from . import events as e
+from .peers import OtherIncarnation, lost_owner
+
+
+class CallRouter:
+    """Answers ``protocol.calls`` for one entry."""
+
+    def __init__(self, incarnation, inbox, membership, peers, keys):
+        self._incarnation = incarnation
+        self._inbox = inbox
+        self._membership = membership
+        self._peers = peers
+        self._keys = keys
+        self._open = 0
+
+    @property
+    def open(self):
+        """How many calls have not been answered yet."""
+        return self._open
+
+    async def ask(self, call):
+        """Return the ``calls.Answer`` to a call."""
+        self._open += 1
+        try:
+            return await self._route(call)
+        finally:
+            self._open -= 1
+
+    async def _route(self, call):
+        match call:
+            case calls.OpenIds():
+                return await self._post(call)
+            case calls.SingleRequest():
+                return await self._run_request(call)
+            case calls.SubmitWithKey():
+                return await self._submit_with_key(call)
+        return await self._ask_owner(call)
+
+    async def _run_request(self, call):
+        ended = asyncio.get_running_loop().create_future()
+        answer = await self._post(call, ended)
+        if isinstance(answer, Refusal):
+            return answer
+        if answer.state is calls.JobState.RUNNING:
+            answer = await ended
+        return calls.RequestAnswer(answer.outcomes[0])
+
+    async def _ask_owner(self, call):
+        owner = SubmissionId.from_bytes(call.submission).incarnation
+        if owner == self._incarnation:
+            return await self._post_and_wait(call)
+        if self._membership.is_proved_dead(owner):
+            return lost_owner()
+        member = self._membership.owner(owner)
+        if member is None:
+            return Refusal(ErrorCode.ID_UNKNOWN, "no known entry issued this id")
+        answer = await self._peers.forward(member, call)
+        if isinstance(answer, OtherIncarnation):
+            self._membership.seen_at(member.link, answer.incarnation, answer.dialled_ms)
+            return lost_owner()
+        return answer
+
+    async def _submit_with_key(self, call):
+        """Bind the key to a fresh id, or take the call to the id bound earlier.
+
+        A refusal here never says "not run": a call with the same key, earlier or
+        at the same time, may have been bound and run.
+        """
+        refusal = await self._refuse_unbound(call)
+        if refusal is not None:
+            return refusal
+        ids = await self._post(calls.OpenIds(1))
+        if isinstance(ids, Refusal):
+            return replace(ids, not_run=False)
+        bound = await self._keys.bind(call.key, call.job.digest, ids.ids[0])
+        binding = bound.value_or(None)
+        if binding is None:
+            return bound.failure()
+        return await self._submit_bound(call, binding)
+
+    async def _refuse_unbound(self, call):
+        """Return a refusal where the job can't be taken and no key is bound."""
+        refusal = await self._post(calls.Precheck(call.job))
+        if refusal is None:
+            return None
+        bound = await self._keys.is_bound(call.key)
+        if bound.value_or(False):
+            return None
+        return replace(refusal, not_run=False)
+
+    async def _submit_bound(self, call, binding):
+        # Admitted before it was bound: a refusal now would close the id for good
+        # while the key still points to it.
+        submit = calls.Submit(
+            binding.submission, call.job, call.wait_ms, is_admitted=True
+        )
+        return await self._ask_owner(submit)
+
+    async def _post_and_wait(self, call):
+        """Post a call on one of our ids and wait as long as the caller will."""
+        wait_ms = getattr(call, "wait_ms", 0)
+        if not wait_ms:
+            return await self._post(call)
+        ended = asyncio.get_running_loop().create_future()
+        answer = await self._post(call, ended)
+        if isinstance(answer, Refusal) or answer.state is not calls.JobState.RUNNING:
+            return answer
+        try:
+            async with asyncio.timeout(wait_ms / 1000):
+                return await ended
+        except TimeoutError:
+            return answer
+
+    async def _post(self, call, ended=None):
+        reply = asyncio.get_running_loop().create_future()
+        self._inbox.post(e.Asked(call, reply, ended))
+        return await reply
--- a/plantainhitch/coordination/dispatcher.py
+++ b/plantainhitch/coordination/dispatcher.py
@@ -113,12 +113,31 @@
         """Say how many entries share the agents."""
         self._placement.set_entry_count(count)
 
-    def submit(self, raw_id, job):
-        """Return the ``Submission`` under the id, begun if new, or a ``Refusal``."""
+    def check(self, job):
+        """Return None where the job would be taken now, or a ``Refusal``."""
+        if self._document is None:
+            return Refusal(
+                ErrorCode.NO_CONFIGURATION, "no configuration yet", not_run=True
+            )
+        definition = self._document.classes.get(job.class_name)
+        if definition is None:
+            return Refusal(
+                ErrorCode.CLASS_UNKNOWN,
+                f"no class {job.class_name!r}",
+                not_run=True,
+            )
+        queue = self._queues.of(job.class_name)
+        return self._admission.check(definition, len(queue), len(job.tasks))
+
+    def submit(self, raw_id, job, is_admitted=False):
+        """Return the ``Submission`` under the id, begun if new, or a ``Refusal``.
+
+        A job that ``is_admitted`` has passed ``check`` and isn't refused.
+        """
         found = self._book.find(raw_id)
         if isinstance(found, Submission) or found.code is not ErrorCode.NOT_FOUND:
             return self._resubmit(raw_id, job)
-        refusal = self._check_new(job)
+        refusal = None if is_admitted else self.check(job)
         if refusal:
             self._book.refuse(raw_id)
             return refusal
@@ -130,7 +149,7 @@
         """Begin a single request; return its ``Submission`` or a ``Refusal``."""
         spec = TaskSpec(0, call.body, call.declared_ms)
         job = Job(call.class_name, (spec,), b"", call.traceparent)
-        refusal = self._check_new(job)
+        refusal = self.check(job)
         if refusal:
             return refusal
         repeatable = call.repeatable
@@ -261,21 +280,6 @@
         begun = self._book.begin(raw_id, job)
         return begun if isinstance(begun, Refusal) else begun[0]
 
-    def _check_new(self, job):
-        if self._document is None:
-            return Refusal(
-                ErrorCode.NO_CONFIGURATION, "no configuration yet", not_run=True
-            )
-        definition = self._document.classes.get(job.class_name)
-        if definition is None:
-            return Refusal(
-                ErrorCode.CLASS_UNKNOWN,
-                f"no class {job.class_name!r}",
-                not_run=True,
-            )
-        queue = self._queues.of(job.class_name)
-        return self._admission.check(definition, len(queue), len(job.tasks))
-
     def _enqueue(self, submission):
         job = submission.job
         self._observer.job_begun(submission)
--- /dev/null
+++ b/plantainhitch/coordination/entry_core.py
@@ -0,0 +1,185 @@
+"""The task that owns an entry's state: the dispatcher and the links to agents.
+
+It takes all events at hand, makes one round of decisions and writes at most one
+frame of starts to each agent.
+"""
+
+import enum
+
+from ..protocol import calls, messages as m
+from ..protocol.errors import ErrorCode, Refusal
+from . import events as e
+from .submissions import Submission
+
+
+class Intake(enum.Enum):
+    """Which calls the entry still takes while it stops."""
+
+    OPEN = "open"
+    NO_NEW_IDS = "no new ids"
+    NOTHING_NEW = "nothing new"
+
+
+def _not_ready():
+    return Refusal(ErrorCode.NOT_READY, "this entry is stopping", not_run=True)
+
+
+class EntryCore:
+    """Works through an inbox; only its own task may call its methods.
+
+    ``on_configuration(message)`` gets the versions that agents push;
+    ``on_members()`` is called when membership has changed.
+    """
+
+    def __init__(self, inbox, dispatcher, metrics, *, on_configuration, on_members):
+        self._inbox = inbox
+        self._dispatcher = dispatcher
+        self._metrics = metrics
+        self._on_configuration = on_configuration
+        self._on_members = on_members
+        self._links = {}
+        self._configuration = None
+        self._intake = Intake.OPEN
+        self._closed_frames = 0
+        self._closed_bytes = 0
+
+    @property
+    def dispatcher(self):
+        """The decisions and what they know; for reading only."""
+        return self._dispatcher
+
+    @property
+    def links(self):
+        """The open links to agents, by incarnation."""
+        return self._links
+
+    @property
+    def frames_sent(self):
+        """Frames sent to agents since boot."""
+        open_frames = sum(link.sent_frames for link in self._links.values())
+        return self._closed_frames + open_frames
+
+    @property
+    def bytes_sent(self):
+        """Bytes sent to agents since boot."""
+        open_bytes = sum(link.sent_bytes for link in self._links.values())
+        return self._closed_bytes + open_bytes
+
+    async def run(self):
+        """Work through the inbox for ever."""
+        while True:
+            for event in await self._inbox.take():
+                self._handle(event)
+            self._dispatcher.place()
+            self._flush()
+
+    def _handle(self, event):
+        match event:
+            case e.AgentSaid(incarnation, message):
+                self._hear(incarnation, message)
+            case e.Asked():
+                self._serve_call(event)
+            case e.Tick():
+                self._dispatcher.tick()
+            case e.AgentLinked():
+                self._link_agent(event)
+            case e.AgentUnlinked():
+                self._unlink_agent(event)
+            case e.AgentRefused(incarnation):
+                self._dispatcher.agent_refused(incarnation)
+            case e.AgentGone(incarnation):
+                self._dispatcher.agent_gone(incarnation)
+            case e.Taken(document):
+                self._put_in_force(document)
+            case e.MembersChanged():
+                self._on_members()
+            case e.IntakeChanged(intake):
+                self._intake = intake
+
+    def _flush(self):
+        for incarnation, message in self._dispatcher.take_outbox():
+            link = self._links.get(incarnation)
+            if link is not None:
+                link.send(message)
+
+    # Callers
+
+    def _serve_call(self, event):
+        """Answer as things stand now; ``ended`` gets the answer at the end."""
+        if event.reply.done():
+            return
+        found = self._begin(event.call)
+        if isinstance(found, Submission):
+            self._give(event.reply, found)
+            if not found.has_ended and event.ended is not None:
+                found.on_end.append(lambda ended: self._give(event.ended, ended))
+            return
+        if isinstance(found, Refusal):
+            self._metrics.refused(getattr(event.call, "class_name", ""), found.code)
+        event.reply.set_result(found)
+
+    def _give(self, reply, submission):
+        if reply.done():
+            return
+        submission.fetched = submission.fetched or submission.has_ended
+        reply.set_result(submission.answer())
+
+    def _begin(self, call):
+        dispatcher = self._dispatcher
+        match call:
+            case calls.OpenIds(count):
+                if self._intake is not Intake.OPEN:
+                    return _not_ready()
+                return calls.IdList(tuple(dispatcher.book.open_ids(count)))
+            case calls.Submit():
+                return self._submit(call)
+            case calls.Fetch(submission):
+                return dispatcher.book.find(submission)
+            case calls.Cancel(submission):
+                return dispatcher.cancel(submission)
+            case calls.SingleRequest():
+                if self._intake is Intake.NOTHING_NEW:
+                    return _not_ready()
+                return dispatcher.request(call)
+            case calls.Precheck(job):
+                return dispatcher.check(job)
+        raise TypeError(f"not a call: {call!r}")
+
+    def _submit(self, call):
+        if self._intake is Intake.NOTHING_NEW:
+            found = self._dispatcher.book.find(call.submission)
+            if isinstance(found, Refusal) and found.code is ErrorCode.NOT_FOUND:
+                # The refusal is a proof, so the id is closed.
+                self._dispatcher.book.refuse(call.submission)
+                return _not_ready()
+        return self._dispatcher.submit(call.submission, call.job, call.is_admitted)
+
+    # Agents
+
+    def _hear(self, incarnation, message):
+        if isinstance(message, m.Configuration):
+            self._on_configuration(message)
+        else:
+            self._dispatcher.receive(incarnation, message)
+
+    def _link_agent(self, event):
+        incarnation = event.hello.incarnation
+        self._links[incarnation] = event.link
+        self._dispatcher.agent_linked(event.hello, event.rack)
+        newest = self._configuration
+        if newest and newest.version > event.hello.configuration_version:
+            event.link.send(newest)
+
+    def _unlink_agent(self, event):
+        self._closed_frames += event.link.sent_frames
+        self._closed_bytes += event.link.sent_bytes
+        if self._links.get(event.incarnation) is event.link:
+            del self._links[event.incarnation]
+            self._dispatcher.agent_unlinked(event.incarnation)
+
+    def _put_in_force(self, document):
+        """Use a newer document here and push it to the agents."""
+        self._dispatcher.set_document(document)
+        self._configuration = m.Configuration(document.version, document.to_json())
+        for link in self._links.values():
+            link.send(self._configuration)
--- /dev/null
+++ b/plantainhitch/coordination/entry_views.py
@@ -0,0 +1,102 @@
+"""What an entry shows operators of itself and of the endpoints."""
+
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, slots=True)
+class EndpointView:
+    """One endpoint as this entry sees it."""
+
+    name: str
+    agent: str
+    zone: str
+    rack: str
+    slots: int
+    credits: int
+    running: int
+    draining: bool
+    ready: bool
+    held_back: bool
+    linked: bool
+
+    @classmethod
+    def from_agent(cls, agent, held_back):
+        """Return the view of an ``AgentView``."""
+        status = agent.status
+        return cls(
+            name=agent.endpoint,
+            agent=agent.name,
+            zone=agent.zone,
+            rack=agent.rack,
+            slots=agent.slots,
+            credits=agent.credit_count,
+            running=len(agent.in_flight),
+            draining=agent.drained or bool(status and status.draining),
+            ready=bool(status and status.ready),
+            held_back=held_back,
+            linked=agent.linked,
+        )
+
+
+@dataclass(frozen=True, slots=True)
+class EntryStatus:
+    """What the entry is doing; counters are since boot."""
+
+    name: str
+    incarnation: str
+    zone: str
+    ready: bool
+    draining: bool
+    configuration_version: int
+    agents: int
+    linked_agents: int
+    submissions_running: int
+    queued: dict[str, int]
+    in_flight: int
+    held_back: int
+    started: int
+    retried: int
+    refused_starts: int
+    demands: int
+    returned_credits: int
+    late_reports: int
+    frames_sent: int
+    bytes_sent: int
+
+
+def endpoint_views(dispatcher):
+    """Return an ``EndpointView`` for each agent of the dispatcher, by name."""
+    judge = dispatcher.judge
+    views = [
+        EndpointView.from_agent(agent, judge.of(agent.endpoint).held)
+        for agent in dispatcher.agents.values()
+    ]
+    return sorted(views, key=lambda view: view.name)
+
+
+def entry_status(member, core, *, ready, draining, version):
+    """Return the ``EntryStatus`` of ``member``, whose state ``core`` owns."""
+    dispatcher = core.dispatcher
+    counts = dispatcher.counts
+    return EntryStatus(
+        name=member.name,
+        incarnation=member.incarnation.hex(),
+        zone=member.zone,
+        ready=ready,
+        draining=draining,
+        configuration_version=version,
+        agents=len(dispatcher.agents),
+        linked_agents=sum(a.linked for a in dispatcher.agents.values()),
+        submissions_running=dispatcher.book.running,
+        queued=dispatcher.queued_by_class(),
+        in_flight=dispatcher.in_flight,
+        held_back=dispatcher.judge.held_count,
+        started=counts.started,
+        retried=counts.retried,
+        refused_starts=counts.refused_starts,
+        demands=counts.demands,
+        returned_credits=counts.returned_credits,
+        late_reports=counts.late_reports,
+        frames_sent=core.frames_sent,
+        bytes_sent=core.bytes_sent,
+    )
--- a/plantainhitch/coordination/events.py
+++ b/plantainhitch/coordination/events.py
@@ -1,6 +1,7 @@
 """Events that tasks of an entry post to the task that owns its state."""
 
 import asyncio
+import enum
 from dataclasses import dataclass
 
 from ..protocol.calls import Call
@@ -11,10 +12,15 @@
 
 @dataclass(slots=True)
 class Asked:
-    """A caller's call on an id of this incarnation; ``reply`` gets the answer."""
+    """A caller's call on an id of this incarnation.
+
+    ``reply`` gets the answer as it stands, at once; ``ended``, where given and
+    the submission is still running, the answer at its end.
+    """
 
     call: Call
     reply: asyncio.Future
+    ended: asyncio.Future | None = None
 
 
 @dataclass(slots=True)
@@ -68,6 +74,13 @@
     """Membership or operators' drains have changed."""
 
 
+@dataclass(slots=True)
+class IntakeChanged:
+    """The entry takes more or fewer kinds of calls (``entry_core.Intake``)."""
+
+    intake: enum.Enum
+
+
 @dataclass(slots=True)
 class Tick:
     """Time has passed."""
@@ -82,5 +95,6 @@
     | AgentGone
     | Taken
     | MembersChanged
+    | IntakeChanged
     | Tick
 )
--- a/plantainhitch/coordination/keys.py
+++ b/plantainhitch/coordination/keys.py
@@ -112,6 +112,11 @@
             self._writer = asyncio.create_task(self._write_all())
         return await call.answer
 
+    async def is_bound(self, key):
+        """Return Success(whether the key has a row) or Failure(PlatformFault)."""
+        read = await self._platform.read(TABLE_KEYS, key_hash(key))
+        return read.map(lambda row: row is not None)
+
     async def aclose(self):
         """Stop; calls that wait are refused."""
         if self._writer is not None:
@@ -265,7 +270,7 @@
     digest = bytes.fromhex(model.digest)
     if digest != call.digest:
         message = "the key was used with another content; nothing is started"
-        return Failure(Refusal(ErrorCode.KEY_CONFLICT, message, not_run=True))
+        return Failure(Refusal(ErrorCode.KEY_CONFLICT, message))
     return Success(Binding(submission, digest, submission == call.submission))
 
 
--- a/plantainhitch/protocol/calls.py
+++ b/plantainhitch/protocol/calls.py
@@ -76,11 +76,15 @@
 
 @dataclass(frozen=True, slots=True)
 class Submit:
-    """Submit or resubmit a job and wait up to ``wait_ms`` for its answer."""
+    """Submit or resubmit a job and wait up to ``wait_ms`` for its answer.
+
+    ``is_admitted``: the job passed ``Precheck`` here and isn't to be refused.
+    """
 
     submission: bytes
     job: Job
     wait_ms: int = 0
+    is_admitted: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -92,6 +96,13 @@
     wait_ms: int = 0
 
 
+@dataclass(frozen=True, slots=True)
+class Precheck:
+    """Ask whether a job would be taken now; the answer is None or a refusal."""
+
+    job: Job
+
+
 @dataclass(frozen=True, slots=True)
 class Fetch:
     """Ask for a submission's answer, waiting up to ``wait_ms`` for its end."""
@@ -129,5 +140,5 @@
     outcome: Outcome
 
 
-Call = OpenIds | Submit | SubmitWithKey | Fetch | Cancel | SingleRequest
+Call = OpenIds | Submit | SubmitWithKey | Precheck | Fetch | Cancel | SingleRequest
 Answer = IdList | JobAnswer | RequestAnswer | Refusal
