Let starts wait at the agent in place of slot credits

Now an entry sends a start without asking, a few may wait at an agent, and each slot that frees is given to one of the waiting classes by the same shares as before. Reports carry the agent's load.

Touches the entry's placement, agent view and status; the endpoint view shows spare in place of credits.

--- a/plantainhitch/commands/endpoints.py
+++ b/plantainhitch/commands/endpoints.py
@@ -8,7 +8,7 @@
 from . import operator
 from .output import format_table
 
-_HEADERS = ("name", "zone", "rack", "slots", "running", "credits", "state")
+_HEADERS = ("name", "zone", "rack", "slots", "running", "spare", "state")
 
 
 class Endpoints:
@@ -48,7 +48,7 @@
             item.rack,
             item.slots,
             item.running,
-            item.credits,
+            item.spare,
             _state(item),
         )
         for item in sorted(endpoints, key=_by_name)
--- a/plantainhitch/coordination/headroom.py
+++ b/plantainhitch/coordination/headroom.py
@@ -9,6 +9,8 @@
 # The part of all slot time that may be kept idle.
 IDLE_SHARE = 0.03
 BUDGET_WINDOW_MS = 5_000
+# How often to look whether a slot is still to be held back.
+HOLD_CHECK_MS = 20
 # A wait for a slot longer than this part of a target calls for headroom.
 WORTH_PART_OF_TARGET = 0.1
 
--- a/plantainhitch/coordination/retries.py
+++ b/plantainhitch/coordination/retries.py
@@ -30,6 +30,9 @@
     if submission.cancelled or submission.has_failed:
         return False
     match outcome:
+        case NotRun(reason=Reason.OVERLOADED):
+            # The agent's queue was full; how long a task may wait bounds this.
+            return True
         case NotRun():
             return work.attempt < MAX_ATTEMPTS
         case Unknown() | Failed(reason=Reason.ENDPOINT_FAILED):
--- a/plantainhitch/protocol/models.py
+++ b/plantainhitch/protocol/models.py
@@ -139,7 +139,7 @@
     zone: str
     rack: str
     slots: int
-    credits: int
+    spare: int
     running: int
     draining: bool
     ready: bool
