--- a/plantainhitch/coordination/agent_core.py
+++ b/plantainhitch/coordination/agent_core.py
@@ -74,7 +74,7 @@
 
 
 class AgentCore:
-    """Slots, shares, credits and configuration of one agent."""
+    """Slots, shares, waiting starts and configuration of one agent."""
 
     def __init__(self, clock, *, name, rack=""):
         self._clock = clock
--- a/plantainhitch/coordination/membership.py
+++ b/plantainhitch/coordination/membership.py
@@ -196,6 +196,20 @@
             self._on_change()
         return True
 
+    async def refresh_drain(self, name):
+        """Read only the order on one endpoint; return whether that worked.
+
+        For an agent, which has no use for the other members.
+        """
+        match await self._platform.read(TABLE_MEMBERS, DRAIN_PREFIX + name):
+            case Success(row):
+                self._set_drained(name, row is not None)
+                self._is_current = True
+                return True
+            case Failure(fault):
+                self._note_fault(fault)
+        return False
+
     async def run(self):
         """Refresh and renew for ever; never returns."""
         await poll(self._clock, REFRESH_MS, self._refresh_and_renew)
