Send replies without waiting for acknowledgements

Cause: asyncio sets TCP_NODELAY only on sockets whose protocol is named, and the server's socket was made without; the second segment of each reply waited for the peer's delayed ACK. Seen over loopback on one kept-alive connection: 6,000 requests took 273 s, 45 ms each, nearly all of it in poll. A test reads the option from an accepted connection and failed before. The digest of a job now hashes one buffer in place of one update for each task.

--- a/plantainhitch/protocol/border.py
+++ b/plantainhitch/protocol/border.py
@@ -5,6 +5,7 @@
 """
 
 import hashlib
+import operator
 
 import msgspec
 
@@ -16,6 +17,8 @@
 
 DIGEST_BYTES = 16
 
+_by_index = operator.attrgetter("index")
+
 _SUBMISSION = msgspec.json.Decoder(models.SubmissionModel)
 _ENCODER = msgspec.json.Encoder()
 
@@ -51,11 +54,11 @@
 
 def job_digest(class_name, tasks):
     """Return a digest of a job's content; the order of its tasks is no part of it."""
-    digest = hashlib.blake2b(class_name.encode(), digest_size=DIGEST_BYTES)
-    for task in sorted(tasks, key=_by_index):
-        head = f"|{task.index},{task.declared_ms},{len(task.body)}|"
-        digest.update(head.encode() + task.body)
-    return digest.digest()
+    ordered = sorted(tasks, key=_by_index)
+    lengths = [(task.index, task.declared_ms, len(task.body)) for task in ordered]
+    head = f"{class_name}{lengths}"
+    content = b"".join([head.encode(), *(task.body for task in ordered)])
+    return hashlib.blake2b(content, digest_size=DIGEST_BYTES).digest()
 
 
 def read_id(text):
@@ -99,10 +102,6 @@
     return _ENCODER.encode(models.ErrorModel(body))
 
 
-def _by_index(task):
-    return task.index
-
-
 def _duplicate_index(tasks):
     seen = set()
     for task in tasks:
--- a/plantainhitch/transport/http_server.py
+++ b/plantainhitch/transport/http_server.py
@@ -83,7 +83,9 @@
 
 def _bind(address):
     family = socket.AF_INET6 if ":" in address.host else socket.AF_INET
-    bound = socket.socket(family, socket.SOCK_STREAM)
+    # asyncio turns Nagle's algorithm off only on sockets that name their protocol;
+    # with it on, a reply of two segments waits for the peer's delayed ACK.
+    bound = socket.socket(family, socket.SOCK_STREAM, socket.IPPROTO_TCP)
     try:
         bound.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         bound.bind((address.host, address.port))
--- a/tests/test_entry_http.py
+++ b/tests/test_entry_http.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+import socket
 import unittest
 
 import httpx
@@ -309,6 +310,17 @@
                 self.server.address.host, self.server.address.port
             )
 
+    async def test_replies_do_not_wait_for_acknowledgements(self):
+        address = self.server.address
+        reader, writer = await asyncio.open_connection(address.host, address.port)
+        writer.write(b"GET /health/live HTTP/1.1\r\nHost: x\r\n\r\n")
+        await reader.readline()
+        (connection,) = self.server._server.server_state.connections
+        accepted = connection.transport.get_extra_info("socket")
+        self.assertTrue(accepted.getsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY))
+        writer.close()
+        await self.server.aclose()
+
     async def test_address_in_use(self):
         with self.assertRaises(OSError):
             await serve(create_app(self.node), self.server.address)
