Never call a repeated request "not run" after an attempt that may have run

A repeatable request whose first attempt ended without a proof was queued again; when the second attempt was refused, expired or was cancelled, the caller was told NotRun although the first one had run. The task now remembers that an attempt may have run, and its last outcome becomes Unknown.

--- a/plantainhitch/coordination/dispatcher.py
+++ b/plantainhitch/coordination/dispatcher.py
@@ -282,7 +282,11 @@
         queue = self._queues.of(submission.job.class_name)
         for work in list(submission.queued):
             queue.withdraw(work)
-            self._book.record(submission, work.spec.index, outcome)
+            self._record(work, outcome)
+
+    def _record(self, work, outcome):
+        final = work.final_outcome(outcome)
+        self._book.record(work.submission, work.spec.index, final)
 
     def _stop_running(self, submission):
         by_agent = {}
@@ -367,13 +371,14 @@
             self._finish(work, outcome)
             return
         work.attempt += 1
+        work.may_have_run |= not isinstance(outcome, NotRun)
         work.excluded = agent_name
         self._counts.retried += 1
         self._queues.of(work.class_name).push_front(work)
 
     def _finish(self, work, outcome):
         submission = work.submission
-        self._book.record(submission, work.spec.index, outcome)
+        self._record(work, outcome)
         # The answer can't become complete any more: start nothing further of it.
         if submission.has_failed and submission.queued:
             self._withdraw_queued(submission, NotRun(Reason.CANCELLED))
--- a/plantainhitch/coordination/queues.py
+++ b/plantainhitch/coordination/queues.py
@@ -7,6 +7,7 @@
 from collections import deque
 from dataclasses import dataclass
 
+from ..outcomes import NotRun, Unknown
 from ..protocol.calls import TaskSpec
 from ..protocol.messages import TaskKey
 from ..traces import UNTRACED
@@ -17,7 +18,9 @@
 class Work:
     """One task on its way: queued, or sent to an agent.
 
-    ``excluded`` is the name of the agent that refused it last.
+    ``excluded`` is the name of the agent that refused it last;
+    ``may_have_run`` is True once an attempt has ended without a proof that it did
+    not run.
     """
 
     submission: Submission
@@ -26,6 +29,7 @@
     attempt: int = 1
     withdrawn: bool = False
     excluded: str = ""
+    may_have_run: bool = False
     sent_ms: int = 0
     span: object = UNTRACED
 
@@ -39,6 +43,12 @@
         """The key of the current attempt."""
         return TaskKey(self.submission.id, self.spec.index, self.attempt)
 
+    def final_outcome(self, outcome):
+        """Return what may be said of all attempts, where the last had ``outcome``."""
+        if self.may_have_run and isinstance(outcome, NotRun):
+            return Unknown(outcome.reason)
+        return outcome
+
 
 class ClassQueue:
     """Waiting tasks of one class, first come first served."""
--- a/tests/test_dispatcher.py
+++ b/tests/test_dispatcher.py
@@ -62,6 +62,39 @@
         self.dispatcher.receive(incarnation, batch)
 
 
+class RepeatTests(DispatcherTestCase):
+    """A repeated request is never called "not run" after it may have run."""
+
+    def setUp(self):
+        super().setUp()
+        self.link()
+        request = SingleRequest("render", b"{}", repeatable=True)
+        self.request = self.dispatcher.request(request)
+        ((_, start),) = self.round()
+        self.report(start, Unknown(Reason.ENDPOINT_LOST))
+
+    def outcome(self):
+        self.assertTrue(self.request.has_ended)
+        return self.request.answer().outcomes[0]
+
+    def test_expired_in_the_queue(self):
+        self.dispatcher.agent_unlinked(AGENT)
+        self.clock.advance(RENDER.timeout_ms + 1)
+        self.dispatcher.tick()
+        self.assertEqual(self.outcome(), Unknown(Reason.EXPIRED))
+
+    def test_refused_by_every_agent(self):
+        while not self.request.has_ended:
+            self.grant(1)
+            for _, start in self.round():
+                self.report(start, NotRun(Reason.NO_GRANT))
+        self.assertEqual(self.outcome(), Unknown(Reason.NO_GRANT))
+
+    def test_cancelled_in_the_queue(self):
+        self.dispatcher.cancel(self.request.id)
+        self.assertEqual(self.outcome(), Unknown(Reason.CANCELLED))
+
+
 class StartTests(DispatcherTestCase):
     """Which tasks start, and how often."""
 
