--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,7 @@
 # make bench SCENARIO=load60 runs one scenario, make bench all of them.
 SCENARIO ?=
 
-.PHONY: bench decisions setup demo test format lint check model-check binary
+.PHONY: bench decisions setup demo test format lint check model-check binary soak
 
 $(READY): requirements-dev.lock
 	$(PYTHON) -m venv $(VENV)
@@ -42,3 +42,9 @@
 
 decisions: $(READY)
 	$(BIN)/python -m benchmarks.decisions
+
+SEED ?= 1
+MINUTES ?= 5
+
+soak: $(READY)
+	$(BIN)/python -m tests.soak --seed $(SEED) --minutes $(MINUTES)
--- a/tests/harness.py
+++ b/tests/harness.py
@@ -12,6 +12,7 @@
 import sys
 import tempfile
 import time
+from contextlib import asynccontextmanager
 from dataclasses import dataclass
 from pathlib import Path
 
@@ -37,6 +38,11 @@
 }
 
 
+def wall_ms():
+    """Return the wall-clock time, as the ledgers have it."""
+    return time.time_ns() // 1_000_000
+
+
 class Process:
     """One process of ours, ended by its own id only."""
 
@@ -213,8 +219,7 @@
         self.agents = []
         self.platform = None
         self.platform_link = None
-        # Faults brought about so far, for the report of a longer run.
-        self.faults = 0
+        self._replaced = set()
 
     async def __aenter__(self):
         try:
@@ -286,6 +291,20 @@
         """Start a new process at the addresses of a dead entry."""
         return await self.start_entry(entry.ready["http"], entry.ready["link"])
 
+    @asynccontextmanager
+    async def replacing(self, rng, candidates):
+        """Pick a process that nobody else is replacing; wait for one if need be."""
+        free = [one for one in candidates if id(one) not in self._replaced]
+        while not free:
+            await asyncio.sleep(0.05)
+            free = [one for one in candidates if id(one) not in self._replaced]
+        one = rng.choice(free)
+        self._replaced.add(id(one))
+        try:
+            yield one
+        finally:
+            self._replaced.discard(id(one))
+
     async def _agent_process(
         self, number, link, http="127.0.0.1:0", address="127.0.0.1:0"
     ):
@@ -364,15 +383,28 @@
                 raise AssertionError(f"not within {within_s} s: {what}")
             await asyncio.sleep(0.05)
 
+    async def drain(self, entry, agent):
+        """Drain an agent's endpoint; return when that was asked for, in wall ms."""
+        asked_ms = wall_ms()
+        url = self.url(entry, f"/v1/endpoints/{agent.name}/drain")
+        (await self.http.post(url)).raise_for_status()
+        return asked_ms
+
+    async def announce_leave(self, agent):
+        """Announce that an endpoint is leaving; return when, in wall ms."""
+        await self.set_endpoint_faults(agent, silent=True)
+        asked_ms = wall_ms()
+        url = self.url(agent.process, "/v1/endpoint/leave")
+        (await self.http.post(url)).raise_for_status()
+        return asked_ms
+
     async def set_platform_faults(self, **faults):
         """Set faults at the platform stand-in; none given clears them."""
-        self.faults += bool(faults)
         url = f"http://{self.platform.ready['http']}/faults"
         (await self.http.post(url, json=faults)).raise_for_status()
 
     async def set_endpoint_faults(self, agent, **faults):
         """Set faults at an endpoint stand-in; none given clears them."""
-        self.faults += bool(faults)
         url = f"http://{agent.endpoint.ready['http']}/faults"
         (await self.http.post(url, json=faults)).raise_for_status()
 
