Run the whole system in one process by the demo command

The platform stand-in, two entries and four agents with endpoints of speed 2, 1, 1 and 0.5 run as tasks of one loop; a job of each class goes through the same client as submit, beside its ideal response. entry and agent take a function to announce their addresses to, so that the demo gets those of port 0. Example settings, class files and jobs stand in examples/ for both deployments and are checked by tests.

Found by the tests of the commands, which failed before: fire printed an empty line after every command, so submit's output was not just the answers; table names with spaces lost their line in class files. Found by the demo: the platform stand-in's library took over the process's logging.

--- a/plantainhitch/commands/agent.py
+++ b/plantainhitch/commands/agent.py
@@ -28,8 +28,11 @@
     return uvloop.run(run(loaded, Clock(), lifecycle.StopSignals.install))
 
 
-async def run(settings, clock, install_signals):
-    """Serve until the signals from ``install_signals()`` ask to stop."""
+async def run(settings, clock, install_signals, announce=lifecycle.print_ready):
+    """Serve until the signals from ``install_signals()`` ask to stop.
+
+    ``announce`` is called with the bound addresses once they are known.
+    """
     signals = install_signals()
     platform = PlatformClient.from_settings(settings)
     holder = NodeHolder()
@@ -39,7 +42,7 @@
     link = _bound_address(link_server)
     node = AgentNode.from_settings(settings, clock, platform, link, http_server.address)
     holder.node = node
-    lifecycle.print_ready(http=http_server.address, link=link)
+    announce(http=http_server.address, link=link)
     await lifecycle.run_until_stopped(node, signals, DRAIN_LIMIT_MS)
     link_server.close()
     await node.aclose()
--- a/plantainhitch/commands/entry.py
+++ b/plantainhitch/commands/entry.py
@@ -24,8 +24,11 @@
     return uvloop.run(run(loaded, Clock(), lifecycle.StopSignals.install))
 
 
-async def run(settings, clock, install_signals):
-    """Serve until the signals from ``install_signals()`` ask to stop."""
+async def run(settings, clock, install_signals, announce=lifecycle.print_ready):
+    """Serve until the signals from ``install_signals()`` ask to stop.
+
+    ``announce`` is called with the bound addresses once they are known.
+    """
     signals = install_signals()
     platform = PlatformClient.from_settings(settings)
     holder = NodeHolder()
@@ -35,7 +38,7 @@
     bound = BoundAddresses(_bound_address(link_server), http_server.address)
     node = EntryNode.from_settings(settings, clock, platform, bound)
     holder.node = node
-    lifecycle.print_ready(name=settings.name, http=bound.http, link=bound.link)
+    announce(name=settings.name, http=bound.http, link=bound.link)
     cut = await lifecycle.run_until_stopped(node, signals, settings.limits.drain_ms)
     await http_server.aclose(within_ms=settings.limits.drain_ms if not cut else 0)
     link_server.close()
--- a/plantainhitch/commands/main.py
+++ b/plantainhitch/commands/main.py
@@ -62,4 +62,4 @@
 
 def _silent(result):
     """Print nothing of a command's exit code."""
-    return "" if isinstance(result, int) or result is None else result
+    return None if isinstance(result, int) else result
--- a/plantainhitch/standins/platform.py
+++ b/plantainhitch/standins/platform.py
@@ -79,6 +79,8 @@
                 *self._control_handlers(),
             ],
             openapi_config=None,
+            # The library would else send all of the process's logs to its own queue.
+            logging_config=None,
         )
 
     async def _admit(self):
--- a/plantainhitch/toml_lines.py
+++ b/plantainhitch/toml_lines.py
@@ -10,7 +10,7 @@
 
 _HEADER = re.compile(r"\s*\[\[?([^\]]+)\]\]?\s*(#.*)?$")
 _KEY = re.compile(r"""\s*((?:[\w-]+|"[^"]*"|'[^']*')(?:\s*\.\s*[\w"'-]+)*)\s*=""")
-_QUOTES = re.compile(r"""["'\s]""")
+_SEGMENT = re.compile(r"""[\w-]+|"[^"]*"|'[^']*'""")
 
 
 @dataclass(frozen=True, slots=True)
@@ -43,4 +43,4 @@
 
 
 def _plain(key):
-    return _QUOTES.sub("", key)
+    return ".".join(segment.strip("\"'") for segment in _SEGMENT.findall(key))
--- /dev/null
+++ b/tests/test_commands.py
@@ -0,0 +1,248 @@
+"""Commands against a real HTTP border with a fake node: output and exit codes."""
+
+import asyncio
+import contextlib
+import io
+import json
+import tempfile
+import unittest
+from pathlib import Path
+
+from plantainhitch.clock import ManualClock
+from plantainhitch.commands import demo
+from plantainhitch.commands.client import Answered, NoReply, Refused
+from plantainhitch.commands.exit_codes import ExitCode
+from plantainhitch.commands.jobs import JobRunner, read_bodies, write_job
+from plantainhitch.commands.main import main
+from plantainhitch.outcomes import Failed, Reason
+from plantainhitch.protocol.calls import JobAnswer, JobState, Submit
+from plantainhitch.protocol.errors import ErrorCode, Refusal
+from plantainhitch.protocol.models import ErrorBody
+from plantainhitch.state.classes import ClassDefinition
+from plantainhitch.transport.addresses import Address
+from plantainhitch.transport.entry_http import create_app, serve
+
+from .fake_node import FakeNode
+
+CLASSES = "[classes.render]\nanswers_within_ms = {target}\n"
+JOB = write_job("render", [b'{"a":1}', b"2"])
+
+
+class CommandTests(unittest.IsolatedAsyncioTestCase):
+    """Commands run as on the command line, in a thread beside the server."""
+
+    async def asyncSetUp(self):
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.folder = Path(folder.name)
+        self.node = FakeNode()
+        self.server = await serve(create_app(self.node), Address("127.0.0.1", 0))
+
+    async def asyncTearDown(self):
+        await self.server.aclose(within_ms=0)
+
+    async def run_command(self, *words):
+        """Return (exit code, standard output, standard error)."""
+        out = io.TextIOWrapper(io.BytesIO(), write_through=True)
+        errors = io.StringIO()
+        words = [*words, f"--entry={self.server.address}"]
+        with contextlib.redirect_stdout(out), contextlib.redirect_stderr(errors):
+            code = await asyncio.to_thread(main, words)
+        return code, out.buffer.getvalue().decode(), errors.getvalue()
+
+    def write(self, name, text):
+        path = self.folder / name
+        path.write_text(text)
+        return str(path)
+
+    async def submit(self, *words, text='{"a": 1}\n\n[2]\n'):
+        file = self.write("job.jsonl", text)
+        return await self.run_command("submit", "--class", "render", file, *words)
+
+    async def test_submit_writes_answers_whole(self):
+        code, out, _ = await self.submit()
+        self.assertEqual((code, out), (0, '{"a": 1}\n[2]\n'))
+        target = self.folder / "answers"
+        code, out, _ = await self.submit("--output", str(target), "--json")
+        self.assertEqual((code, out), (0, ""))
+        self.assertEqual(json.loads(target.read_text())["state"], "complete")
+        self.assertEqual(sorted(p.name for p in self.folder.iterdir())[0], "answers")
+
+    async def test_submit_fails_without_a_partial_answer(self):
+        ask = self.node.ask
+
+        async def answer(call):
+            if not isinstance(call, Submit):
+                return await ask(call)
+            outcomes = {0: Failed(Reason.TASK_FAILED, "no widget")}
+            whole = await ask(call)
+            return JobAnswer(
+                call.submission, JobState.FAILED, {**whole.outcomes, **outcomes}
+            )
+
+        self.node.ask = answer
+        target = self.folder / "answers"
+        code, out, errors = await self.submit("--output", str(target))
+        self.assertEqual((code, out, target.exists()), (1, "", False))
+        self.assertIn("task 0: failed, task_failed (no widget)", errors)
+
+    async def test_submit_usage(self):
+        cases = {
+            "one bad line": '{"a": 1}\n{"a"\n',
+            "too many": "1\n" * 1_001,
+            "no": "",
+        }
+        for name, text in cases.items():
+            with self.subTest(name):
+                code, _, errors = await self.submit(text=text)
+                self.assertEqual(code, 2)
+                self.assertIn("line ", errors)
+        self.assertEqual((await self.run_command("submit"))[0], 2)
+        self.assertEqual((await self.run_command("submit", "a", "missing"))[0], 2)
+        self.assertEqual(self.node.calls, [])
+
+    async def test_classes(self):
+        first = self.write("first.toml", CLASSES.format(target=400))
+        code, out, _ = await self.run_command("classes", "apply", first)
+        self.assertEqual(code, 0)
+        self.assertIn("version 1 is accepted", out)
+        other = {"render": ClassDefinition("render", 300)}
+        await self.node.configuration.apply(1, "c2", "mali", other, {})
+        code, _, errors = await self.run_command("classes", "apply", first, "--base=1")
+        self.assertEqual(code, 1)
+        self.assertIn("version 2 by mali:", errors)
+        self.assertIn("classes.render.answers_within_ms: 400 -> 300", errors)
+        code, shown, _ = await self.run_command("classes", "show")
+        again = self.write("shown.toml", shown)
+        code, out, _ = await self.run_command("classes", "apply", again)
+        self.assertEqual((code, out), (0, "version 3 is accepted\n"))
+        self.assertEqual(self.node.configuration.current.classes, other)
+        code, out, _ = await self.run_command("classes", "history")
+        self.assertIn("mali", out)
+        bad = self.write("bad.toml", CLASSES.format(target=0))
+        for words in (("classes", "apply"), ("check",)):
+            code, _, errors = await self.run_check(*words, bad)
+            self.assertEqual(code, 2)
+            self.assertIn(f"{bad}:2: classes.render.answers_within_ms = 0", errors)
+
+    async def run_check(self, command, *words):
+        if command != "check":
+            return await self.run_command(command, *words)
+        errors = io.StringIO()
+        with contextlib.redirect_stderr(errors):
+            return main([command, *words]), "", errors.getvalue()
+
+    async def test_operator_commands(self):
+        code, out, _ = await self.run_command("endpoints", "show")
+        self.assertEqual(code, 0)
+        self.assertIn("endpoint-1", out)
+        code, out, _ = await self.run_command("endpoints", "drain", "endpoint-1")
+        self.assertEqual((code, out), (0, "endpoint-1: draining\n"))
+        code, _, errors = await self.run_command("endpoints", "resume", "x/y")
+        self.assertEqual(code, 1)
+        self.assertIn("not_found", errors)
+        code, out, _ = await self.run_command("status", "--json")
+        self.assertEqual(json.loads(out)["name"], "entry-1")
+        self.node.refusal = Refusal(ErrorCode.INTERNAL, "broken")
+        self.assertEqual((await self.run_command("cancel", "abc"))[0], 1)
+
+
+class ScriptedClient:
+    """Replies in the order given; ``sent`` has what was asked."""
+
+    def __init__(self, replies):
+        self._replies = list(replies)
+        self.sent = []
+
+    async def call(self, method, path, body=None, timeout_ms=0):
+        """Return the next reply, the last one for ever."""
+        self.sent.append((method, path.partition("?")[0]))
+        if len(self._replies) > 1:
+            return self._replies.pop(0)
+        return self._replies[0]
+
+
+def refused(code, not_run=False):
+    """Return a refusal with a code."""
+    return Refused(503, ErrorBody(code.value, "no", not_run))
+
+
+def answered(state, outcome, status=200):
+    """Return an answer whose one task has an outcome."""
+    answer = {"id": "i", "state": state, "not_run": False, "tasks": []}
+    if status == 200:
+        answer["tasks"] = [{"index": 0, "outcome": outcome}]
+    return Answered(status, json.dumps(answer).encode())
+
+
+IDS = Answered(200, b'{"ids": ["i"]}')
+COMPLETE = answered("complete", "succeeded")
+RUNNING = answered("running", "", 202)
+LOST = NoReply("reset", sent=True)
+UNSENT = NoReply("refused", sent=False)
+
+
+class JobRunnerTests(unittest.IsolatedAsyncioTestCase):
+    """What a submission's caller does when replies are lost or refused."""
+
+    async def run_job(self, *replies):
+        client = ScriptedClient(replies)
+        runner = JobRunner(client, ManualClock(), 60_000)
+        return await runner.run(JOB), client
+
+    async def test_exit_codes(self):
+        unreachable = refused(ErrorCode.OWNER_UNREACHABLE)
+        overloaded = refused(ErrorCode.OVERLOADED, not_run=True)
+        cases = [
+            ("complete", [IDS, COMPLETE], ExitCode.OK),
+            ("waits", [IDS, RUNNING, RUNNING, COMPLETE], ExitCode.OK),
+            ("lost reply", [IDS, LOST, COMPLETE], ExitCode.OK),
+            ("lost wait", [IDS, RUNNING, LOST, COMPLETE], ExitCode.OK),
+            ("unreachable owner", [IDS, unreachable, COMPLETE], ExitCode.OK),
+            ("overload passes", [overloaded, IDS, overloaded, COMPLETE], ExitCode.OK),
+            ("failed", [IDS, answered("failed", "failed")], ExitCode.FAILED),
+            ("in doubt", [IDS, answered("failed", "unknown")], ExitCode.UNKNOWN),
+            ("no entry", [UNSENT], ExitCode.FAILED),
+            ("overload stays", [IDS, overloaded], ExitCode.FAILED),
+            ("never a reply", [IDS, LOST], ExitCode.UNKNOWN),
+            ("sent once", [IDS, LOST, UNSENT], ExitCode.UNKNOWN),
+            ("bad", [IDS, refused(ErrorCode.CLASS_UNKNOWN, True)], ExitCode.USAGE),
+            ("owner lost", [IDS, refused(ErrorCode.OWNER_LOST)], ExitCode.UNKNOWN),
+            ("crash", [IDS, refused(ErrorCode.INTERNAL)], ExitCode.UNKNOWN),
+            (
+                "id gone after a lost reply",
+                [IDS, LOST, refused(ErrorCode.ID_UNKNOWN, True)],
+                ExitCode.UNKNOWN,
+            ),
+        ]
+        for name, replies, code in cases:
+            with self.subTest(name):
+                result, _ = await self.run_job(*replies)
+                self.assertEqual(result.code, code, result.detail)
+
+    async def test_resubmits_under_the_same_id(self):
+        _, client = await self.run_job(IDS, RUNNING, LOST, LOST, COMPLETE)
+        path = "/v1/submissions/i"
+        methods = ["PUT", "GET", "PUT", "PUT"]
+        self.assertEqual(client.sent[1:], [(method, path) for method in methods])
+
+    def test_bodies_keep_their_spelling(self):
+        bodies, bad_lines = read_bodies(b' {"a": 1.50} \n\n[1 ,2]\n')
+        self.assertEqual((bodies, bad_lines), ([b'{"a": 1.50}', b"[1 ,2]"], []))
+        self.assertIn(b'"body":{"a": 1.50}', write_job("render", bodies))
+
+
+class DemoTests(unittest.TestCase):
+    """The demonstration runs whole."""
+
+    def test_all_jobs_complete(self):
+        out = io.StringIO()
+        with contextlib.redirect_stdout(out):
+            code = demo.demo(json=True)
+        lines = json.loads(out.getvalue())
+        self.assertEqual(code, ExitCode.OK)
+        self.assertEqual(
+            [line["class_name"] for line in lines],
+            ["render", "sync", "ping", "quote", "stock", "booking"],
+        )
+        self.assertEqual({line["state"] for line in lines}, {"complete"})
--- /dev/null
+++ b/tests/test_settings.py
@@ -0,0 +1,164 @@
+"""Settings and class files: every error at once, each with its place."""
+
+import tempfile
+import unittest
+from pathlib import Path
+
+from returns.result import Success
+
+from plantainhitch.settings import Settings, SettingsError
+from plantainhitch.state import class_files
+from plantainhitch.transport.addresses import Address
+
+EXAMPLES = Path(__file__).resolve().parent.parent / "examples"
+
+BAD_SETTINGS = """\
+[process]
+name = "entry 1"
+region = 7
+
+[listen]
+http = "localhost:8080"
+link = "127.0.0.1:70000"
+advertise_link = "127.0.0.1:0"
+
+[platform]
+adress = "127.0.0.1:1"
+timeout_ms = 0
+
+[log]
+level = "loud"
+
+[limits]
+body_bytes = true
+
+[lmits]
+drain_ms = 1
+"""
+BAD_CLASSES = """\
+[classes.render]
+answers_within_ms = 0
+quantile = 1
+claims_at_least = 0.8
+weight = 3
+team = "widgts"
+
+[classes."two words"]
+answers_within_ms = 100
+claims_at_least = 0.3
+timeout_ms = 50
+repeatable = "yes"
+
+[classes.sync]
+answer_within_ms = 500
+
+[teams.widgets]
+holds_at_most = 1.5
+"""
+KEY_PLACES = {
+    "lmits": 20,
+    "process.name": 2,
+    "process.region": 3,
+    "process.zone": 1,
+    "listen.http": 6,
+    "listen.link": 7,
+    "listen.advertise_link": 8,
+    "platform.adress": 11,
+    "platform.timeout_ms": 12,
+    "platform.address": 10,
+    "log.level": 15,
+    "limits.body_bytes": 18,
+}
+CLASS_PLACES = {
+    "classes.two words": 8,
+    "classes.render.answers_within_ms": 2,
+    "classes.render.quantile": 3,
+    "classes.render.weight": 5,
+    "classes.two words.repeatable": 12,
+    "classes.sync.answer_within_ms": 15,
+    "classes.sync.answers_within_ms": 14,
+    "teams.widgets.holds_at_most": 18,
+    "classes.*.claims_at_least": 0,
+    "classes.render.team": 6,
+    "classes.two words.timeout_ms": 11,
+}
+
+
+class SettingsTests(unittest.TestCase):
+    """Settings files."""
+
+    def setUp(self):
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.path = Path(folder.name) / "entry.toml"
+
+    def test_every_error_at_once(self):
+        self.path.write_text(BAD_SETTINGS)
+        with self.assertRaises(SettingsError) as raised:
+            Settings.from_file(self.path)
+        problems = raised.exception.problems
+        self.assertEqual({p.key: p.line for p in problems}, KEY_PLACES)
+        shown = str(raised.exception)
+        self.assertIn(f"{self.path}:15: log.level = 'loud': one of debug,", shown)
+        self.assertIn("did you mean 'address'?", shown)
+        self.assertIn("did you mean 'limits'?", shown)
+
+    def test_unreadable_files(self):
+        for content in (None, b"\xff\xfe", b"[process\n"):
+            with self.subTest(content=content):
+                if content is not None:
+                    self.path.write_bytes(content)
+                with self.assertRaises(SettingsError) as raised:
+                    Settings.from_file(self.path)
+                self.assertEqual(len(raised.exception.problems), 1)
+
+    def test_tables_that_are_none(self):
+        problems = Settings.from_tables({"process": 1, "listen": [], "platform": ""})
+        self.assertEqual(
+            [p.key for p in problems.failure()], ["process", "listen", "platform"]
+        )
+
+    def test_examples(self):
+        for path in sorted(EXAMPLES.glob("*/entry.toml")):
+            with self.subTest(path=path.parent.name):
+                settings = Settings.from_file(path)
+                self.assertEqual(settings.platform, Address("127.0.0.1", 8000))
+                self.assertEqual(settings.limits.retention_ms, 600_000)
+        agent = Settings.from_file(EXAMPLES / "tickmark" / "agent.toml")
+        self.assertIsNone(agent.advertise_link)
+        self.assertEqual(agent.limits.drain_ms, 30_000)
+
+
+class ClassFileTests(unittest.TestCase):
+    """Class files."""
+
+    def test_every_error_at_once(self):
+        problems = class_files.from_text(BAD_CLASSES, "c.toml").failure()
+        self.assertEqual({p.key: p.line for p in problems}, CLASS_PLACES)
+        shown = {p.key: str(p) for p in problems}
+        self.assertIn("operators set targets only", shown["classes.render.weight"])
+        self.assertIn("did you mean 'widgets'?", shown["classes.render.team"])
+        self.assertIn("answers_within_ms'?", shown["classes.sync.answer_within_ms"])
+        self.assertIn("1.1: the claims", shown["classes.*.claims_at_least"])
+
+    def test_shares_may_sum_to_one(self):
+        # 0.1 ten times sums to a little under 1 and 0.7 + 0.2 + 0.1 to a little over.
+        for shares in ([0.1] * 10, [0.7, 0.2, 0.1]):
+            tables = {
+                f"c{number}": {"answers_within_ms": 1, "claims_at_least": share}
+                for number, share in enumerate(shares)
+            }
+            result = class_files.from_tables({"classes": tables})
+            self.assertIsInstance(result, Success)
+
+    def test_not_a_number(self):
+        text = "[classes.a]\nanswers_within_ms = 1\nclaims_at_least = nan\n"
+        (problem,) = class_files.from_text(text).failure()
+        self.assertEqual(problem.key, "classes.a.claims_at_least")
+
+    def test_examples(self):
+        names = {"tickmark": "render sync ping", "canegrove": "quote stock booking"}
+        for folder, expected in names.items():
+            content = class_files.read(EXAMPLES / folder / "classes.toml").unwrap()
+            self.assertEqual(" ".join(content.classes), expected)
+        self.assertFalse(content.classes["booking"].repeatable)
