--- a/plantainhitch/commands/demo.py
+++ b/plantainhitch/commands/demo.py
@@ -170,8 +170,11 @@
     Args:
         json: print the table as JSON.
     """
-    logs.configure("error")
-    lines = asyncio.run(_demo())
+    handler = logs.configure("error")
+    try:
+        lines = asyncio.run(_demo())
+    finally:
+        handler.pop_application()
     if json:
         print(msgspec.json.encode(lines).decode())
     else:
