--- a/plantainhitch/coordination/dispatcher.py
+++ b/plantainhitch/coordination/dispatcher.py
@@ -322,7 +322,7 @@
 
     def _place_class(self, definition, queue):
         while (work := queue.peek()) is not None:
-            agent = self._placement.choose(definition, work.excluded)
+            agent = self._placement.choose(definition, len(queue), work.excluded)
             if agent is None:
                 return
             queue.pop()
