Open another id where one was closed; show the status in the metrics

An id whose submission was refused as not run is closed by its owner, so submitting again under it can't succeed: submit now opens another id when the refusal proves that nothing ran, and never where the caller gave the id. Refusals of one call prove nothing where an earlier call under the id may have been taken; the table of replies in the tests has both.

The metrics show the entry's status too (queues, links, starts), and a class name that a caller made up is no label any more: 200 of them would have pushed the real classes together under 'other'. Class files allow no timeout that an agent would not wait for, and a target above the default timeout is an error.

--- a/plantainhitch/commands/jobs.py
+++ b/plantainhitch/commands/jobs.py
@@ -53,6 +53,20 @@
     detail: str = ""
 
 
+@dataclass(frozen=True, slots=True)
+class Closed:
+    """An id that was refused: nothing ran under it, and nothing ever will."""
+
+    submission: str
+    detail: str
+    retry_after_ms: int
+
+    def as_result(self):
+        """Return the ``JobResult`` of a job that ends with this."""
+        detail = f"nothing was run; {self.detail}"
+        return JobResult(ExitCode.FAILED, self.submission, detail=detail)
+
+
 @dataclass(frozen=True, slots=True)
 class BadLine:
     """A line of a job file that isn't one JSON value."""
@@ -105,15 +119,22 @@
     async def run(self, body, submission=""):
         """Submit the job in ``body`` and return its ``JobResult``.
 
-        ``submission`` is an id opened before; empty opens a new one.
+        ``submission`` is an id opened before, the only one that is used then;
+        empty opens one, and another wherever one was closed and never ran.
         """
         backoff = Backoff(self._clock, self._clock.now_ms() + self._timeout_ms)
-        if not submission:
+        if submission:
+            result = await self._submit(submission, body, backoff)
+            return result.as_result() if isinstance(result, Closed) else result
+        while True:
             opened = await self._open_id(backoff)
             if isinstance(opened, JobResult):
                 return opened
-            submission = opened
-        return await self._submit(submission, body, backoff)
+            result = await self._submit(opened, body, backoff)
+            if isinstance(result, JobResult):
+                return result
+            if not await backoff.wait(result.retry_after_ms):
+                return result.as_result()
 
     async def _open_id(self, backoff):
         while True:
@@ -128,6 +149,7 @@
                 return JobResult(ExitCode.FAILED, detail=f"nothing was run; {reply}")
 
     async def _submit(self, submission, body, backoff):
+        """Return the ``JobResult`` of one id, or ``Closed``."""
         may_run = False
         is_submitted = False
         while True:
@@ -140,6 +162,8 @@
                     backoff.reset()
                     if backoff.left_ms:
                         continue
+                case Refused() if _closes_id(reply, may_run):
+                    return Closed(submission, str(reply), reply.error.retry_after_ms)
                 case Refused() if not _may_try_again(reply):
                     code = _exit_code(reply, may_run)
                     return JobResult(code, submission, detail=str(reply))
@@ -172,6 +196,17 @@
     return JobResult(code, submission, answer, raw, f"the job {answer.state}")
 
 
+def _closes_id(refused, may_run):
+    """Return whether a refusal proves that the id never runs.
+
+    Other refusals speak of one call only, so they prove nothing where an earlier
+    call under the same id may have been taken.
+    """
+    if refused.code == ErrorCode.ID_REFUSED:
+        return True
+    return refused.error.not_run and not may_run and _may_try_again(refused)
+
+
 def _may_try_again(refused):
     return refused.code in _TRY_AGAIN
 
--- a/plantainhitch/metrics.py
+++ b/plantainhitch/metrics.py
@@ -1,4 +1,4 @@
-"""Metrics of a process: counters and latencies for each class.
+"""Metrics of an entry: counters and latencies for each class.
 
 Latencies are kept in HDR histograms of the last one to two minutes; counters run
 since the process began. ``render`` gives the Prometheus text format. What grows
@@ -8,7 +8,7 @@
 
 import enum
 from collections import defaultdict
-from dataclasses import dataclass
+from dataclasses import fields
 
 from hdrh.histogram import HdrHistogram
 from prometheus_client.core import (
@@ -19,6 +19,7 @@
 from prometheus_client.exposition import generate_latest
 
 from .outcomes import Failed, NotRun, Succeeded, Unknown
+from .protocol.errors import ErrorCode
 
 PREFIX = "plantainhitch_"
 MAX_CLASSES = 200
@@ -28,6 +29,17 @@
 SIGNIFICANT_DIGITS = 2
 # Recording in a histogram is slow, so equal latencies are counted first.
 MAX_PENDING_VALUES = 2_000
+# Fields of a status that only grow.
+SINCE_BOOT = frozenset(
+    {
+        "started",
+        "retried",
+        "refused_starts",
+        "late_reports",
+        "frames_sent",
+        "bytes_sent",
+    }
+)
 QUANTILES = (0.5, 0.9, 0.99, 0.999)
 
 
@@ -38,8 +50,6 @@
     TASKS = ("tasks", "Tasks that have ended, by outcome.", "outcome")
     NOT_RUN = ("tasks_not_run", "Tasks not run, by reason.", "reason")
     REFUSALS = ("refusals", "Calls refused, by error code.", "code")
-    STARTS = ("starts", "Starts sent or taken, by result.", "result")
-    MESSAGES = ("messages", "Messages between processes, by kind.", "kind")
 
 
 class Latency(enum.Enum):
@@ -50,16 +60,6 @@
     RUN = ("run_ms", "Run time at the endpoint, in ms.")
 
 
-@dataclass(frozen=True, slots=True)
-class Gauge:
-    """A value read when metrics are rendered."""
-
-    name: str
-    value: float
-    help: str = ""
-    labels: tuple[tuple[str, str], ...] = ()
-
-
 class LatencyWindow:
     """Latencies of the last one to two windows, and their count and sum in all."""
 
@@ -122,15 +122,25 @@
         self._turned_ms += age_ms - age_ms % WINDOW_MS
 
 
-class Metrics:
-    """Counters, latencies and gauges of one process."""
+class _Collection:
+    """Families of metrics as the Prometheus library takes them."""
+
+    def __init__(self, families):
+        self._families = families
+
+    def collect(self):
+        """Return the families."""
+        return self._families
+
+
+class EntryMetrics:
+    """Counters and latencies of an entry."""
 
     def __init__(self, clock):
         self._clock = clock
         self._counts = {counter: defaultdict(int) for counter in Counter}
         self._latencies = {latency: {} for latency in Latency}
         self._classes = set()
-        self._gauge_sources = []
 
     def count(self, counter, class_name="", label="", amount=1):
         """Add ``amount`` to a counter, for a class and its further label."""
@@ -149,34 +159,6 @@
         """Return what a counter stands at."""
         return self._counts[counter].get((self._label(class_name), label), 0)
 
-    def add_gauges(self, source):
-        """Have ``source()`` give ``Gauge`` values whenever metrics are rendered."""
-        self._gauge_sources.append(source)
-
-    def render(self):
-        """Return the metrics as bytes of the Prometheus text format."""
-        return generate_latest(self)
-
-    def collect(self):
-        """Yield the metric families; the Prometheus library calls this."""
-        for counter, counts in self._counts.items():
-            yield _counter_family(counter, counts)
-        for latency, windows in self._latencies.items():
-            yield _latency_family(latency, windows)
-        yield from _gauge_families(self._gauge_sources)
-
-    def _label(self, class_name):
-        if class_name in self._classes:
-            return class_name
-        if len(self._classes) >= MAX_CLASSES:
-            return OTHER_CLASS
-        self._classes.add(class_name)
-        return class_name
-
-
-class EntryMetrics(Metrics):
-    """Metrics of an entry."""
-
     def job_ended(self, class_name, state, response_ms):
         """Count a job with its ``JobState`` and the time to its answer."""
         self.count(Counter.JOBS, class_name, state.value)
@@ -192,32 +174,29 @@
 
     def refused(self, class_name, code):
         """Count a call that was refused with an ``ErrorCode``."""
-        self.count(Counter.REFUSALS, class_name, code.value)
-
-    def message(self, kind, amount=1):
-        """Count messages sent to other processes, by kind."""
-        self.count(Counter.MESSAGES, "", kind, amount)
-
+        # Callers may write any name; only names of classes become labels.
+        known_name = "" if code is ErrorCode.CLASS_UNKNOWN else class_name
+        self.count(Counter.REFUSALS, known_name, code.value)
+
+    def render(self, status=None):
+        """Return the Prometheus text format as bytes.
+
+        The numbers of ``status``, a data class, are shown as well.
+        """
+        families = [
+            *(_counter_family(kind, counts) for kind, counts in self._counts.items()),
+            *(_latency_family(kind, kept) for kind, kept in self._latencies.items()),
+            *_status_families(status),
+        ]
+        return generate_latest(_Collection(families))
 
-class AgentMetrics(Metrics):
-    """Metrics of an agent."""
-
-    def start_taken(self, class_name):
-        """Count a start that was accepted."""
-        self.count(Counter.STARTS, class_name, "accepted")
-
-    def start_refused(self, class_name, reason):
-        """Count a start that was refused with a ``Reason``."""
-        self.count(Counter.STARTS, class_name, "refused")
-        self.count(Counter.NOT_RUN, class_name, reason.value)
-
-    def task_ended(self, class_name, outcome, run_ms=0):
-        """Count a task's outcome; ``run_ms`` is its time at the endpoint."""
-        _count_outcome(self, class_name, outcome, run_ms)
-
-    def message(self, kind, amount=1):
-        """Count messages sent to other processes, by kind."""
-        self.count(Counter.MESSAGES, "", kind, amount)
+    def _label(self, class_name):
+        if class_name in self._classes:
+            return class_name
+        if len(self._classes) >= MAX_CLASSES:
+            return OTHER_CLASS
+        self._classes.add(class_name)
+        return class_name
 
 
 def outcome_name(outcome):
@@ -267,16 +246,16 @@
     return family
 
 
-def _gauge_families(sources):
-    families = {}
-    for source in sources:
-        for gauge in source():
-            family = families.get(gauge.name)
-            if family is None:
-                family = families[gauge.name] = GaugeMetricFamily(
-                    PREFIX + gauge.name,
-                    gauge.help,
-                    labels=[name for name, _ in gauge.labels],
-                )
-            family.add_metric([value for _, value in gauge.labels], gauge.value)
-    return families.values()
+def _status_families(status):
+    """Yield a family for each number of a status; a mapping's keys are classes."""
+    for field in fields(status) if status else ():
+        value = getattr(status, field.name)
+        kind = CounterMetricFamily if field.name in SINCE_BOOT else GaugeMetricFamily
+        text = f"The entry's {field.name.replace('_', ' ')}."
+        if isinstance(value, dict):
+            family = kind(PREFIX + field.name, text, labels=("class",))
+            for class_name, number in value.items():
+                family.add_metric((class_name,), number)
+            yield family
+        elif not isinstance(value, str):
+            yield kind(PREFIX + field.name, text, value=value)
--- a/plantainhitch/protocol/models.py
+++ b/plantainhitch/protocol/models.py
@@ -161,10 +161,26 @@
 
 
 class StatusModel(msgspec.Struct):
-    """What an entry is doing; it may have more fields than these."""
+    """What an entry is doing; counters are since boot, ``queued`` is by class."""
 
     name: str
+    incarnation: str
+    zone: str
     ready: bool
+    draining: bool
+    configuration_version: int
+    agents: int
+    linked_agents: int
+    submissions_running: int
+    queued: dict[str, int]
+    in_flight: int
+    held_back: int
+    started: int
+    retried: int
+    refused_starts: int
+    late_reports: int
+    frames_sent: int
+    bytes_sent: int
 
 
 class HealthModel(msgspec.Struct):
--- a/plantainhitch/state/class_files.py
+++ b/plantainhitch/state/class_files.py
@@ -26,12 +26,15 @@
 
 MAX_CLASSES = 1_000
 MAX_TEAMS = 1_000
-MAX_TARGET_MS = 24 * 60 * 60 * 1_000
+# An agent waits no longer than this for its endpoint.
+MAX_TIMEOUT_MS = 600_000
 # Sums of shares written as decimals may miss 1 by rounding.
 SHARE_ROUNDING = 1e-9
 
+DEFAULT_TIMEOUT_MS = ClassDefinition("", 1).timeout_ms
+
 _CLASS_RULES = {
-    "answers_within_ms": Whole(1, MAX_TARGET_MS),
+    "answers_within_ms": Whole(1, MAX_TIMEOUT_MS),
     "quantile": Fraction(open_ends=True),
     "claims_at_least": Fraction(),
     "team": Name(optional=True),
@@ -39,7 +42,7 @@
     "cores": Whole(0, 100_000),
     "memory_mb": Whole(0, 1_000_000_000),
     "accelerators": Whole(0, 100_000),
-    "timeout_ms": Whole(1, MAX_TARGET_MS),
+    "timeout_ms": Whole(1, MAX_TIMEOUT_MS),
 }
 _CLASS_REQUIRED = ("answers_within_ms",)
 _TEAM_RULES = {"holds_at_most": Fraction()}
@@ -155,9 +158,11 @@
 
 def _check_times(name, table):
     target_ms = table.get("answers_within_ms")
-    timeout_ms = table.get("timeout_ms")
+    timeout_ms = table.get("timeout_ms", DEFAULT_TIMEOUT_MS)
     if not isinstance(target_ms, int) or not isinstance(timeout_ms, int):
         return
     if 0 < timeout_ms < target_ms:
         allowed = f"not below answers_within_ms ({target_ms})"
-        yield Problem(f"classes.{name}.timeout_ms", shown(timeout_ms), allowed)
+        default = "" if "timeout_ms" in table else "; this is the default"
+        key = f"classes.{name}.timeout_ms"
+        yield Problem(key, shown(timeout_ms), allowed + default)
--- a/plantainhitch/transport/operator_routes.py
+++ b/plantainhitch/transport/operator_routes.py
@@ -128,7 +128,8 @@
 @get("/metrics", media_type="text/plain", operation_class=operation(str))
 async def show_metrics(request: Request) -> ASGIResponse:
     """Return the metrics in the Prometheus text format."""
-    text = request.app.state.node.metrics.render()
+    node = request.app.state.node
+    text = node.metrics.render(node.status())
     return ASGIResponse(body=text, media_type=METRICS_TYPE)
 
 
--- a/tests/fake_node.py
+++ b/tests/fake_node.py
@@ -1,10 +1,11 @@
 """A node behind the HTTP border that answers what a test has set."""
 
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, fields
 
 from returns.result import Failure, Success
 
 from plantainhitch.clock import ManualClock
+from plantainhitch.coordination.entry_views import EntryStatus
 from plantainhitch.metrics import EntryMetrics
 from plantainhitch.outcomes import Succeeded
 from plantainhitch.protocol.calls import (
@@ -116,8 +117,17 @@
         return None
 
     def status(self):
-        """Return a small status."""
-        return {"name": "entry-1", "queued": 0}
+        """Return a status with 3 render tasks in the queue."""
+        numbers = {field.name: 0 for field in fields(EntryStatus) if field.type is int}
+        return EntryStatus(
+            name="entry-1",
+            incarnation="00",
+            zone="zone-a",
+            ready=self.ready,
+            draining=False,
+            queued={"render": 3},
+            **{**numbers, "started": 7},
+        )
 
     def _answer(self, submission, tasks):
         if isinstance(submission, str):
--- a/tests/test_commands.py
+++ b/tests/test_commands.py
@@ -175,6 +175,7 @@
     return Answered(status, json.dumps(answer).encode())
 
 
+OK = ExitCode.OK
 IDS = Answered(200, b'{"ids": ["i"]}')
 COMPLETE = answered("complete", "succeeded")
 RUNNING = answered("running", "", 202)
@@ -193,13 +194,16 @@
     async def test_exit_codes(self):
         unreachable = refused(ErrorCode.OWNER_UNREACHABLE)
         overloaded = refused(ErrorCode.OVERLOADED, not_run=True)
+        id_refused = refused(ErrorCode.ID_REFUSED, not_run=True)
         cases = [
-            ("complete", [IDS, COMPLETE], ExitCode.OK),
-            ("waits", [IDS, RUNNING, RUNNING, COMPLETE], ExitCode.OK),
-            ("lost reply", [IDS, LOST, COMPLETE], ExitCode.OK),
-            ("lost wait", [IDS, RUNNING, LOST, COMPLETE], ExitCode.OK),
-            ("unreachable owner", [IDS, unreachable, COMPLETE], ExitCode.OK),
-            ("overload passes", [overloaded, IDS, overloaded, COMPLETE], ExitCode.OK),
+            ("complete", [IDS, COMPLETE], OK),
+            ("waits", [IDS, RUNNING, RUNNING, COMPLETE], OK),
+            ("lost reply", [IDS, LOST, COMPLETE], OK),
+            ("lost wait", [IDS, RUNNING, LOST, COMPLETE], OK),
+            ("unreachable owner", [IDS, unreachable, COMPLETE], OK),
+            ("overload passes", [overloaded, IDS, overloaded, IDS, COMPLETE], OK),
+            ("id closed meanwhile", [IDS, LOST, id_refused, IDS, COMPLETE], OK),
+            ("not this call", [IDS, LOST, overloaded, COMPLETE], OK),
             ("failed", [IDS, answered("failed", "failed")], ExitCode.FAILED),
             ("in doubt", [IDS, answered("failed", "unknown")], ExitCode.UNKNOWN),
             ("no entry", [UNSENT], ExitCode.FAILED),
@@ -226,6 +230,12 @@
         methods = ["PUT", "GET", "PUT", "PUT"]
         self.assertEqual(client.sent[1:], [(method, path) for method in methods])
 
+    async def test_a_given_id_is_the_only_one_used(self):
+        client = ScriptedClient([refused(ErrorCode.ID_REFUSED, not_run=True)])
+        result = await JobRunner(client, ManualClock(), 60_000).run(JOB, "given")
+        self.assertEqual(result.code, ExitCode.FAILED)
+        self.assertEqual(client.sent, [("PUT", "/v1/submissions/given")])
+
     def test_bodies_keep_their_spelling(self):
         bodies, bad_lines = read_bodies(b' {"a": 1.50} \n\n[1 ,2]\n')
         self.assertEqual((bodies, bad_lines), ([b'{"a": 1.50}', b"[1 ,2]"], []))
--- a/tests/test_entry_http.py
+++ b/tests/test_entry_http.py
@@ -10,6 +10,7 @@
 from plantainhitch.outcomes import Reason, Unknown
 from plantainhitch.protocol.calls import JobState, RequestAnswer, SubmitWithKey
 from plantainhitch.protocol.errors import HTTP_STATUS, ErrorCode, Refusal
+from plantainhitch.protocol.models import StatusModel
 from plantainhitch.settings import Limits
 from plantainhitch.transport.addresses import Address
 from plantainhitch.transport.entry_http import create_app, serve
@@ -224,7 +225,8 @@
         self.assertEqual(drained.json(), {"name": "endpoint-1", "draining": True})
         unknown = await self.client.post("/v1/endpoints/other/resume")
         self.assert_error(unknown, ErrorCode.NOT_FOUND)
-        self.assertEqual((await self.client.get("/v1/status")).status_code, 200)
+        status = await self.client.get("/v1/status")
+        self.assertEqual(set(status.json()), set(StatusModel.__struct_fields__))
         self.assertEqual((await self.client.get("/health/ready")).status_code, 200)
         self.node.ready = False
         not_ready = await self.client.get("/health/ready")
@@ -232,10 +234,14 @@
         self.assertEqual((await self.client.get("/health/live")).status_code, 200)
         self.node.metrics.job_ended("render", JobState.COMPLETE, 120)
         metrics = await self.client.get("/metrics")
-        self.assertIn(
+        for line in (
             'plantainhitch_jobs_total{class="render",state="complete"} 1.0',
-            metrics.text,
-        )
+            'plantainhitch_response_ms{class="render",quantile="0.99"} 120.0',
+            'plantainhitch_queued{class="render"} 3.0',
+            "plantainhitch_started_total 7.0",
+            "plantainhitch_ready 0.0",
+        ):
+            self.assertIn(f"{line}\n", metrics.text)
 
     async def test_every_route_is_documented(self):
         document = (await self.client.get("/schema/openapi.json")).json()
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -151,6 +151,11 @@
             result = class_files.from_tables({"classes": tables})
             self.assertIsInstance(result, Success)
 
+    def test_the_default_timeout_counts_too(self):
+        text = "[classes.a]\nanswers_within_ms = 70_000\n"
+        (problem,) = class_files.from_text(text).failure()
+        self.assertEqual(problem.key, "classes.a.timeout_ms")
+
     def test_not_a_number(self):
         text = "[classes.a]\nanswers_within_ms = 1\nclaims_at_least = nan\n"
         (problem,) = class_files.from_text(text).failure()
