--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,8 @@
 # make bench SCENARIO=load60 runs one scenario, make bench all of them.
 SCENARIO ?=
 
-.PHONY: bench decisions setup demo test format lint check model-check binary soak
+# make capacity measures the slopes of docs/CAPACITY.md anew.
+.PHONY: bench capacity decisions report setup demo test format lint check model-check binary soak
 
 $(READY): requirements-dev.lock
 	$(PYTHON) -m venv $(VENV)
@@ -48,3 +49,9 @@
 
 soak: $(READY)
 	$(BIN)/python -m tests.soak --seed $(SEED) --minutes $(MINUTES)
+
+capacity: $(READY)
+	$(BIN)/python -m benchmarks.capacity
+
+report: $(READY)
+	$(BIN)/python -m benchmarks.report
--- a/benchmarks/processes.py
+++ b/benchmarks/processes.py
@@ -38,11 +38,11 @@
         self._client = None
 
     @classmethod
-    async def start(cls, name, folder, *words):
-        """Start ``plantainhitch`` with ``words``; wait for its ready line."""
+    async def start(cls, name, folder, *words, module="plantainhitch"):
+        """Start ``module`` with ``words``; wait for its ready line."""
         with (Path(folder) / f"{name}.log").open("ab") as log:
             process = await asyncio.create_subprocess_exec(
-                *(sys.executable, "-m", "plantainhitch", *words),
+                *(sys.executable, "-m", module, *words),
                 cwd=ROOT,
                 stdin=asyncio.subprocess.DEVNULL,
                 stdout=asyncio.subprocess.PIPE,
@@ -63,6 +63,11 @@
         """Whether it has not ended."""
         return self._process.returncode is None
 
+    @property
+    def pid(self):
+        """Its process id."""
+        return self._process.pid
+
     def cpu_s(self):
         """Return the processor time that it has used, in seconds."""
         fields = Path(f"/proc/{self._process.pid}/stat").read_text().rsplit(")", 1)[1]
@@ -103,6 +108,20 @@
         await asyncio.wait_for(self._process.wait(), STOP_S)
 
 
+async def start_node(folder, platform, role, number):
+    """Start an entry or an agent with settings of its own."""
+    name = f"{role}-{number}"
+    path = Path(folder) / f"{name}.toml"
+    path.write_text(
+        f'[process]\nname = "{name}"\nzone = "zone-{number % ZONES}"\n'
+        f'rack = "rack-{number // ENDPOINTS_PER_RACK}"\n'
+        '[listen]\nhttp = "127.0.0.1:0"\nlink = "127.0.0.1:0"\n'
+        f'[platform]\naddress = "{platform.address}"\n'
+        '[log]\nlevel = "warning"\n'
+    )
+    return await Process.start(name, folder, role, "--settings", str(path))
+
+
 @dataclass(frozen=True, slots=True)
 class Shape:
     """How many processes of each kind; the fleet gives slots and speeds."""
@@ -175,18 +194,7 @@
         await self._wait_linked()
 
     async def _start_node(self, role, number):
-        name = f"{role}-{number}"
-        path = Path(self._folder.name) / f"{name}.toml"
-        path.write_text(
-            f'[process]\nname = "{name}"\nzone = "zone-{number % ZONES}"\n'
-            f'rack = "rack-{number // ENDPOINTS_PER_RACK}"\n'
-            '[listen]\nhttp = "127.0.0.1:0"\nlink = "127.0.0.1:0"\n'
-            f'[platform]\naddress = "{self.platform.address}"\n'
-            '[log]\nlevel = "warning"\n'
-        )
-        return await Process.start(
-            name, self._folder.name, role, "--settings", str(path)
-        )
+        return await start_node(self._folder.name, self.platform, role, number)
 
     async def _start_endpoint(self, number):
         model = self.shape.fleet.endpoints[number]
