--- a/plantainhitch/commands/jobs.py
+++ b/plantainhitch/commands/jobs.py
@@ -24,7 +24,6 @@
     ErrorCode.NO_CONFIGURATION,
     ErrorCode.OVERLOADED,
     ErrorCode.OWNER_UNREACHABLE,
-    ErrorCode.QUOTA,
     ErrorCode.STORE_DOWN,
 }
 _SETTLED_UNKNOWN = {
--- a/plantainhitch/outcomes.py
+++ b/plantainhitch/outcomes.py
@@ -24,16 +24,10 @@
     EXPIRED = "expired"
     NO_CONFIGURATION = "no_configuration"
     NO_FIT = "no_fit"
-    NO_GRANT = "no_grant"
     OVERLOADED = "overloaded"
-    OWNER_LOST = "owner_lost"
-    OWNER_UNREACHABLE = "owner_unreachable"
-    QUOTA = "quota"
     STALE_START = "stale_start"
-    STORE_DOWN = "store_down"
     TASK_FAILED = "task_failed"
     TIMED_OUT = "timed_out"
-    WRONG_INCARNATION = "wrong_incarnation"
 
 
 @dataclass(frozen=True, slots=True)
--- a/plantainhitch/protocol/errors.py
+++ b/plantainhitch/protocol/errors.py
@@ -29,7 +29,6 @@
     OWNER_UNREACHABLE = "owner_unreachable"
     NO_CONFIGURATION = "no_configuration"
     OVERLOADED = "overloaded"
-    QUOTA = "quota"
     NOT_READY = "not_ready"
     STORE_DOWN = "store_down"
     VERSION_CONFLICT = "version_conflict"
@@ -57,7 +56,6 @@
     ErrorCode.OWNER_UNREACHABLE: 503,
     ErrorCode.NO_CONFIGURATION: 503,
     ErrorCode.OVERLOADED: 503,
-    ErrorCode.QUOTA: 429,
     ErrorCode.NOT_READY: 503,
     ErrorCode.STORE_DOWN: 503,
     ErrorCode.VERSION_CONFLICT: 409,
