Let small jobs pass large ones for a bounded time

Cause: at 85% load the tail of response against the ideal came from jobs of a few tasks behind jobs of dozens. A queue is now ordered by the time a job came plus 20 times its own work divided by the fleet's slots, so a large job yields for a time in proportion to its size and never starves. Queued tasks expire by age, which is no longer the order of the queue.

Ruled out: counting at least one wave for every job, which leaves jobs below the fleet's slots in the order of arrival and shortens no tail.

Finding overdue tasks is a module of its own and stops at the first young one in place of walking all tasks in flight on each tick.

--- a/plantainhitch/coordination/dispatcher.py
+++ b/plantainhitch/coordination/dispatcher.py
@@ -15,6 +15,7 @@
 from ..state.estimates import RunTimeEstimates
 from .admission import Admission
 from .agents import AgentView
+from .expiry import Expiry
 from .health import HealthJudge
 from .observer import DispatchObserver
 from .placement import Placement
@@ -26,10 +27,9 @@
 # gets longer, since a cut can heal and bring the answers.
 REFUSED_GRACE_MS = 2_000
 SILENT_GRACE_MS = 15_000
-# Time beyond a task's timeout for its report to arrive.
-REPORT_GRACE_MS = 15_000
-NO_FIT_WAIT_MS = 3_000
-NO_AGENT_WAIT_MS = 10_000
+# A job lets smaller ones, which came up to this many times its own time on the
+# whole fleet later, go first.
+YIELD_FACTOR = 20
 
 
 @dataclass(slots=True)
@@ -54,6 +54,7 @@
         self._placement = Placement(clock, self._estimates, self._judge)
         self._agents = {}
         self._placement.set_agents(self._agents)
+        self._expiry = Expiry(clock, self._queues, self._placement)
         self._drained_names = frozenset()
         self._document = None
         self._outbox = Outbox()
@@ -249,8 +250,10 @@
             if lost_ms >= SILENT_GRACE_MS:
                 self.agent_gone(agent.incarnation)
                 continue
-            self._expire_in_flight(agent, now_ms)
-        self._expire_queued(now_ms)
+            for key, work in self._expiry.unreported(agent, self._document):
+                agent.ended(key)
+                self._settle(work, Unknown(Reason.TIMED_OUT))
+        self._expire_queued()
 
     def take_outbox(self):
         """Return (agent incarnation, message) pairs to send, in order."""
@@ -274,9 +277,16 @@
         self._observer.job_begun(submission)
         queue = self._queues.of(job.class_name)
         now_ms = self._clock.now_ms()
+        rank = now_ms + YIELD_FACTOR * self._alone_ms(job)
         for spec in job.tasks:
             self._estimates.declare(job.class_name, spec.declared_ms)
-            queue.push(Work(submission, spec, now_ms))
+            queue.push(Work(submission, spec, now_ms, rank))
+
+    def _alone_ms(self, job):
+        """Return the job's expected work divided by the slots of the fleet."""
+        work_ms = self._estimates.size_ms(job.class_name) * len(job.tasks)
+        # Without any agent yet, as if each task had a slot.
+        return work_ms / (self._slots or len(job.tasks))
 
     def _withdraw_queued(self, submission, outcome):
         queue = self._queues.of(submission.job.class_name)
@@ -374,7 +384,7 @@
         work.may_have_run |= not isinstance(outcome, NotRun)
         work.excluded = agent_name
         self._counts.retried += 1
-        self._queues.of(work.class_name).push_front(work)
+        self._queues.of(work.class_name).push(work)
 
     def _finish(self, work, outcome):
         submission = work.submission
@@ -383,48 +393,13 @@
         if submission.has_failed and submission.queued:
             self._withdraw_queued(submission, NotRun(Reason.CANCELLED))
 
-    def _expire_in_flight(self, agent, now_ms):
-        expired = [
-            (key, work)
-            for key, work in agent.in_flight.items()
-            if now_ms - work.sent_ms > self._report_limit_ms(work)
-        ]
-        for key, work in expired:
-            agent.ended(key)
-            self._settle(work, Unknown(Reason.TIMED_OUT))
-
-    def _report_limit_ms(self, work):
-        definition = self._document and self._document.classes.get(work.class_name)
-        return (definition.timeout_ms if definition else 0) + REPORT_GRACE_MS
-
-    def _expire_queued(self, now_ms):
-        for name, queue in self._queues.waiting():
-            definition = self._document and self._document.classes.get(name)
-            head = queue.peek()
-            if definition is None or head is None:
-                continue
-            limit = self._wait_limit(definition)
-            while head and now_ms - head.enqueued_ms > limit.wait_ms:
-                queue.pop()
-                self._finish(head, NotRun(limit.reason))
-                head = queue.peek()
-
-    def _wait_limit(self, definition):
-        if not self._placement.any_fits(definition):
-            if self._agents:
-                return WaitLimit(NO_FIT_WAIT_MS, Reason.NO_FIT)
-            return WaitLimit(NO_AGENT_WAIT_MS, Reason.NO_FIT)
-        return WaitLimit(
-            max(definition.timeout_ms, definition.answers_within_ms), Reason.EXPIRED
-        )
+    def _expire_queued(self):
+        if self._document is None:
+            return
+        overdue = self._expiry.queued_too_long(self._document, bool(self._agents))
+        for late in overdue:
+            late.queue.withdraw(late.work)
+            self._finish(late.work, NotRun(late.reason))
 
     def _send(self, agent, message):
         self._outbox.others.append((agent.incarnation, message))
-
-
-@dataclass(frozen=True, slots=True)
-class WaitLimit:
-    """How long a task may wait in its queue, and why it then ends."""
-
-    wait_ms: int
-    reason: Reason
--- /dev/null
+++ b/plantainhitch/coordination/expiry.py
@@ -0,0 +1,77 @@
+"""Which tasks have waited too long: in a queue, or for an agent's report."""
+
+from dataclasses import dataclass
+
+from ..outcomes import Reason
+from .queues import ClassQueue, Work
+
+# Time beyond a task's timeout for its report to arrive.
+REPORT_GRACE_MS = 15_000
+# How long a task that fits no known endpoint waits for one to join.
+NO_FIT_WAIT_MS = 3_000
+# The same while no agent at all is known.
+NO_AGENT_WAIT_MS = 10_000
+
+
+@dataclass(frozen=True, slots=True)
+class WaitLimit:
+    """How long a task may wait in its queue, and why it then ends."""
+
+    wait_ms: int
+    reason: Reason
+
+
+@dataclass(frozen=True, slots=True)
+class Overdue:
+    """A task that has waited too long in its queue."""
+
+    queue: ClassQueue
+    work: Work
+    reason: Reason
+
+
+class Expiry:
+    """Finds overdue tasks; it changes nothing itself."""
+
+    def __init__(self, clock, queues, placement):
+        self._clock = clock
+        self._queues = queues
+        self._placement = placement
+
+    def unreported(self, agent, document):
+        """Return the (key, work) pairs whose report is overdue, a list."""
+        now_ms = self._clock.now_ms()
+        overdue = []
+        for key, work in agent.in_flight.items():
+            age_ms = now_ms - work.sent_ms
+            # Oldest first, and no limit is shorter than the grace.
+            if age_ms <= REPORT_GRACE_MS:
+                break
+            if age_ms > _report_limit_ms(work, document):
+                overdue.append((key, work))
+        return overdue
+
+    def queued_too_long(self, document, has_agents):
+        """Yield ``Overdue`` tasks; take each out of its queue before the next."""
+        now_ms = self._clock.now_ms()
+        for name, queue in self._queues.waiting():
+            definition = document.classes.get(name)
+            if definition is None:
+                continue
+            limit = self._wait_limit(definition, has_agents)
+            while (work := queue.oldest()) is not None:
+                if now_ms - work.enqueued_ms <= limit.wait_ms:
+                    break
+                yield Overdue(queue, work, limit.reason)
+
+    def _wait_limit(self, definition, has_agents):
+        if self._placement.any_fits(definition):
+            patience_ms = max(definition.timeout_ms, definition.answers_within_ms)
+            return WaitLimit(patience_ms, Reason.EXPIRED)
+        wait_ms = NO_FIT_WAIT_MS if has_agents else NO_AGENT_WAIT_MS
+        return WaitLimit(wait_ms, Reason.NO_FIT)
+
+
+def _report_limit_ms(work, document):
+    definition = document.classes.get(work.class_name) if document else None
+    return (definition.timeout_ms if definition else 0) + REPORT_GRACE_MS
--- a/plantainhitch/coordination/queues.py
+++ b/plantainhitch/coordination/queues.py
@@ -4,6 +4,8 @@
 comes to it.
 """
 
+import heapq
+import itertools
 from collections import deque
 from dataclasses import dataclass
 
@@ -26,8 +28,9 @@
     submission: Submission
     spec: TaskSpec
     enqueued_ms: int
+    rank: float = 0.0
     attempt: int = 1
-    withdrawn: bool = False
+    is_queued: bool = False
     excluded: str = ""
     may_have_run: bool = False
     sent_ms: int = 0
@@ -51,51 +54,54 @@
 
 
 class ClassQueue:
-    """Waiting tasks of one class, first come first served."""
+    """Waiting tasks of one class, the one with the smallest ``rank`` first."""
 
     def __init__(self):
-        self._works = deque()
+        self._heap = []
+        # The same tasks by age; those no longer queued are skipped.
+        self._by_age = deque()
+        self._numbers = itertools.count()
         self._live = 0
 
     def __len__(self):
         return self._live
 
     def push(self, work):
-        """Put ``work`` at the end."""
-        self._works.append(work)
-        self._added(work)
-
-    def push_front(self, work):
-        """Put ``work``, which was refused elsewhere, in front."""
-        self._works.appendleft(work)
-        self._added(work)
+        """Put ``work`` in, behind those of the same rank."""
+        work.is_queued = True
+        work.submission.queued.add(work)
+        heapq.heappush(self._heap, (work.rank, next(self._numbers), work))
+        self._by_age.append(work)
+        self._live += 1
 
     def withdraw(self, work):
         """Take ``work`` out, wherever it stands."""
-        work.withdrawn = True
         self._removed(work)
 
     def peek(self):
         """Return the first task, or None."""
-        works = self._works
-        while works and works[0].withdrawn:
-            works.popleft()
-        return works[0] if works else None
+        heap = self._heap
+        while heap and not heap[0][2].is_queued:
+            heapq.heappop(heap)
+        return heap[0][2] if heap else None
 
     def pop(self):
         """Remove and return the first task, or None."""
         work = self.peek()
         if work is not None:
-            self._works.popleft()
+            heapq.heappop(self._heap)
             self._removed(work)
         return work
 
-    def _added(self, work):
-        work.withdrawn = False
-        work.submission.queued.add(work)
-        self._live += 1
+    def oldest(self):
+        """Return the task that was put in first, or None."""
+        by_age = self._by_age
+        while by_age and not by_age[0].is_queued:
+            by_age.popleft()
+        return by_age[0] if by_age else None
 
     def _removed(self, work):
+        work.is_queued = False
         work.submission.queued.discard(work)
         self._live -= 1
 
--- a/tests/test_dispatcher.py
+++ b/tests/test_dispatcher.py
@@ -6,6 +6,7 @@
 from plantainhitch.coordination.dispatcher import (
     REFUSED_GRACE_MS,
     SILENT_GRACE_MS,
+    YIELD_FACTOR,
     Dispatcher,
 )
 from plantainhitch.coordination.submissions import RETENTION_MS, Submission
@@ -14,6 +15,7 @@
 from plantainhitch.protocol.calls import Job, JobState, SingleRequest, TaskSpec
 from plantainhitch.protocol.errors import ErrorCode
 from plantainhitch.state.classes import ClassDefinition, ClassDocument
+from plantainhitch.state.estimates import DEFAULT_RUN_MS
 from plantainhitch.state.ids import IdIssuer
 
 AGENT = b"a" * 16
@@ -274,3 +276,32 @@
         self.clock.advance(3_001)
         self.dispatcher.tick()
         self.assertEqual(submission.answer().outcomes, {0: NotRun(Reason.NO_FIT)})
+
+
+class QueueOrderTests(DispatcherTestCase):
+    """Which of several waiting jobs goes first, and which one is too old."""
+
+    def test_small_job_passes_a_large_one(self):
+        self.link()
+        large = self.submit(50, b"large")
+        self.clock.advance(100)
+        small = self.submit(1, b"small")
+        ((_, first), *rest) = self.round()
+        self.assertEqual(first.key.submission, small.id)
+        self.assertEqual({start.key.submission for _, start in rest}, {large.id})
+
+    def test_large_job_is_passed_for_a_bounded_time_only(self):
+        large = self.submit(50, b"large")
+        self.clock.advance(YIELD_FACTOR * DEFAULT_RUN_MS + 1)
+        self.submit(1, b"small")
+        self.link(slots=50)
+        ((_, first), *_) = self.round()
+        self.assertEqual(first.key.submission, large.id)
+
+    def test_large_job_expires_although_smaller_ones_are_in_front(self):
+        large = self.submit(50, b"large")
+        self.clock.advance(4_000)
+        self.submit(1, b"small")
+        self.clock.advance(6_001)
+        self.dispatcher.tick()
+        self.assertTrue(large.answer().not_run)
