Bound a request's head; write libraries' warnings as JSON lines

The HTTP server takes headers without end: a caller who never finishes them could fill the process's memory. A head over 64 KiB is answered with 400 and the connection closed; the test hangs without the bound. Warnings of libraries went to standard error as plain text between our JSON lines and go through the same handler now.

--- a/plantainhitch/logs.py
+++ b/plantainhitch/logs.py
@@ -1,8 +1,10 @@
 """Structured logs: one JSON object a line, by logbook."""
 
+import logging
 import sys
 
 import logbook
+import logbook.compat
 import msgspec
 
 LEVELS = ("debug", "info", "notice", "warning", "error", "critical")
@@ -26,12 +28,18 @@
 
 
 def configure(level="info", stream=None):
-    """Send all records of ``level`` and above to ``stream`` (standard error)."""
+    """Send all records of ``level`` and above to ``stream`` (standard error).
+
+    Warnings of libraries that use the standard library's logging go there too.
+    """
     if level not in LEVELS:
         raise ValueError(f"unknown log level {level!r}; one of {', '.join(LEVELS)}")
     handler = logbook.StreamHandler(stream or sys.stderr, level=level.upper())
     handler.formatter = JsonLineFormatter()
     handler.push_application()
+    logging.basicConfig(
+        handlers=[logbook.compat.RedirectLoggingHandler()], level=logging.WARNING
+    )
     return handler
 
 
--- a/plantainhitch/transport/http_server.py
+++ b/plantainhitch/transport/http_server.py
@@ -9,6 +9,7 @@
 import socket
 
 import uvicorn
+from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
 
 from .addresses import Address
 
@@ -16,6 +17,8 @@
 # Longer than the idle time of common balancers, so that they close first.
 KEEP_ALIVE_S = 75
 STARTUP_POLL_S = 0.002
+# Request line and headers together; the server itself sets no bound.
+MAX_HEAD_BYTES = 64 * 1024
 
 
 class _QuietServer(uvicorn.Server):
@@ -25,6 +28,32 @@
         return contextlib.nullcontext()
 
 
+class _BoundedProtocol(HttpToolsProtocol):
+    """A connection that is closed when a request's head grows without end."""
+
+    _in_head = False
+    _head_bytes = 0
+
+    def data_received(self, data):
+        super().data_received(data)
+        if not self._in_head:
+            return
+        self._head_bytes += len(data)
+        if self._head_bytes > MAX_HEAD_BYTES and not self.transport.is_closing():
+            self.send_400_response(
+                f"The request's head is over {MAX_HEAD_BYTES} bytes."
+            )
+
+    def on_message_begin(self):
+        super().on_message_begin()
+        self._in_head = True
+        self._head_bytes = 0
+
+    def on_headers_complete(self):
+        super().on_headers_complete()
+        self._in_head = False
+
+
 class HttpServer:
     """A running server; ``aclose`` ends it after the requests in flight."""
 
@@ -62,7 +91,7 @@
         access_log=False,
         backlog=BACKLOG,
         date_header=False,
-        http="httptools",
+        http=_BoundedProtocol,
         lifespan="off",
         log_config=None,
         loop="none",
--- a/tests/test_entry_http.py
+++ b/tests/test_entry_http.py
@@ -291,6 +291,22 @@
         writer.close()
         await self.server.aclose(within_ms=1_000)
 
+    async def test_endless_head_is_cut(self):
+        address = self.server.address
+        for head in (
+            b"GET /" + b"a" * 200_000,
+            b"GET / HTTP/1.1\r\n" + b"a: b\r\n" * 40_000,
+        ):
+            with self.subTest(head=head[:20]):
+                reader, writer = await asyncio.open_connection(
+                    address.host, address.port
+                )
+                writer.write(head)
+                answer = await asyncio.wait_for(reader.readline(), 5)
+                self.assertIn(b" 400 ", answer)
+                writer.close()
+        await self.server.aclose(within_ms=1_000)
+
     async def test_close_lets_a_request_finish(self):
         entered = asyncio.Event()
         go_on = asyncio.Event()
