--- a/plantainhitch/commands/cancel.py
+++ b/plantainhitch/commands/cancel.py
@@ -3,11 +3,13 @@
 from urllib.parse import quote
 
 import msgspec
+from fire.decorators import SetParseFns
 
 from ..protocol.models import AnswerModel
 from . import operator
 
 
+@SetParseFns(submission=str, entry=str)
 def cancel(submission, entry="", json=False):
     """Cancel a submission and show where it stands.
 
@@ -18,7 +20,7 @@
     """
 
     async def action(client):
-        path = f"/v1/submissions/{quote(str(submission), safe='')}/cancel"
+        path = f"/v1/submissions/{quote(submission, safe='')}/cancel"
         return operator.finish(await client.call("POST", path), json, _show)
 
     return operator.run(entry, action)
--- a/plantainhitch/commands/classes.py
+++ b/plantainhitch/commands/classes.py
@@ -4,6 +4,7 @@
 import uuid
 
 import msgspec
+from fire.decorators import SetParseFns
 from returns.result import Failure
 
 from ..clock import Clock
@@ -43,6 +44,7 @@
 
         return operator.run(entry, action)
 
+    @SetParseFns(file=str, entry=str, author=str)
     def apply(self, file, entry="", base=None, author="", json=False):
         """Put a class file in force.
 
@@ -55,13 +57,13 @@
             author: who makes the change; the system's user name if empty.
             json: print the accepted version as JSON.
         """
-        parsed = class_files.read(str(file))
+        parsed = class_files.read(file)
         if isinstance(parsed, Failure):
             for problem in parsed.failure():
                 print_error(problem)
             return ExitCode.USAGE
         classes, teams = class_tables(parsed.unwrap())
-        author = str(author) or getpass.getuser()
+        author = author or getpass.getuser()
 
         async def action(client):
             return await _apply(client, classes, teams, author, base, json)
--- a/plantainhitch/commands/endpoints.py
+++ b/plantainhitch/commands/endpoints.py
@@ -3,6 +3,7 @@
 from urllib.parse import quote
 
 import msgspec
+from fire.decorators import SetParseFns
 
 from ..protocol.models import DrainModel, EndpointsModel
 from . import operator
@@ -22,10 +23,12 @@
 
         return operator.run(entry, action)
 
+    @SetParseFns(name=str, entry=str)
     def drain(self, name, entry="", json=False):
         """Give an endpoint no new work; what runs there finishes."""
         return _order(name, "drain", entry, json)
 
+    @SetParseFns(name=str, entry=str)
     def resume(self, name, entry="", json=False):
         """Give a drained endpoint work again."""
         return _order(name, "resume", entry, json)
@@ -33,7 +36,7 @@
 
 def _order(name, order, entry, json):
     async def action(client):
-        path = f"/v1/endpoints/{quote(str(name), safe='')}/{order}"
+        path = f"/v1/endpoints/{quote(name, safe='')}/{order}"
         return operator.finish(await client.call("POST", path), json, _show_order)
 
     return operator.run(entry, action)
--- a/plantainhitch/commands/submit.py
+++ b/plantainhitch/commands/submit.py
@@ -4,6 +4,8 @@
 import sys
 from pathlib import Path
 
+from fire.decorators import SetParseFns
+
 from ..clock import Clock
 from .client import EntryClient, entry_addresses
 from .exit_codes import ExitCode
@@ -11,6 +13,7 @@
 from .output import print_error, write_whole
 
 
+@SetParseFns(class_name=str, file=str, entry=str, output=str, submission=str)
 def submit(
     class_name="",
     file="",
@@ -40,7 +43,7 @@
         return ExitCode.USAGE
     try:
         addresses = entry_addresses(entry)
-        bodies, bad_lines = read_bodies(_read(str(file)))
+        bodies, bad_lines = read_bodies(_read(file))
     except (OSError, ValueError) as error:
         print_error(error)
         return ExitCode.USAGE
@@ -48,9 +51,9 @@
         for line in bad_lines:
             print_error(f"{file}: {line}")
         return ExitCode.USAGE
-    body = write_job(str(class_name), bodies, int(declared_ms))
-    result = asyncio.run(_run(addresses, body, timeout_s * 1_000, str(submission)))
-    return _finish(result, str(output), json)
+    body = write_job(class_name, bodies, int(declared_ms))
+    result = asyncio.run(_run(addresses, body, timeout_s * 1_000, submission))
+    return _finish(result, output, json)
 
 
 async def _run(addresses, body, timeout_ms, submission):
