Bound the bytes of request bodies held at a time

A body had its own limit, but fifty large ones at once would fill an entry's memory. Requests count with their announced length, chunked ones with the largest allowed, until they are answered; above held_body_bytes (64 MiB) they are refused as not run. Jobs that were answered with 202 and wait are not counted here.

--- a/plantainhitch/settings.py
+++ b/plantainhitch/settings.py
@@ -42,6 +42,7 @@
     "traces": {"collector": Url()},
     "limits": {
         "body_bytes": Whole(1_024, 64 * MEBIBYTE),
+        "held_body_bytes": Whole(1_024, 1_024 * MEBIBYTE),
         "queued_tasks": Whole(1, 10_000_000),
         "retention_ms": Whole(1_000, 24 * HOUR_MS),
         "drain_ms": Whole(0, HOUR_MS),
@@ -66,12 +67,14 @@
 class Limits:
     """Bounds on what the process takes and keeps.
 
-    ``body_bytes`` is the largest request body; ``queued_tasks`` the most tasks
-    that wait at an entry; ``retention_ms`` how long answers are kept;
+    ``body_bytes`` is the largest request body; ``held_body_bytes`` the most bytes
+    of bodies of requests that are being answered; ``queued_tasks`` the most tasks
+    of a class that wait at an entry; ``retention_ms`` how long answers are kept;
     ``drain_ms`` how long a shutdown waits for what is in flight.
     """
 
     body_bytes: int = 8 * MEBIBYTE
+    held_body_bytes: int = 64 * MEBIBYTE
     queued_tasks: int = 100_000
     retention_ms: int = 600_000
     drain_ms: int = 30_000
@@ -150,3 +153,15 @@
             yield from check_table(name, table, rules, _REQUIRED.get(name, ()))
         else:
             yield Problem(name, shown(table), f"a table: [{name}]")
+    yield from _check_bodies(tables.get("limits", {}))
+
+
+def _check_bodies(limits):
+    if not isinstance(limits, dict):
+        return
+    default = Limits()
+    largest = limits.get("body_bytes", default.body_bytes)
+    held = limits.get("held_body_bytes", default.held_body_bytes)
+    if isinstance(largest, int) and isinstance(held, int) and held < largest:
+        allowed = f"not below body_bytes ({largest})"
+        yield Problem("limits.held_body_bytes", shown(held), allowed)
--- a/plantainhitch/transport/entry_http.py
+++ b/plantainhitch/transport/entry_http.py
@@ -10,6 +10,7 @@
 
 from ..settings import Limits
 from . import replies
+from .body_budget import BodyBudget
 from .caller_routes import CALLER_ROUTES
 from .http_server import serve
 from .openapi import openapi_config
@@ -21,6 +22,7 @@
 def create_app(node, limits=None):
     """Return the application that answers for ``node`` within ``limits``."""
     limits = limits or Limits()
+    budget = BodyBudget(limits.held_body_bytes, limits.body_bytes)
     return Litestar(
         route_handlers=[*CALLER_ROUTES, *OPERATOR_ROUTES],
         state=State({"node": node}),
@@ -30,5 +32,6 @@
         },
         openapi_config=openapi_config(),
         request_max_body_size=limits.body_bytes,
+        middleware=[budget.wrap],
         logging_config=None,
     )
--- a/tests/test_entry_http.py
+++ b/tests/test_entry_http.py
@@ -134,6 +134,40 @@
         self.assertFalse(error["not_run"])
         self.assertNotIn("broken", error["message"])
 
+    async def test_bodies_held_at_a_time_are_bounded(self):
+        limits = Limits(body_bytes=1_000, held_body_bytes=2_500)
+        app = create_app(self.node, limits)
+        transport = httpx.ASGITransport(app, raise_app_exceptions=False)
+        ask = self.node.ask
+        entered = asyncio.Semaphore(0)
+        go_on = asyncio.Event()
+
+        async def slow(call):
+            entered.release()
+            await go_on.wait()
+            return await ask(call)
+
+        self.node.ask = slow
+        async with httpx.AsyncClient(
+            transport=transport, base_url="http://e"
+        ) as client:
+
+            def post(content):
+                return client.post("/v1/ids", content=content, headers=JSON)
+
+            body = b'{"count":1}' + b" " * 900
+            held = [asyncio.create_task(post(body)) for _ in range(2)]
+            for _ in held:
+                await entered.acquire()
+            error = self.assert_error(await post(body), ErrorCode.OVERLOADED)
+            self.assertTrue(error["not_run"])
+            too_large = await post(b" " * 2_000)
+            self.assert_error(too_large, ErrorCode.BODY_TOO_LARGE)
+            go_on.set()
+            statuses = [(await reply).status_code for reply in held]
+            self.assertEqual(statuses, [200, 200])
+            self.assertEqual((await post(body)).status_code, 200)
+
     async def test_running_is_202(self):
         self.node.state = JobState.RUNNING
         self.assertEqual((await self.put(job())).status_code, 202)
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -112,6 +112,14 @@
                     Settings.from_file(self.path)
                 self.assertEqual(len(raised.exception.problems), 1)
 
+    def test_one_body_has_room(self):
+        for limits in (
+            {"body_bytes": 2_000, "held_body_bytes": 1_999},
+            {"held_body_bytes": 2_000},
+        ):
+            problems = Settings.from_tables({"limits": limits}).failure()
+            self.assertIn("limits.held_body_bytes", [p.key for p in problems])
+
     def test_tables_that_are_none(self):
         problems = Settings.from_tables({"process": 1, "listen": [], "platform": ""})
         self.assertEqual(
