Count every refused call at the border, with the job's class

Bad input never reached the state's owner and so was counted nowhere, and refused jobs were counted without their class, which was looked for on the call and stands in its job. The border counts all refusals but those of health checks; the owner's task no longer needs the metrics.

--- a/plantainhitch/coordination/entry.py
+++ b/plantainhitch/coordination/entry.py
@@ -75,7 +75,6 @@
         self._core = EntryCore(
             self._inbox,
             dispatcher,
-            self._metrics,
             on_configuration=self._offer,
             on_members=self._reconcile,
         )
--- a/plantainhitch/coordination/entry_core.py
+++ b/plantainhitch/coordination/entry_core.py
@@ -31,10 +31,9 @@
     ``on_members()`` is called when membership has changed.
     """
 
-    def __init__(self, inbox, dispatcher, metrics, *, on_configuration, on_members):
+    def __init__(self, inbox, dispatcher, *, on_configuration, on_members):
         self._inbox = inbox
         self._dispatcher = dispatcher
-        self._metrics = metrics
         self._on_configuration = on_configuration
         self._on_members = on_members
         self._links = {}
@@ -114,8 +113,6 @@
             if not found.has_ended and event.ended is not None:
                 found.on_end.append(lambda ended: self._give(event.ended, ended))
             return
-        if isinstance(found, Refusal):
-            self._metrics.refused(getattr(event.call, "class_name", ""), found.code)
         event.reply.set_result(found)
 
     def _give(self, reply, submission):
--- a/plantainhitch/transport/body_budget.py
+++ b/plantainhitch/transport/body_budget.py
@@ -5,6 +5,8 @@
 with the largest allowed, from before its body is read until it is answered.
 """
 
+from litestar import Request
+
 from ..protocol.errors import ErrorCode, Refusal
 from . import replies
 
@@ -54,4 +56,5 @@
 async def _refuse(scope, receive, send):
     message = "too many bytes of requests are being answered"
     refusal = Refusal(ErrorCode.OVERLOADED, message, True, RETRY_AFTER_MS)
-    await replies.error_reply(refusal)(scope, receive, send)
+    reply = replies.refuse(Request(scope), refusal)
+    await reply(scope, receive, send)
--- a/plantainhitch/transport/caller_routes.py
+++ b/plantainhitch/transport/caller_routes.py
@@ -57,7 +57,7 @@
     """Open new submission ids."""
     model = await replies.read_model(request, _OPEN_IDS)
     if isinstance(model, Refusal):
-        return replies.error_reply(model)
+        return replies.refuse(request, model)
     return await _ask(request, OpenIds(model.count))
 
 
@@ -71,10 +71,10 @@
     """Submit a job under an id; the same again is idempotent."""
     submission = border.read_id(submission_id)
     if isinstance(submission, Refusal):
-        return replies.error_reply(submission)
+        return replies.refuse(request, submission)
     job = await _read_job(request)
     if isinstance(job, Refusal):
-        return replies.error_reply(job)
+        return replies.refuse(request, job)
     return await _ask(request, Submit(submission, job, wait_ms))
 
 
@@ -91,12 +91,14 @@
     """Submit a job under the caller's own key, or under a new id without one."""
     job = await _read_job(request)
     if isinstance(job, Refusal):
-        return replies.error_reply(job)
+        return replies.refuse(request, job)
     if key is None:
         return await _submit_under_new_id(request, job, wait_ms)
     if not 1 <= len(key) <= MAX_KEY_CHARACTERS:
         message = f"{KEY_HEADER} has 1 to {MAX_KEY_CHARACTERS} characters"
-        return replies.error_reply(Refusal(ErrorCode.BAD_FIELD, message, not_run=True))
+        return replies.refuse(
+            request, Refusal(ErrorCode.BAD_FIELD, message, not_run=True)
+        )
     return await _ask(request, SubmitWithKey(key, job, wait_ms))
 
 
@@ -107,7 +109,7 @@
     """Return a submission's answer, or that it is still running."""
     submission = border.read_id(submission_id)
     if isinstance(submission, Refusal):
-        return replies.error_reply(submission)
+        return replies.refuse(request, submission)
     return await _ask(request, Fetch(submission, wait_ms))
 
 
@@ -120,7 +122,7 @@
     """Cancel what has not ended of a submission."""
     submission = border.read_id(submission_id)
     if isinstance(submission, Refusal):
-        return replies.error_reply(submission)
+        return replies.refuse(request, submission)
     return await _ask(request, Cancel(submission))
 
 
@@ -133,7 +135,7 @@
     """Run one request outside a job and return its outcome."""
     model = await replies.read_model(request, _REQUEST)
     if isinstance(model, Refusal):
-        return replies.error_reply(model)
+        return replies.refuse(request, model)
     call = SingleRequest(
         class_name=model.class_name,
         body=bytes(model.body),
@@ -157,19 +159,28 @@
 async def _submit_under_new_id(request, job, wait_ms):
     opened = await request.app.state.node.ask(OpenIds(1))
     if isinstance(opened, Refusal):
-        return replies.error_reply(opened)
+        return replies.refuse(request, opened)
     return await _ask(request, Submit(opened.ids[0], job, wait_ms))
 
 
 async def _ask(request, call):
     answer = await request.app.state.node.ask(call)
     if isinstance(answer, Refusal):
-        return replies.error_reply(answer)
+        return replies.refuse(request, answer, _class_name(call))
     return replies.json_reply(
         border.write_answer(answer), _status(answer), _headers(answer)
     )
 
 
+def _class_name(call):
+    match call:
+        case Submit(job=job) | SubmitWithKey(job=job):
+            return job.class_name
+        case SingleRequest(class_name=class_name):
+            return class_name
+    return ""
+
+
 def _status(answer):
     running = isinstance(answer, JobAnswer) and answer.state is JobState.RUNNING
     return STATUS_RUNNING if running else 200
--- a/plantainhitch/transport/operator_routes.py
+++ b/plantainhitch/transport/operator_routes.py
@@ -29,7 +29,7 @@
     if document is None:
         message = "no classes have been applied yet"
         refusal = Refusal(ErrorCode.NO_CONFIGURATION, message, not_run=True)
-        return replies.error_reply(refusal)
+        return replies.refuse(request, refusal)
     return _json(classes_model(document))
 
 
@@ -41,10 +41,10 @@
     """Put a new version in force, on condition that the base is the newest."""
     change = await replies.read_model(request, _APPLY)
     if isinstance(change, Refusal):
-        return replies.error_reply(change)
+        return replies.refuse(request, change)
     parsed = class_files.from_tables({"classes": change.classes, "teams": change.teams})
     if isinstance(parsed, Failure):
-        return replies.error_reply(_bad_configuration(parsed.failure()))
+        return replies.refuse(request, _bad_configuration(parsed.failure()))
     content = parsed.unwrap()
     result = await request.app.state.node.configuration.apply(
         change.base_version,
@@ -57,7 +57,7 @@
         case Success(document):
             return _json(classes_model(document))
         case Failure(refusal):
-            return replies.error_reply(refusal)
+            return replies.refuse(request, refusal)
     raise TypeError(f"not a result: {result!r}")
 
 
@@ -73,7 +73,7 @@
             versions = [classes_model(document) for document in documents]
             return _json(models.HistoryModel(versions))
         case Failure(refusal):
-            return replies.error_reply(refusal)
+            return replies.refuse(request, refusal)
     raise TypeError(f"not a result: {result!r}")
 
 
@@ -122,6 +122,7 @@
     if request.app.state.node.ready:
         return _json(models.HealthModel(True))
     refusal = Refusal(ErrorCode.NOT_READY, "starting or draining", not_run=True)
+    # Health checks are no refused calls.
     return replies.error_reply(refusal)
 
 
@@ -180,7 +181,7 @@
 async def _drain(request, name, draining):
     refusal = await request.app.state.node.drain(name, draining)
     if refusal is not None:
-        return replies.error_reply(refusal)
+        return replies.refuse(request, refusal)
     return _json(models.DrainModel(name, draining))
 
 
--- a/plantainhitch/transport/replies.py
+++ b/plantainhitch/transport/replies.py
@@ -34,6 +34,12 @@
     return json_reply(border.write_error(refusal), refusal.http_status, headers)
 
 
+def refuse(request, refusal, class_name=""):
+    """Count a refused call in the entry's metrics and return its reply."""
+    _count(request, refusal, class_name)
+    return error_reply(refusal)
+
+
 def retry_headers(retry_after_ms):
     """Return the ``Retry-After`` header, in whole seconds rounded up, or None."""
     if not retry_after_ms:
@@ -63,7 +69,7 @@
 
 def handle_http_error(request, error):
     """Turn an exception of the HTTP library into an error reply."""
-    return _exception_reply(_refusal_for(request, error))
+    return _exception_reply(request, _refusal_for(request, error))
 
 
 def handle_crash(request, error):
@@ -75,11 +81,19 @@
         exc_info=(type(error), error, error.__traceback__),
     )
     message = "the entry failed to answer; the outcome is unknown"
-    return _exception_reply(Refusal(ErrorCode.INTERNAL, message))
+    return _exception_reply(request, Refusal(ErrorCode.INTERNAL, message))
+
+
+def _count(request, refusal, class_name=""):
+    # While the process starts there is no node yet, and so no metrics.
+    metrics = getattr(request.app.state.node, "metrics", None)
+    if metrics is not None:
+        metrics.refused(class_name, refusal.code)
 
 
-def _exception_reply(refusal):
-    """Return what ``error_reply`` does, as the kind that exception handlers give."""
+def _exception_reply(request, refusal):
+    """Return what ``refuse`` does, as the kind that exception handlers give."""
+    _count(request, refusal)
     return Response(
         border.write_error(refusal),
         status_code=refusal.http_status,
--- a/tests/test_entry_http.py
+++ b/tests/test_entry_http.py
@@ -7,6 +7,7 @@
 
 import httpx
 
+from plantainhitch.metrics import Counter
 from plantainhitch.outcomes import Reason, Unknown
 from plantainhitch.protocol.calls import JobState, RequestAnswer, SubmitWithKey
 from plantainhitch.protocol.errors import HTTP_STATUS, ErrorCode, Refusal
@@ -109,6 +110,8 @@
                 self.assertTrue(error["not_run"])
         self.assertEqual(self.node.calls, [])
         self.assertEqual((await self.put(job(), path)).status_code, 200)
+        counted = self.node.metrics.value(Counter.REFUSALS, "", "bad_json")
+        self.assertEqual(counted, 4)
 
     async def test_content_type(self):
         for content_type in ("text/plain", "", "application/x-www-form-urlencoded"):
@@ -127,6 +130,9 @@
                 self.assertEqual(response.headers["retry-after"], "2")
                 self.assertEqual(error["retry_after_ms"], 1_001)
                 self.assertEqual(error["details"], ["first"])
+                named = "" if code is ErrorCode.CLASS_UNKNOWN else "render"
+                count = self.node.metrics.value(Counter.REFUSALS, named, code.value)
+                self.assertEqual(count, 1)
 
     async def test_crash_is_not_called_not_run(self):
         self.node.crash = RuntimeError("broken")
@@ -161,6 +167,8 @@
                 await entered.acquire()
             error = self.assert_error(await post(body), ErrorCode.OVERLOADED)
             self.assertTrue(error["not_run"])
+            counted = self.node.metrics.value(Counter.REFUSALS, "", "overloaded")
+            self.assertEqual(counted, 1)
             too_large = await post(b" " * 2_000)
             self.assert_error(too_large, ErrorCode.BODY_TOO_LARGE)
             go_on.set()
