End callers' connections with the reply while an entry drains

At its end an entry closes idle connections, and a call sent on one at that moment got no reply. Replies of an entry that isn't ready say 'Connection: close' now, so that callers and the balancer have left before.

--- a/benchmarks/border.py
+++ b/benchmarks/border.py
@@ -30,6 +30,8 @@
 class InstantNode:
     """Answers a submission at once with its own bodies."""
 
+    ready = True
+
     async def ask(self, call):
         """Return the complete answer."""
         outcomes = {task.index: Succeeded(task.body) for task in call.job.tasks}
--- a/plantainhitch/transport/caller_routes.py
+++ b/plantainhitch/transport/caller_routes.py
@@ -7,6 +7,7 @@
 from litestar.params import FromPath, HeaderParameter, QueryParameter
 from litestar.response.base import ASGIResponse
 
+from ..outcomes import NotRun
 from ..protocol import border, models
 from ..protocol.calls import (
     MAX_WAIT_MS,
@@ -168,7 +169,9 @@
     if isinstance(answer, Refusal):
         return replies.refuse(request, answer, _class_name(call))
     return replies.json_reply(
-        border.write_answer(answer), _status(answer), _headers(answer)
+        border.write_answer(answer),
+        _status(answer),
+        replies.reply_headers(request, _retry_after_ms(answer)),
     )
 
 
@@ -186,13 +189,13 @@
     return STATUS_RUNNING if running else 200
 
 
-def _headers(answer):
+def _retry_after_ms(answer):
     match answer:
         case JobAnswer(retry_after_ms=retry_after_ms):
-            return replies.retry_headers(retry_after_ms)
-        case RequestAnswer(outcome):
-            return replies.retry_headers(getattr(outcome, "retry_after_ms", 0))
-    return None
+            return retry_after_ms
+        case RequestAnswer(NotRun(retry_after_ms=retry_after_ms)):
+            return retry_after_ms
+    return 0
 
 
 def _traceparent(request):
--- a/plantainhitch/transport/operator_routes.py
+++ b/plantainhitch/transport/operator_routes.py
@@ -123,7 +123,7 @@
         return _json(models.HealthModel(True))
     refusal = Refusal(ErrorCode.NOT_READY, "starting or draining", not_run=True)
     # Health checks are no refused calls.
-    return replies.error_reply(refusal)
+    return replies.error_reply(refusal, request)
 
 
 @get("/metrics", media_type="text/plain", operation_class=operation(str))
--- a/plantainhitch/transport/replies.py
+++ b/plantainhitch/transport/replies.py
@@ -28,23 +28,31 @@
     )
 
 
-def error_reply(refusal):
+def error_reply(refusal, request):
     """Return the reply for a ``Refusal``, with ``Retry-After`` where it has one."""
-    headers = retry_headers(refusal.retry_after_ms)
+    headers = reply_headers(request, refusal.retry_after_ms)
     return json_reply(border.write_error(refusal), refusal.http_status, headers)
 
 
 def refuse(request, refusal, class_name=""):
     """Count a refused call in the entry's metrics and return its reply."""
     _count(request, refusal, class_name)
-    return error_reply(refusal)
+    return error_reply(refusal, request)
 
 
-def retry_headers(retry_after_ms):
-    """Return the ``Retry-After`` header, in whole seconds rounded up, or None."""
-    if not retry_after_ms:
-        return None
-    return {"retry-after": str(math.ceil(retry_after_ms / 1000))}
+def reply_headers(request, retry_after_ms=0):
+    """Return the headers of a reply, or None where it needs none.
+
+    ``Retry-After`` is in whole seconds, rounded up. An entry that isn't ready has
+    its callers' connections end with the reply, so that none is in use by the
+    time it closes those that are left.
+    """
+    headers = {}
+    if retry_after_ms:
+        headers["retry-after"] = str(math.ceil(retry_after_ms / 1000))
+    if not getattr(request.app.state.node, "ready", False):
+        headers["connection"] = "close"
+    return headers or None
 
 
 async def read_json(request):
@@ -98,7 +106,7 @@
         border.write_error(refusal),
         status_code=refusal.http_status,
         media_type=JSON_TYPE,
-        headers=retry_headers(refusal.retry_after_ms),
+        headers=reply_headers(request, refusal.retry_after_ms),
     )
 
 
--- a/tests/test_entry_http.py
+++ b/tests/test_entry_http.py
@@ -374,6 +374,21 @@
                 self.server.address.host, self.server.address.port
             )
 
+    async def test_draining_entry_ends_connections_with_the_reply(self):
+        address = self.server.address
+        reader, writer = await asyncio.open_connection(address.host, address.port)
+        head = b"POST /v1/ids HTTP/1.1\r\nHost: x\r\nContent-Type: application/json\r\n"
+        call = head + b"Content-Length: 2\r\n\r\n{}"
+        writer.write(call)
+        self.assertIn(b" 200 ", await reader.readline())
+        self.node.ready = False
+        writer.write(call)
+        rest = await asyncio.wait_for(reader.read(), 5)
+        self.assertEqual(rest.count(b'{"ids":["'), 2)
+        self.assertIn(b"connection: close", rest.lower())
+        writer.close()
+        await self.server.aclose()
+
     async def test_replies_do_not_wait_for_acknowledgements(self):
         address = self.server.address
         reader, writer = await asyncio.open_connection(address.host, address.port)
