--- a/tests/test_entry_http.py
+++ b/tests/test_entry_http.py
@@ -7,6 +7,7 @@
 
 import httpx
 
+from plantainhitch.metrics import Counter
 from plantainhitch.outcomes import Reason, Unknown
 from plantainhitch.protocol.calls import JobState, RequestAnswer, SubmitWithKey
 from plantainhitch.protocol.errors import HTTP_STATUS, ErrorCode, Refusal
@@ -109,6 +110,8 @@
                 self.assertTrue(error["not_run"])
         self.assertEqual(self.node.calls, [])
         self.assertEqual((await self.put(job(), path)).status_code, 200)
+        counted = self.node.metrics.value(Counter.REFUSALS, "", "bad_json")
+        self.assertEqual(counted, 4)
 
     async def test_content_type(self):
         for content_type in ("text/plain", "", "application/x-www-form-urlencoded"):
@@ -127,6 +130,9 @@
                 self.assertEqual(response.headers["retry-after"], "2")
                 self.assertEqual(error["retry_after_ms"], 1_001)
                 self.assertEqual(error["details"], ["first"])
+                named = "" if code is ErrorCode.CLASS_UNKNOWN else "render"
+                count = self.node.metrics.value(Counter.REFUSALS, named, code.value)
+                self.assertEqual(count, 1)
 
     async def test_crash_is_not_called_not_run(self):
         self.node.crash = RuntimeError("broken")
@@ -161,6 +167,8 @@
                 await entered.acquire()
             error = self.assert_error(await post(body), ErrorCode.OVERLOADED)
             self.assertTrue(error["not_run"])
+            counted = self.node.metrics.value(Counter.REFUSALS, "", "overloaded")
+            self.assertEqual(counted, 1)
             too_large = await post(b" " * 2_000)
             self.assert_error(too_large, ErrorCode.BODY_TOO_LARGE)
             go_on.set()
@@ -366,6 +374,21 @@
                 self.server.address.host, self.server.address.port
             )
 
+    async def test_draining_entry_ends_connections_with_the_reply(self):
+        address = self.server.address
+        reader, writer = await asyncio.open_connection(address.host, address.port)
+        head = b"POST /v1/ids HTTP/1.1\r\nHost: x\r\nContent-Type: application/json\r\n"
+        call = head + b"Content-Length: 2\r\n\r\n{}"
+        writer.write(call)
+        self.assertIn(b" 200 ", await reader.readline())
+        self.node.ready = False
+        writer.write(call)
+        rest = await asyncio.wait_for(reader.read(), 5)
+        self.assertEqual(rest.count(b'{"ids":["'), 2)
+        self.assertIn(b"connection: close", rest.lower())
+        writer.close()
+        await self.server.aclose()
+
     async def test_replies_do_not_wait_for_acknowledgements(self):
         address = self.server.address
         reader, writer = await asyncio.open_connection(address.host, address.port)
