Never call a fault of our own 'not run'

Server errors that the HTTP library raises as its own exceptions were answered as bad_field with not_run true, which is a proof that nobody had. They are answered as internal now; a test with such an exception out of a call failed before. A caller who leaves in the middle of a body is counted as bad input, without a traceback in the log. Another test mixes 200 connections of drawn bytes with 10 good calls.

--- a/plantainhitch/transport/replies.py
+++ b/plantainhitch/transport/replies.py
@@ -5,6 +5,7 @@
 from litestar import Response
 from litestar.exceptions import (
     HTTPException,
+    InternalServerException,
     MethodNotAllowedException,
     NotFoundException,
     ValidationException,
@@ -17,6 +18,7 @@
 
 JSON_TYPE = "application/json"
 STATUS_TOO_LARGE = 413
+STATUS_SERVER_ERROR = 500
 
 _log = get_logger("http")
 
@@ -66,7 +68,11 @@
     if media_type != JSON_TYPE:
         message = f"content type {content_type[:80]!r}; send {JSON_TYPE}"
         return Refusal(ErrorCode.BAD_CONTENT_TYPE, message, not_run=True)
-    return await request.body()
+    try:
+        return await request.body()
+    except InternalServerException:
+        # The caller has gone before the end of the body; nobody reads the reply.
+        return Refusal(ErrorCode.BAD_JSON, "the body was cut off", not_run=True)
 
 
 async def read_model(request, decoder):
@@ -77,6 +83,8 @@
 
 def handle_http_error(request, error):
     """Turn an exception of the HTTP library into an error reply."""
+    if error.status_code >= STATUS_SERVER_ERROR:
+        return handle_crash(request, error)
     return _exception_reply(request, _refusal_for(request, error))
 
 
--- a/tests/test_entry_http.py
+++ b/tests/test_entry_http.py
@@ -2,10 +2,12 @@
 
 import asyncio
 import json
+import random
 import socket
 import unittest
 
 import httpx
+from litestar.exceptions import InternalServerException
 
 from plantainhitch.metrics import Counter
 from plantainhitch.outcomes import Reason, Unknown
@@ -135,10 +137,12 @@
                 self.assertEqual(count, 1)
 
     async def test_crash_is_not_called_not_run(self):
-        self.node.crash = RuntimeError("broken")
-        error = self.assert_error(await self.put(job()), ErrorCode.INTERNAL)
-        self.assertFalse(error["not_run"])
-        self.assertNotIn("broken", error["message"])
+        for crash in (RuntimeError("broken"), InternalServerException("broken")):
+            with self.subTest(crash=crash):
+                self.node.crash = crash
+                error = self.assert_error(await self.put(job()), ErrorCode.INTERNAL)
+                self.assertFalse(error["not_run"])
+                self.assertNotIn("broken", error["message"])
 
     async def test_bodies_held_at_a_time_are_bounded(self):
         limits = Limits(body_bytes=1_000, held_body_bytes=2_500)
@@ -349,6 +353,46 @@
                 writer.close()
         await self.server.aclose(within_ms=1_000)
 
+    async def test_caller_who_leaves_early_is_no_fault_of_ours(self):
+        address = self.server.address
+        _, writer = await asyncio.open_connection(address.host, address.port)
+        head = b"POST /v1/ids HTTP/1.1\r\nHost: x\r\nContent-Type: application/json\r\n"
+        writer.write(head + b"Content-Length: 20\r\n\r\n{")
+        await writer.drain()
+        await asyncio.sleep(0.05)
+        writer.transport.abort()
+        await self.server.aclose(within_ms=1_000)
+        metrics = self.node.metrics
+        self.assertEqual(metrics.value(Counter.REFUSALS, "", "internal"), 0)
+        self.assertEqual(metrics.value(Counter.REFUSALS, "", "bad_json"), 1)
+
+    async def test_other_callers_see_nothing_of_bad_bytes(self):
+        drawn = random.Random(1)
+        call = (
+            b"PUT /v1/submissions/x HTTP/1.1\r\nHost: x\r\nContent-Length: 9\r\n\r\n{}"
+        )
+        address = self.server.address
+
+        async def misbehave():
+            _, writer = await asyncio.open_connection(address.host, address.port)
+            kept = call[: drawn.randrange(len(call))]
+            writer.write(kept + drawn.randbytes(drawn.randrange(300)))
+            await asyncio.sleep(0.01)
+            writer.transport.abort()
+
+        async with httpx.AsyncClient() as client:
+            with self.assertLogs("uvicorn.error", "WARNING"):
+                await self._mix_calls(client, misbehave)
+        await self.server.aclose(within_ms=1_000)
+        self.assertEqual(len(self.node.calls), 10)
+
+    async def _mix_calls(self, client, misbehave):
+        for _ in range(10):
+            bad = [asyncio.create_task(misbehave()) for _ in range(20)]
+            good = await client.post(f"{self.url}/v1/ids", json={"count": 2})
+            self.assertEqual(len(good.json()["ids"]), 2)
+            await asyncio.gather(*bad)
+
     async def test_close_lets_a_request_finish(self):
         entered = asyncio.Event()
         go_on = asyncio.Event()
