Survive unreadable rows in the table

Such a row is now a fault of that read; the key is refused, other keys of its batch are bound. The rows of the configuration have a module of their own.

--- a/plantainhitch/coordination/configuration.py
+++ b/plantainhitch/coordination/configuration.py
@@ -11,9 +11,8 @@
 """
 
 import asyncio
-from dataclasses import asdict, dataclass
+from dataclasses import asdict
 
-import msgspec
 from returns.result import Failure, Success
 
 from ..logs import get_logger
@@ -21,15 +20,21 @@
 from ..state import class_files
 from ..state.classes import NO_VERSION, ClassDocument
 from ..transport.platform import (
-    ABSENT,
     TABLE_CONFIGURATION,
     FaultKind,
     PlatformFault,
-    Write,
 )
 from .backoff import Backoff, poll
+from .configuration_rows import (
+    CURRENT_KEY,
+    change_key,
+    change_of,
+    document_of,
+    head_of,
+    transaction,
+    version_key,
+)
 
-CURRENT_KEY = "current"
 REFRESH_MS = 1_000
 # How long ``apply`` tries to find out whether its change took effect.
 SETTLE_LIMIT_MS = 15_000
@@ -40,40 +45,6 @@
 log = get_logger("configuration")
 
 
-class HeadModel(msgspec.Struct):
-    """The value of the row ``current``."""
-
-    version: int
-    change_id: str
-    author: str
-
-
-class ChangeModel(msgspec.Struct):
-    """The value of a change id's row."""
-
-    version: int
-
-
-@dataclass(frozen=True, slots=True)
-class _Head:
-    """The row ``current`` as read; without a row, version 0 and no revision."""
-
-    version: int = NO_VERSION
-    change_id: str = ""
-    author: str = ""
-    revision: int = ABSENT
-
-
-def version_key(version):
-    """Return the key of a version's row."""
-    return f"version/{version:010}"
-
-
-def change_key(change_id):
-    """Return the key of a change id's row."""
-    return f"change/{change_id}"
-
-
 class ConfigurationStore:
     """The newest known class document, and changes to it.
 
@@ -228,7 +199,7 @@
         if head.version != document.version - 1:
             return await self._conflict(document, head)
         written = await self._platform.write(
-            TABLE_CONFIGURATION, _transaction(document, head.revision)
+            TABLE_CONFIGURATION, transaction(document, head.revision)
         )
         match written:
             case Failure(fault) if fault.kind is FaultKind.CONFLICT:
@@ -253,16 +224,21 @@
             case Success(None) | Failure(_):
                 return read
             case Success(row):
-                change = msgspec.json.decode(row.value, type=ChangeModel)
-        return await self._read_document(change.version)
+                change = change_of(row)
+        match change:
+            case Success(model):
+                return await self._read_document(model.version)
+        return change
 
     async def _read_head(self):
+        """Return Success(Head) or Failure(fault)."""
         read = await self._platform.read(TABLE_CONFIGURATION, CURRENT_KEY)
-        return read.map(_head_of)
+        return read.bind(head_of)
 
     async def _read_document(self, version):
+        """Return Success(ClassDocument) or Failure(fault)."""
         read = await self._platform.read(TABLE_CONFIGURATION, version_key(version))
-        return read.map(lambda row: ClassDocument.from_json(row.value))
+        return read.bind(document_of)
 
     async def _fetch(self, version):
         match await self._read_document(version):
@@ -292,25 +268,6 @@
     return tables
 
 
-def _head_of(row):
-    if row is None:
-        return _Head()
-    model = msgspec.json.decode(row.value, type=HeadModel)
-    return _Head(model.version, model.change_id, model.author, row.revision)
-
-
-def _transaction(document, head_revision):
-    """Return the three conditional writes that make ``document`` the newest."""
-    head = HeadModel(document.version, document.change_id, document.author)
-    change = ChangeModel(document.version)
-    encode = msgspec.json.encode
-    return [
-        Write(CURRENT_KEY, encode(head), head_revision),
-        Write(version_key(document.version), document.to_json(), ABSENT),
-        Write(change_key(document.change_id), encode(change), ABSENT),
-    ]
-
-
 def _same_or_refused(found, document):
     """Return the outcome for a change id that is in the table already."""
     if (found.classes, found.teams) == (document.classes, document.teams):
--- a/plantainhitch/coordination/keys.py
+++ b/plantainhitch/coordination/keys.py
@@ -190,7 +190,11 @@
 
     def _answer(self, waiting, value):
         """Answer all calls for a key whose row holds ``value``."""
-        model = msgspec.json.decode(value, type=BindingModel)
+        model = _read(value)
+        if model is None:
+            log.error("unreadable binding", key=waiting.row_key)
+            _refuse(waiting, Refusal(ErrorCode.INTERNAL, "the key can't be read"))
+            return
         is_expired = self._clock.wall_ms() - model.bound_ms > RETENTION_MS
         for call in waiting.calls:
             if not call.answer.done():
@@ -251,8 +255,8 @@
     def _is_free(self, row):
         if row.value is None:
             return False
-        model = msgspec.json.decode(row.value, type=BindingModel)
-        age_ms = self._clock.wall_ms() - model.bound_ms
+        model = _read(row.value)
+        age_ms = self._clock.wall_ms() - model.bound_ms if model else 0
         return age_ms > RETENTION_MS + SWEEP_MARGIN_MS
 
     def _pass_over(self, changes):
@@ -261,6 +265,14 @@
             self._revision = changes.revision
 
 
+def _read(value):
+    """Return the binding in a row's value, or None where there is none."""
+    try:
+        return msgspec.json.decode(value, type=BindingModel)
+    except msgspec.DecodeError:
+        return None
+
+
 def _judge(call, model, is_expired):
     """Return the result of one call, given its key's binding."""
     if is_expired:
--- a/plantainhitch/coordination/membership.py
+++ b/plantainhitch/coordination/membership.py
@@ -287,7 +287,8 @@
             self._own_revision = ABSENT
             return False
         self._own_revision = row.revision
-        if Member.from_json(row.value).left:
+        found = _read_member(row)
+        if found is not None and found.left:
             log.critical("others hold this process for dead", key=row.key)
             self._is_disowned = True
         return row.value == value
@@ -306,14 +307,10 @@
 
     def _apply_member(self, row):
         if row.value is None:
-            self._forget(bytes.fromhex(row.key.partition("/")[2]))
+            self._forget(row.key)
             return
-        try:
-            member = Member.from_json(row.value)
-        except (ValueError, TypeError) as error:
-            log.error("unreadable member row", key=row.key, why=str(error))
-            return
-        if self._is_of_interest(member):
+        member = _read_member(row)
+        if member is not None and self._is_of_interest(member):
             self._members[member.incarnation] = member
             self._row_revisions[member.incarnation] = row.revision
             self._learned_ms.setdefault(member.incarnation, self._clock.now_ms())
@@ -323,7 +320,11 @@
             return True
         return member.region == self._region
 
-    def _forget(self, incarnation):
+    def _forget(self, key):
+        try:
+            incarnation = bytes.fromhex(key.partition("/")[2])
+        except ValueError:
+            return
         self._members.pop(incarnation, None)
         self._row_revisions.pop(incarnation, None)
         self._learned_ms.pop(incarnation, None)
@@ -343,3 +344,12 @@
             elif incarnation in self._proved_dead and not member.left:
                 left = replace(member, left=True, renewed_ms=now_ms)
                 yield Write(member.key, left.to_json(), revision)
+
+
+def _read_member(row):
+    """Return the member in a row, or None where it is unreadable."""
+    try:
+        return Member.from_json(row.value)
+    except (ValueError, TypeError) as error:
+        log.error("unreadable member row", key=row.key, why=str(error))
+        return None
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -11,6 +11,7 @@
 from plantainhitch.protocol.errors import ErrorCode
 from plantainhitch.standins.table import Faults, MemoryPlatform, TableService
 from plantainhitch.state.classes import ClassDefinition, ClassDocument
+from plantainhitch.transport.platform import Write
 
 TEAMS = {}
 
@@ -175,3 +176,18 @@
     async def test_document_survives_json(self):
         document = (await self.apply(0, "c1")).unwrap()
         self.assertEqual(ClassDocument.from_json(document.to_json()), document)
+
+    async def test_unreadable_rows_are_refused_and_survived(self):
+        await self.apply(0, "c1")
+        for key in ("current", "change/c2", "version/0000000001"):
+            with self.subTest(key=key):
+                good = (await self.platform.read("configuration", key)).unwrap()
+                await self.platform.write("configuration", [Write(key, b"{bad")])
+                reader = ConfigurationStore(self.platform, self.clock)
+                refresh_worked = await reader.refresh()
+                self.assertEqual(refresh_worked, key == "change/c2")
+                refused = await reader.apply(1, "c2", "ann", classes_with(1), TEAMS)
+                if key != "version/0000000001":
+                    self.assertIs(refused.failure().code, ErrorCode.STORE_DOWN)
+                value = good.value if good else None
+                await self.platform.write("configuration", [Write(key, value)])
--- a/tests/test_keys.py
+++ b/tests/test_keys.py
@@ -14,9 +14,11 @@
     Binding,
     KeyBinder,
     KeySweeper,
+    key_hash,
 )
 from plantainhitch.protocol.errors import ErrorCode
 from plantainhitch.standins.table import Faults, MemoryPlatform, TableService
+from plantainhitch.transport.platform import TABLE_KEYS, Write
 
 DIGEST = b"digest"
 
@@ -83,6 +85,19 @@
         self.assertEqual(rebound, Success(Binding(b"new", DIGEST, True)))
         self.assertEqual(await sweeper.sweep(), 0)
 
+    async def test_an_unreadable_row_harms_no_other_key(self):
+        writes = [Write(key_hash("bad"), b"{bad")]
+        await self.platform.write(TABLE_KEYS, writes)
+        bad, good = await asyncio.gather(
+            self.binder.bind("bad", DIGEST, b"a"), self.binder.bind("k", DIGEST, b"b")
+        )
+        self.assertIs(bad.failure().code, ErrorCode.INTERNAL)
+        self.assertFalse(bad.failure().not_run)
+        self.assertEqual(good, Success(Binding(b"b", DIGEST, True)))
+        self.clock.advance(10 * RETENTION_MS)
+        sweeper = KeySweeper(self.platform, self.clock)
+        self.assertEqual(await sweeper.sweep(), 1)
+
 
 class RaceTest(unittest.IsolatedAsyncioTestCase):
     """Several entries bind the same keys at once."""
