Share what entry and agent do to start; say plainly that an address is in use

Both commands had the same listeners, the same stand-in for a node that isn't there yet and the same bound addresses; these stand once in lifecycle now. An address in use ended them with a traceback; it is one log line with the address and exit code 1. A call that comes before the node is there is refused as not ready in place of a crash. The platform stand-in declares its parameters as the HTTP library now wants it.

--- a/plantainhitch/commands/entry.py
+++ b/plantainhitch/commands/entry.py
@@ -5,10 +5,8 @@
 from .. import logs
 from ..clock import Clock
 from ..coordination.entry import BoundAddresses, EntryNode
-from ..transport import links
-from ..transport.addresses import Address
+from ..protocol.errors import ErrorCode, Refusal
 from ..transport.entry_http import create_app
-from ..transport.http_server import serve
 from ..transport.platform_http import PlatformClient
 from . import lifecycle
 
@@ -31,39 +29,34 @@
     """
     signals = install_signals()
     platform = PlatformClient.from_settings(settings)
-    holder = NodeHolder()
-    link_server = await links.listen(settings.link, clock, holder.serve_link)
+    holder = EntryHolder()
     app = create_app(holder, settings.limits)
-    http_server = await serve(app, settings.http)
-    bound = BoundAddresses(_bound_address(link_server), http_server.address)
+    try:
+        listeners = await lifecycle.Listeners.start(settings, clock, holder, app)
+    except OSError as error:
+        log.critical("can't listen", error=str(error))
+        return lifecycle.EXIT_FAILED
+    bound = BoundAddresses(listeners.link, listeners.http)
     node = EntryNode.from_settings(settings, clock, platform, bound)
     holder.node = node
     announce(name=settings.name, http=bound.http, link=bound.link)
     cut = await lifecycle.run_until_stopped(node, signals, settings.limits.drain_ms)
-    await http_server.aclose(within_ms=settings.limits.drain_ms if not cut else 0)
-    link_server.close()
+    within_ms = 0 if cut else settings.limits.drain_ms
+    await listeners.http_server.aclose(within_ms)
+    listeners.link_server.close()
     await node.aclose()
     await platform.aclose()
     return lifecycle.EXIT_OK
 
 
-class NodeHolder:
-    """Stands for the node while its addresses are not bound yet."""
-
-    def __init__(self):
-        self.node = None
+class EntryHolder(lifecycle.NodeHolder):
+    """Stands for an entry's node in its HTTP application."""
 
     def __getattr__(self, name):
         return getattr(self.node, name)
 
-    async def serve_link(self, link):
-        """Serve a link, or close one that comes too early."""
+    async def ask(self, call):
+        """Hand a call to the node; refuse one that comes too early."""
         if self.node is None:
-            link.close("starting")
-            return
-        await self.node.serve_link(link)
-
-
-def _bound_address(server):
-    host, port = server.sockets[0].getsockname()[:2]
-    return Address(host, port)
+            return Refusal(ErrorCode.NOT_READY, "this entry is starting", not_run=True)
+        return await self.node.ask(call)
--- a/plantainhitch/commands/lifecycle.py
+++ b/plantainhitch/commands/lifecycle.py
@@ -1,4 +1,4 @@
-"""What the long-running commands share: settings, signals, the ready line."""
+"""What the long-running commands share: settings, listeners, signals, ready line."""
 
 import asyncio
 import json
@@ -7,8 +7,12 @@
 
 from .. import logs
 from ..settings import Settings
+from ..transport import links
+from ..transport.addresses import Address
+from ..transport.http_server import serve
 
 EXIT_OK = 0
+EXIT_FAILED = 1
 EXIT_USAGE = 2
 
 log = logs.get_logger("lifecycle")
@@ -29,6 +33,57 @@
     print(json.dumps(line), flush=True)
 
 
+class NodeHolder:
+    """Stands for the node while its addresses are not bound yet."""
+
+    def __init__(self):
+        self.node = None
+
+    @property
+    def ready(self):
+        """Whether the node is ready."""
+        return self.node is not None and self.node.ready
+
+    async def serve_link(self, link):
+        """Serve a link, or close one that comes too early."""
+        if self.node is None:
+            link.close("starting")
+            return
+        await self.node.serve_link(link)
+
+
+class Listeners:
+    """The process's two servers, for links and for HTTP."""
+
+    def __init__(self, link_server, http_server):
+        self.link_server = link_server
+        self.http_server = http_server
+
+    @classmethod
+    async def start(cls, settings, clock, holder, app):
+        """Listen at the addresses in ``settings``.
+
+        Raises OSError, with the address, where one can't be had.
+        """
+        link_server = await links.listen(settings.link, clock, holder.serve_link)
+        try:
+            return cls(link_server, await serve(app, settings.http))
+        except OSError:
+            link_server.close()
+            raise
+
+    @property
+    def link(self):
+        """The address bound for links."""
+        host, port = self.link_server.sockets[0].getsockname()[:2]
+        return Address(host, port)
+
+    @property
+    def http(self):
+        """The address bound for HTTP."""
+        return self.http_server.address
+
+
 class StopSignals:
     """SIGTERM and SIGINT: the first asks to drain, the second to end at once."""
 
--- a/plantainhitch/standins/platform.py
+++ b/plantainhitch/standins/platform.py
@@ -12,6 +12,7 @@
 import uvicorn
 from litestar import Litestar, Request, Response, get, post, put
 from litestar.exceptions import ClientException, HTTPException, NotFoundException
+from litestar.params import FromPath, FromQuery
 
 from ..transport.addresses import Address
 from ..transport.platform_models import (
@@ -108,7 +109,7 @@
 
     def _read_handler(self):
         @get("/tables/{table:str}/rows/{key:path}")
-        async def read(table: str, key: str) -> ReadModel:
+        async def read(table: FromPath[str], key: FromPath[str]) -> ReadModel:
             await self._admit_read()
             row = self._tables.table(table).read(key.removeprefix("/"))
             return ReadModel(RowModel.from_row(row) if row else None)
@@ -118,7 +119,9 @@
     def _changes_handler(self):
         @get("/tables/{table:str}/changes")
         async def changes(
-            table: str, since: int = 0, limit: int | None = None
+            table: FromPath[str],
+            since: FromQuery[int] = 0,
+            limit: FromQuery[int | None] = None,
         ) -> ChangesModel:
             await self._admit_read()
             found = self._tables.table(table).changes(since, limit)
@@ -128,7 +131,7 @@
 
     def _write_handler(self):
         @post("/tables/{table:str}/write", status_code=HTTP_OK)
-        async def write(table: str, request: Request) -> Response:
+        async def write(table: FromPath[str], request: Request) -> Response:
             transaction = await _decode_body(request, TransactionModel)
             await self._admit_write()
             if self._take("lose_requests"):
@@ -147,7 +150,7 @@
 
     def _object_handlers(self):
         @get("/objects/{name:path}")
-        async def read_object(name: str) -> Response:
+        async def read_object(name: FromPath[str]) -> Response:
             await self._admit_read()
             if name not in self._objects:
                 raise NotFoundException(f"no object {name}")
@@ -155,7 +158,7 @@
             return Response(self._objects[name], media_type=media_type)
 
         @put("/objects/{name:path}")
-        async def write_object(name: str, request: Request) -> None:
+        async def write_object(name: FromPath[str], request: Request) -> None:
             body = await request.body()
             await self._admit_write()
             self._objects[name] = body
--- a/plantainhitch/transport/http_server.py
+++ b/plantainhitch/transport/http_server.py
@@ -118,8 +118,8 @@
     try:
         bound.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         bound.bind((address.host, address.port))
-    except OSError:
+    except OSError as error:
         bound.close()
-        raise
+        raise OSError(error.errno, f"{error.strerror}: {address}") from error
     bound.setblocking(False)
     return bound
--- a/tests/test_commands.py
+++ b/tests/test_commands.py
@@ -4,10 +4,13 @@
 import contextlib
 import io
 import json
+import socket
 import tempfile
 import unittest
 from pathlib import Path
 
+import logbook
+
 from plantainhitch.clock import ManualClock
 from plantainhitch.commands import demo
 from plantainhitch.commands.client import Answered, NoReply, Refused
@@ -26,6 +29,16 @@
 from .fake_node import FakeNode
 
 CLASSES = "[classes.render]\nanswers_within_ms = {target}\n"
+SETTINGS = """
+[process]
+name = "x"
+zone = "a"
+[listen]
+http = "{http}"
+link = "{link}"
+[platform]
+address = "127.0.0.1:1"
+"""
 JOB = write_job("render", [b'{"a":1}', b"2"])
 
 
@@ -159,6 +172,28 @@
             self.assertEqual(submitted, identity)
 
 
+class StartTests(unittest.TestCase):
+    """Long-running commands that can't start."""
+
+    def test_address_in_use(self):
+        with socket.create_server(("127.0.0.1", 0)) as taken:
+            port = taken.getsockname()[1]
+            for name, listen in (
+                ("entry", ("127.0.0.1:0", f"127.0.0.1:{port}")),
+                ("agent", (f"127.0.0.1:{port}", "127.0.0.1:0")),
+            ):
+                with self.subTest(name), tempfile.TemporaryDirectory() as folder:
+                    path = Path(folder) / "settings.toml"
+                    path.write_text(SETTINGS.format(http=listen[0], link=listen[1]))
+                    errors = io.StringIO()
+                    with contextlib.redirect_stderr(errors):
+                        self.assertEqual(main([name, "--settings", str(path)]), 1)
+                    logbook.Handler.stack_manager.pop_application()
+                    line = json.loads(errors.getvalue().splitlines()[-1])
+                    self.assertEqual(line["message"], "can't listen")
+                    self.assertIn(str(port), line["error"])
+
+
 class ScriptedClient:
     """Replies in the order given; ``sent`` has what was asked."""
 
