Never block a class behind a task whose agent has refused it

Cause: an agent that had refused a task was used again only where no other agent had room at all, and the search remembered the slowest such agent's end. Now the refusing agent is taken where the best other one isn't worth taking. The test fails before. The comparison also gave all agents of an entry one name; mended.

A search no longer walks over agents without room: each class has a pool, an agent found full leaves it until its load changes.

--- a/benchmarks/product_policy.py
+++ b/benchmarks/product_policy.py
@@ -43,7 +43,8 @@
     """An ``AgentCore`` and its endpoint."""
 
     def __init__(self, policy, endpoint):
-        self.core = AgentCore(policy.clock, name=f"endpoint-{endpoint.number}")
+        self.name = f"endpoint-{endpoint.number}"
+        self.core = AgentCore(policy.clock, name=self.name)
         self.incarnation = endpoint.number.to_bytes(16)
         self._policy = policy
         self._endpoint = endpoint
@@ -171,7 +172,7 @@
         hello = m.Hello(m.ROLE_ENTRY, number.to_bytes(16, "big"), f"entry-{number}")
         agent.core.handle(events.LinkOpened(number, None, hello))
         entry.dispatcher.agent_linked(
-            m.Hello(m.ROLE_AGENT, agent.incarnation, f"endpoint-{number}")
+            m.Hello(m.ROLE_AGENT, agent.incarnation, agent.name)
         )
         document = m.Configuration(1, self.document.to_json())
         agent.hear(number, document)
--- a/plantainhitch/coordination/dispatcher.py
+++ b/plantainhitch/coordination/dispatcher.py
@@ -212,6 +212,7 @@
         self._drained_names = names
         for agent in self._agents.values():
             agent.drained = agent.endpoint in names
+        self._placement.invalidate()
 
     def receive(self, incarnation, message):
         """Take in a message from an agent."""
@@ -223,6 +224,7 @@
                 for report in reports:
                     self._report(agent, report)
                 agent.take_load(spare, waiting)
+                self._placement.touch(agent)
             case m.AgentStatus():
                 agent.take_status(message)
                 agent.drained = message.endpoint in self._drained_names
--- a/plantainhitch/coordination/placement.py
+++ b/plantainhitch/coordination/placement.py
@@ -6,23 +6,100 @@
 Compared with other ways in ``docs/design/placement.md``.
 """
 
+import bisect
 import math
+from dataclasses import dataclass
 
-# How long a ranking is used before it is made anew.
-RANKING_MS = 250
+from .agents import AgentView
+
+# How long the pool of a class is used before it is made anew.
+POOL_MS = 250
 # A task is kept back where it would end later than this many times the best end.
 MAX_END_FACTOR = 4.0
+# Of how many of the fastest agents the best end is taken.
+FASTEST_LOOKED_AT = 8
+
+
+class ClassPool:
+    """The agents for one class by expected run time, and which may have room.
+
+    An agent found without room is left out until its load changes, so that a
+    search doesn't walk over all the busy ones of a large fleet.
+    """
+
+    def __init__(self, made_ms, ranking):
+        self._made_ms = made_ms
+        self._ranking = ranking
+        self._run_ms = {agent: run_ms for run_ms, _, agent in ranking}
+        self._open = list(ranking)
+        self._is_open = set(self._run_ms)
+
+    @classmethod
+    def from_agents(cls, definition, agents, estimates, now_ms):
+        """Return the pool of those agents that tasks of the class fit."""
+        ranking = [
+            (estimates.expected_ms(agent.endpoint, definition.name), agent.name, agent)
+            for agent in agents
+            if agent.fits(definition)
+        ]
+        ranking.sort(key=lambda item: item[:2])
+        return cls(now_ms, ranking)
+
+    @property
+    def made_ms(self):
+        """When the pool was made."""
+        return self._made_ms
+
+    @property
+    def ranking(self):
+        """All agents as (expected run time in ms, name, agent), fastest first."""
+        return self._ranking
+
+    @property
+    def open(self):
+        """Those of the ranking that may have room."""
+        return self._open
+
+    def close(self, position):
+        """Leave out the open agent at ``position``, which has no room."""
+        _, _, agent = self._open.pop(position)
+        self._is_open.discard(agent)
+
+    def reopen(self, agent):
+        """Take an agent in again: its load has changed."""
+        run_ms = self._run_ms.get(agent)
+        if run_ms is None or agent in self._is_open:
+            return
+        self._is_open.add(agent)
+        item = (run_ms, agent.name, agent)
+        bisect.insort(self._open, item, key=lambda item: item[:2])
+
+
+@dataclass(frozen=True, slots=True)
+class Choice:
+    """An agent, and when a task would end there, in ms from now."""
+
+    agent: AgentView | None = None
+    end_ms: float = math.inf
+
+
+@dataclass(slots=True)
+class Found:
+    """The best agent, and the excluded one where it has room as well."""
+
+    best: Choice = Choice()
+    excluded: Choice = Choice()
 
 
 class Placement:
-    """Ranks agents for each class and picks one for each task."""
+    """Keeps a pool of agents for each class and picks one for each task."""
 
     def __init__(self, clock, estimates, judge):
         self._clock = clock
         self._estimates = estimates
         self._judge = judge
         self._agents = {}
-        self._rankings = {}
+        self._pools = {}
 
     def set_agents(self, agents):
         """Use these agents (by incarnation) from now on."""
@@ -30,8 +107,13 @@
         self.invalidate()
 
     def invalidate(self):
-        """Make the rankings anew when they are next needed."""
-        self._rankings.clear()
+        """Make the pools anew when they are next needed."""
+        self._pools.clear()
+
+    def touch(self, agent):
+        """Note that an agent's load has changed."""
+        for pool in self._pools.values():
+            pool.reopen(agent)
 
     def any_fits(self, definition):
         """Return whether some known endpoint is large enough for the class."""
@@ -43,33 +125,51 @@
         ``excluded`` is the name of an agent to be used only where there is no
         other.
         """
-        best, fallback = None, None
-        best_end_ms = first_end_ms = math.inf
-        for run_ms, agent in self._ranking(definition):
-            if run_ms >= best_end_ms:
+        pool = self._pool(definition)
+        found = self._search(pool, definition.name, excluded)
+        for choice in (found.best, found.excluded):
+            if choice.agent is not None and self._is_good(pool, choice, waiting):
+                return choice.agent
+        return None
+
+    def _search(self, pool, class_name, excluded):
+        """Return where a task ends first among the agents with room."""
+        found = Found()
+        position = 0
+        while position < len(pool.open):
+            run_ms, _, agent = pool.open[position]
+            if run_ms >= found.best.end_ms:
                 break
-            if not self._usable(agent):
+            if not self._usable(agent) or not agent.has_room(class_name):
+                pool.close(position)
                 continue
+            position += 1
             end_ms = run_ms + agent.wait_ms(run_ms)
-            first_end_ms = min(first_end_ms, end_ms)
-            if end_ms >= best_end_ms or not agent.has_room(definition.name):
-                continue
             if agent.name == excluded:
-                fallback = agent
-                continue
-            best, best_end_ms = agent, end_ms
-        if best is None:
-            return fallback
-        if best_end_ms <= first_end_ms * MAX_END_FACTOR:
-            return best
-        if waiting > self._served_within(definition, best_end_ms):
-            return best
-        return None
+                found.excluded = Choice(agent, end_ms)
+            elif end_ms < found.best.end_ms:
+                found.best = Choice(agent, end_ms)
+        return found
+
+    def _is_good(self, pool, choice, waiting):
+        """Return whether an agent is worth taking now rather than waiting."""
+        if choice.end_ms <= self._first_end_ms(pool) * MAX_END_FACTOR:
+            return True
+        return waiting > self._served_within(pool, choice.end_ms)
 
-    def _served_within(self, definition, limit_ms):
+    def _first_end_ms(self, pool):
+        """Return how soon a task would end if every agent had room."""
+        ends_ms = (
+            run_ms + agent.wait_ms(run_ms)
+            for run_ms, _, agent in pool.ranking[:FASTEST_LOOKED_AT]
+            if self._usable(agent)
+        )
+        return min(ends_ms, default=math.inf)
+
+    def _served_within(self, pool, limit_ms):
         """Return how many tasks the faster agents can run in ``limit_ms``."""
         served = 0.0
-        for run_ms, agent in self._ranking(definition):
+        for run_ms, _, agent in pool.ranking:
             if run_ms >= limit_ms:
                 break
             if self._usable(agent):
@@ -81,19 +181,12 @@
             agent.endpoint, len(agent.in_flight)
         )
 
-    def _ranking(self, definition):
+    def _pool(self, definition):
         now_ms = self._clock.now_ms()
-        cached = self._rankings.get(definition.name)
-        if cached and now_ms - cached[0] < RANKING_MS:
-            return cached[1]
-        expected = self._estimates.expected_ms
-        ranking = sorted(
-            (
-                (expected(agent.endpoint, definition.name), agent)
-                for agent in self._agents.values()
-                if agent.fits(definition)
-            ),
-            key=lambda item: (item[0], item[1].name),
-        )
-        self._rankings[definition.name] = (now_ms, ranking)
-        return ranking
+        pool = self._pools.get(definition.name)
+        if pool is None or now_ms - pool.made_ms >= POOL_MS:
+            pool = ClassPool.from_agents(
+                definition, self._agents.values(), self._estimates, now_ms
+            )
+            self._pools[definition.name] = pool
+        return pool
--- a/tests/test_dispatcher.py
+++ b/tests/test_dispatcher.py
@@ -196,6 +196,19 @@
         self.report(again, Succeeded(b"1"), second)
         self.assertEqual(submission.answer().state, JobState.COMPLETE)
 
+    def test_refusing_agent_is_tried_again_where_the_others_are_far_slower(self):
+        self.link()
+        self.link(OTHER_AGENT)
+        for _ in range(50):
+            self.dispatcher.estimates.observe("ep-a", "render", 50)
+            self.dispatcher.estimates.observe("ep-b", "render", 5_000)
+        self.submit()
+        ((first, start),) = self.round()
+        self.assertEqual(first, AGENT)
+        self.report(start, NotRun(Reason.STALE_START))
+        ((second, _),) = self.round()
+        self.assertEqual(second, AGENT)
+
     def test_failed_task_fails_the_job_and_stops_the_rest(self):
         self.link(slots=1)
         submission = self.submit(3)
