--- a/plantainhitch/coordination/entry.py
+++ b/plantainhitch/coordination/entry.py
@@ -30,7 +30,8 @@
 from .entry_views import endpoint_views, entry_status
 from .housekeeping import Housekeeper
 from .inbox import Inbox
-from .keys import KeyBinder, KeySweeper
+from .key_sweep import KeySweeper
+from .keys import KeyBinder
 from .membership import Membership
 from .observer import DispatchObserver
 from .owner_lookup import OwnerLookup
--- a/plantainhitch/coordination/housekeeping.py
+++ b/plantainhitch/coordination/housekeeping.py
@@ -7,7 +7,7 @@
 import random
 
 from .backoff import poll
-from .keys import MAX_SWEEP_ROWS
+from .key_sweep import PAGE_ROWS
 from .membership import MAX_GARBAGE_ROWS
 
 INTERVAL_MS = 10 * 60 * 1_000
@@ -34,6 +34,6 @@
         while await self._membership.collect_garbage() >= MAX_GARBAGE_ROWS:
             await self._clock.sleep_ms(PAUSE_MS)
             await self._membership.refresh()
-        while await self._sweeper.sweep() >= MAX_SWEEP_ROWS:
+        while await self._sweeper.sweep() >= PAGE_ROWS:
             await self._clock.sleep_ms(PAUSE_MS)
         return True
--- a/plantainhitch/coordination/keys.py
+++ b/plantainhitch/coordination/keys.py
@@ -6,8 +6,8 @@
 find that binding. Rules:
 
 * A binding holds for ``RETENTION_MS``. After that the key is refused as expired
-  until its row has been deleted (``KeySweeper``), at least ``SWEEP_MARGIN_MS``
-  later; only then is it free to be bound anew.
+  until its row has been deleted (``key_sweep``); only then is it free to be bound
+  anew.
 * A write whose effect is unknown is tried again as it was: if the first one took
   effect, the conflict shows our own row.
 * A refusal because of the store never says "not run". This call starts nothing,
@@ -29,7 +29,6 @@
 
 HOUR_MS = 60 * 60 * 1_000
 RETENTION_MS = 24 * HOUR_MS
-SWEEP_MARGIN_MS = HOUR_MS
 MAX_KEYS_PER_WRITE = 200
 MAX_WAITING_KEYS = 10_000
 # How long to find out whether a write took effect.
@@ -39,7 +38,6 @@
 WRITES_PER_S = 5
 WRITE_BURST = 20
 KEY_HASH_BYTES = 32
-MAX_SWEEP_ROWS = 500
 
 log = get_logger("keys")
 
@@ -190,7 +188,7 @@
 
     def _answer(self, waiting, value):
         """Answer all calls for a key whose row holds ``value``."""
-        model = _read(value)
+        model = read_binding(value)
         if model is None:
             log.error("unreadable binding", key=waiting.row_key)
             _refuse(waiting, Refusal(ErrorCode.INTERNAL, "the key can't be read"))
@@ -222,51 +220,10 @@
     answer: asyncio.Future
 
 
-class KeySweeper:
-    """Deletes the rows of keys whose retention has ended.
-
-    Rows are written once, so the order of their changes is that of their age, and
-    a sweep stops at the first one that is still held. Any number of entries may
-    sweep: the deletions are conditional.
-    """
-
-    def __init__(self, platform, clock):
-        self._platform = platform
-        self._clock = clock
-        self._revision = ABSENT
-
-    async def sweep(self):
-        """Delete up to ``MAX_SWEEP_ROWS`` rows; return how many were deleted."""
-        found = await self._platform.changes(TABLE_KEYS, self._revision, MAX_SWEEP_ROWS)
-        match found:
-            case Failure(_):
-                return 0
-            case Success(changes):
-                expired = [row for row in changes.rows if self._is_free(row)]
-        if not expired:
-            self._pass_over(changes)
-            return 0
-        writes = [Write(row.key, None, row.revision) for row in expired]
-        match await self._platform.write(TABLE_KEYS, writes):
-            case Success(_):
-                return len(writes)
-        return 0
-
-    def _is_free(self, row):
-        if row.value is None:
-            return False
-        model = _read(row.value)
-        age_ms = self._clock.wall_ms() - model.bound_ms if model else 0
-        return age_ms > RETENTION_MS + SWEEP_MARGIN_MS
-
-    def _pass_over(self, changes):
-        """Go on after rows that have all been deleted."""
-        if changes.rows and all(row.value is None for row in changes.rows):
-            self._revision = changes.revision
-
-
-def _read(value):
+def read_binding(value):
     """Return the binding in a row's value, or None where there is none."""
+    if value is None:
+        return None
     try:
         return msgspec.json.decode(value, type=BindingModel)
     except msgspec.DecodeError:
--- a/tests/test_keys.py
+++ b/tests/test_keys.py
@@ -7,13 +7,16 @@
 from returns.result import Success
 
 from plantainhitch.clock import ManualClock
+from plantainhitch.coordination.key_sweep import (
+    PAGE_ROWS,
+    SWEEP_MARGIN_MS,
+    KeySweeper,
+)
 from plantainhitch.coordination.keys import (
     MAX_KEYS_PER_WRITE,
     RETENTION_MS,
-    SWEEP_MARGIN_MS,
     Binding,
     KeyBinder,
-    KeySweeper,
     key_hash,
 )
 from plantainhitch.protocol.errors import ErrorCode
@@ -85,6 +88,22 @@
         self.assertEqual(rebound, Success(Binding(b"new", DIGEST, True)))
         self.assertEqual(await sweeper.sweep(), 0)
 
+    async def test_a_new_sweeper_goes_on_where_others_stopped(self):
+        count = 2 * PAGE_ROWS + 3
+        keys = [f"k{number}" for number in range(count)]
+        await asyncio.gather(*(self.binder.bind(key, DIGEST, b"id") for key in keys))
+        self.clock.advance(RETENTION_MS + SWEEP_MARGIN_MS + 10 * RETENTION_MS)
+        await self.binder.bind("held", DIGEST, b"id")
+        deleted = 0
+        for _ in range(4):
+            deleted += await KeySweeper(self.platform, self.clock).sweep()
+        self.assertEqual(deleted, count)
+        held = await self.binder.bind("held", DIGEST, b"other")
+        self.assertEqual(held, Success(Binding(b"id", DIGEST, False)))
+        self.platform.counters.reads = 0
+        self.assertEqual(await KeySweeper(self.platform, self.clock).sweep(), 0)
+        self.assertEqual(self.platform.counters.reads, 2)
+
     async def test_an_unreadable_row_harms_no_other_key(self):
         writes = [Write(key_hash("bad"), b"{bad")]
         await self.platform.write(TABLE_KEYS, writes)
