Build an agent's status once a round, not once for each link

Cause: each round built an AgentStatus for every link to compare it with what was sent there; with 13 entries that was a fifth of the agent's decisions.

--- a/plantainhitch/coordination/agent_core.py
+++ b/plantainhitch/coordination/agent_core.py
@@ -183,8 +183,11 @@
         """Fill the free slots and return what is to be done."""
         self._fill_slots()
         result, self._round = self._round, Round()
+        status = self._status()
         for number, link in self._links.items():
-            self._send_status(result, number, link)
+            if status != link.status:
+                link.status = status
+                result.messages.append((number, status))
             self._send_reports(result, number, link)
         return result
 
@@ -399,9 +402,10 @@
 
     # Frames
 
-    def _send_status(self, result, number, link):
+    def _status(self):
+        """Return what the entries are to know of the endpoint."""
         endpoint = self._endpoint
-        status = m.AgentStatus(
+        return m.AgentStatus(
             endpoint=endpoint.name if endpoint else self._name,
             slots=endpoint.slots if endpoint else 0,
             cores=endpoint.cores if endpoint else 0,
@@ -411,9 +415,6 @@
             ready=self.is_ready,
             rack=self._rack,
         )
-        if status != link.status:
-            link.status = status
-            result.messages.append((number, status))
 
     def _send_reports(self, result, number, link):
         if not link.reports:
