Shorten the validity of a start to 4 s, and check it before each beginning

An endpoint that is leaving must get no new work after a few seconds. With frames to its agent held up for 6 s, eight starts began 6 s after the drain was asked for: the frames with the starts came before the one with the order to drain, and were valid for 10 s. A start that waits at the agent was checked on ticks only, so that one could begin after a pause of the agent, before the tick. Both are shown by tests under a manual clock that failed before. Links are never silent for longer than 3 s, so 4 s refuses no start of a healthy link; what is refused was proved not to have run and is tried again.

--- a/plantainhitch/coordination/agent_core.py
+++ b/plantainhitch/coordination/agent_core.py
@@ -189,6 +189,7 @@
         return result
 
     def _fill_slots(self):
+        self._give_back_expired()
         if not self._may_start():
             return
         while self._slots.vacant > 0:
@@ -201,6 +202,10 @@
             self._begin(self._queue.pop(name))
         self._headroom.release(self._shares.slots)
 
+    def _give_back_expired(self):
+        expired = self._queue.take_expired()
+        self._give_back(expired, NotRun(Reason.STALE_START))
+
     def _next_class(self):
         """Return the waiting class that gets the next slot, or None."""
         shares = self._shares
@@ -383,8 +388,6 @@
 
     def _tick(self):
         now_ms = self._clock.now_ms()
-        expired = self._queue.take_expired()
-        self._give_back(expired, NotRun(Reason.STALE_START))
         if now_ms - self._expired_ms >= EXPIRE_MS:
             self._expired_ms = now_ms
             self._slots.window.expire()
--- a/plantainhitch/coordination/slots.py
+++ b/plantainhitch/coordination/slots.py
@@ -13,7 +13,9 @@
 from ..protocol.messages import Report
 from ..state.windows import AttemptWindow
 
-START_VALID_MS = 10_000
+# Shorter than the time after which a draining endpoint must get no new work, and
+# longer than an idle link is silent.
+START_VALID_MS = 4_000
 RETRY_SOON_MS = 50
 RETRY_LATER_MS = 1_000
 
--- a/tests/test_agent_core.py
+++ b/tests/test_agent_core.py
@@ -5,6 +5,7 @@
 from plantainhitch.clock import ManualClock
 from plantainhitch.coordination import agent_events as e
 from plantainhitch.coordination.agent_core import AgentCore
+from plantainhitch.coordination.slots import START_VALID_MS
 from plantainhitch.coordination.start_queue import MAX_WAITING
 from plantainhitch.outcomes import NotRun, Reason, Succeeded, Unknown
 from plantainhitch.protocol import messages as m
@@ -13,6 +14,8 @@
 
 ENDPOINT = e.EndpointInfo("ep", Address("127.0.0.1", 1), slots=8)
 DONE = Succeeded(b"1")
+# Nothing starts at an endpoint later than this after its drain was asked for.
+DRAIN_LIMIT_MS = 5_000
 
 
 def document(version=1, **team_quotas):
@@ -136,6 +139,21 @@
         self.assertEqual(outcomes_in(driver.say(1, batch)), [refused])
         self.assertEqual(driver.started, [])
 
+    def test_start_that_waited_through_a_pause_never_begins(self):
+        driver = AgentDriver(slots=1)
+        driver.link(1)
+        driver.start(1, 2)
+        driver.clock.advance(START_VALID_MS + 1)
+        outcomes = outcomes_in(driver.end(driver.started[0]))
+        self.assertIn(NotRun(Reason.STALE_START), outcomes)
+        self.assertEqual(len(driver.started), 1)
+
+    def test_validity_ends_before_a_drain_must_be_complete(self):
+        driver = AgentDriver()
+        driver.link(1)
+        refused = outcomes_in(driver.start(1, age_ms=DRAIN_LIMIT_MS))
+        self.assertEqual(refused, [NotRun(Reason.STALE_START)])
+
     def test_queue_is_bounded_for_each_entry_and_class(self):
         driver = AgentDriver(slots=1)
         driver.link(1)
