Report a start that is given back on the entry's newest link

An entry whose link was held up and that dialled again had resolved a start that waited at the agent on the old link; when that link ended, the start was given back and the report went nowhere, so that the entry waited for the task's timeout and 15 s more (45 s seen, with an agent killed while another's link was held). Reports of starts that are given back now go to the newest link, as those of tasks that have ended. The test under a manual clock failed before, with the old link ended and with it still open.

--- a/plantainhitch/coordination/agent_core.py
+++ b/plantainhitch/coordination/agent_core.py
@@ -291,12 +291,16 @@
                 self._give_back([waiting], NotRun(Reason.CANCELLED))
 
     def _give_back(self, waiting_starts, refusal):
-        """Refuse starts that waited; they will not begin here."""
+        """Refuse starts that waited; they will not begin here.
+
+        Their link may have ended, or be dead without our knowing, while the entry
+        has resolved them on a newer one: the reports go to the newest.
+        """
         for waiting in waiting_starts:
-            report = self._slots.withdraw(waiting.start.key, refusal)
+            key = waiting.start.key
+            report = self._slots.withdraw(key, refusal)
             self._count_refusal(refusal)
-            if waiting.link in self._links:
-                self._links[waiting.link].reports.append(report)
+            self._report_to(self._slots.window.find(key).entry, report)
 
     def _count_refusal(self, outcome):
         if isinstance(outcome, NotRun):
@@ -314,7 +318,11 @@
             self._is_suspect = True
         if outcome == Unknown(Reason.TIMED_OUT):
             self._round.cancels.append(key)
-        number = self._link_of.get(running.entry)
+        self._report_to(running.entry, report)
+
+    def _report_to(self, entry, report):
+        """Send a report on the entry's newest link; without one it is kept."""
+        number = self._link_of.get(entry)
         if number is not None:
             self._links[number].reports.append(report)
 
--- a/tests/test_agent_core.py
+++ b/tests/test_agent_core.py
@@ -139,6 +139,21 @@
         self.assertEqual(outcomes_in(driver.say(1, batch)), [refused])
         self.assertEqual(driver.started, [])
 
+    def test_start_given_back_is_reported_on_the_newest_link(self):
+        for end_old_link in (True, False):
+            with self.subTest(end_old_link=end_old_link):
+                driver = AgentDriver(slots=1)
+                driver.link(1, b"entry")
+                driver.start(1, 2)
+                waiting = start_of(1).key
+                driver.link(2, b"entry")
+                driver.say(2, m.Resolve([waiting]))
+                driver.clock.advance(START_VALID_MS + 1)
+                ended = e.LinkEnded(1) if end_old_link else e.Ticked()
+                ((number, batch),) = driver.do(ended)
+                self.assertEqual(number, 2)
+                self.assertEqual([r.key for r in batch.reports], [waiting])
+
     def test_start_that_waited_through_a_pause_never_begins(self):
         driver = AgentDriver(slots=1)
         driver.link(1)
