--- a/plantainhitch/state/classes.py
+++ b/plantainhitch/state/classes.py
@@ -16,8 +16,8 @@
     """A class of work and its target.
 
     ``answers_within_ms`` is to hold for the share ``quantile`` of its tasks;
-    ``claims_at_least`` is the share of the fleet (0..1) it may claim when the
-    fleet is short; ``repeatable`` is the default for its requests.
+    ``claims_at_least`` is its minimum share of all slots (0..1) under contention;
+    ``repeatable`` is the default for its requests.
     """
 
     name: str
