--- a/plantainhitch/coordination/agent_core.py
+++ b/plantainhitch/coordination/agent_core.py
@@ -192,6 +192,7 @@
         return result
 
     def _fill_slots(self):
+        self._give_back_expired()
         if not self._may_start():
             return
         while self._slots.vacant > 0:
@@ -204,6 +205,10 @@
             self._begin(self._queue.pop(name))
         self._headroom.release(self._shares.slots)
 
+    def _give_back_expired(self):
+        expired = self._queue.take_expired()
+        self._give_back(expired, NotRun(Reason.STALE_START))
+
     def _next_class(self):
         """Return the waiting class that gets the next slot, or None."""
         shares = self._shares
@@ -289,12 +294,16 @@
                 self._give_back([waiting], NotRun(Reason.CANCELLED))
 
     def _give_back(self, waiting_starts, refusal):
-        """Refuse starts that waited; they will not begin here."""
+        """Refuse starts that waited; they will not begin here.
+
+        Their link may have ended, or be dead without our knowing, while the entry
+        has resolved them on a newer one: the reports go to the newest.
+        """
         for waiting in waiting_starts:
-            report = self._slots.withdraw(waiting.start.key, refusal)
+            key = waiting.start.key
+            report = self._slots.withdraw(key, refusal)
             self._count_refusal(refusal)
-            if waiting.link in self._links:
-                self._links[waiting.link].reports.append(report)
+            self._report_to(self._slots.window.find(key).entry, report)
 
     def _count_refusal(self, outcome):
         if isinstance(outcome, NotRun):
@@ -312,7 +321,11 @@
             self._is_suspect = True
         if outcome == Unknown(Reason.TIMED_OUT):
             self._round.cancels.append(key)
-        number = self._link_of.get(running.entry)
+        self._report_to(running.entry, report)
+
+    def _report_to(self, entry, report):
+        """Send a report on the entry's newest link; without one it is kept."""
+        number = self._link_of.get(entry)
         if number is not None:
             self._links[number].reports.append(report)
 
@@ -386,8 +399,6 @@
 
     def _tick(self):
         now_ms = self._clock.now_ms()
-        expired = self._queue.take_expired()
-        self._give_back(expired, NotRun(Reason.STALE_START))
         if now_ms - self._expired_ms >= EXPIRE_MS:
             self._expired_ms = now_ms
             self._slots.window.expire()
