--- a/Makefile
+++ b/Makefile
@@ -43,6 +43,7 @@
 
 decisions: $(READY)
 	$(BIN)/python -m benchmarks.decisions
+	$(BIN)/python -m benchmarks.variants
 
 SEED ?= 1
 MINUTES ?= 5
--- a/benchmarks/ledgers.py
+++ b/benchmarks/ledgers.py
@@ -1,25 +1,28 @@
-"""What the endpoint stand-ins' ledgers say: slots in use, by class and over time."""
+"""What the endpoint stand-ins' ledgers say: work done, by class and over time."""
 
 from collections import defaultdict
 
 
-def busy_ms(starts_by_endpoint, from_ms, to_ms):
-    """Return the slot time in ms within [from, to) of each class, by wall clock."""
+def work_ms(starts_by_endpoint, fleet, from_ms, to_ms):
+    """Return the work in ms done within [from, to) for each class, by wall clock.
+
+    Work is slot time times the endpoint's speed, as in the planned run times.
+    """
     busy = defaultdict(float)
-    for starts in starts_by_endpoint:
+    for endpoint, starts in zip(fleet.endpoints, starts_by_endpoint, strict=True):
         for start in starts:
             end_ms = start["end_ms"] or to_ms
             overlap_ms = min(end_ms, to_ms) - max(start["start_ms"], from_ms)
             if overlap_ms > 0:
-                busy[start["class_name"]] += overlap_ms
+                busy[start["class_name"]] += overlap_ms * endpoint.speed
     return dict(busy)
 
 
-def shares(starts_by_endpoint, slots, from_ms, to_ms):
-    """Return each class's part of all slot time within [from, to)."""
-    whole_ms = slots * (to_ms - from_ms)
-    busy = busy_ms(starts_by_endpoint, from_ms, to_ms)
-    return {name: time_ms / whole_ms for name, time_ms in busy.items()}
+def shares(starts_by_endpoint, fleet, from_ms, to_ms):
+    """Return each class's part of the fleet's capacity within [from, to)."""
+    whole_ms = fleet.capacity * (to_ms - from_ms)
+    done = work_ms(starts_by_endpoint, fleet, from_ms, to_ms)
+    return {name: done_ms / whole_ms for name, done_ms in done.items()}
 
 
 def count_between(starts, from_ms, to_ms):
--- a/benchmarks/scenarios.py
+++ b/benchmarks/scenarios.py
@@ -217,17 +217,19 @@
             # Busy from 2 s after the flood begins until it ends.
             from_ms = run.wall_ms(FAULT_AT_S) + SETTLING_MS
             until_ms = run.wall_ms(flood_end_s)
-            shares = ledgers.shares(run.starts, FLEET.slots, from_ms, until_ms)
+            shares = ledgers.shares(run.starts, FLEET, from_ms, until_ms)
             results["shares"] = shares
             results["goodput"] = sum(shares.values())
-            results["offered"] = _offered(run, FAULT_AT_S, flood_end_s)
+            results["offered"] = _offered(
+                run, FAULT_AT_S + SETTLING_MS / 1000, flood_end_s
+            )
             results["series"] = {
                 "refusals": dict(run.runner.tally.refusals),
                 "shares": shares,
                 "classes": run.recorder.to_dict()["classes"],
                 "by_second": [
                     ledgers.shares(
-                        run.starts, FLEET.slots, run.wall_ms(s), run.wall_ms(s + 1)
+                        run.starts, FLEET, run.wall_ms(s), run.wall_ms(s + 1)
                     )
                     for s in range(flood_end_s)
                 ],
--- /dev/null
+++ b/benchmarks/variants.py
@@ -0,0 +1,105 @@
+"""What parts of the product's policy are worth: the same jobs with and without them.
+
+Decision level, ``python -m benchmarks.variants``: speed estimates under steady load,
+headroom under a flood, holding back under a failing endpoint.
+"""
+
+import statistics
+import sys
+from unittest import mock
+
+from plantainhitch.coordination.headroom import Headroom
+from plantainhitch.coordination.health import HealthJudge
+from plantainhitch.loadgen import arrivals, workloads
+from plantainhitch.state.estimates import RunTimeEstimates
+
+from .decision_loop import Trial
+from .decisions import FLEET, SEEDS, percentile
+from .product_policy import WaitingStarts
+
+SECONDS = 20
+FAULT_AT_MS = 8_000
+WINDOW_MS = 5_000
+FAILING = 5
+
+WITHOUT_SPEEDS = mock.patch.object(
+    RunTimeEstimates,
+    "expected_ms",
+    lambda self, endpoint, class_name: self.size_ms(class_name),
+)
+WITHOUT_HEADROOM = mock.patch.object(Headroom, "hold", lambda *arguments: False)
+WITHOUT_HOLDING_BACK = mock.patch.object(
+    HealthJudge, "may_start", lambda *arguments: True
+)
+
+
+def steady(mix, load, seed):
+    """Return (p50, p99) of response/ideal."""
+    ratios = _ratios(_run(mix, load, seed), mix)
+    return percentile(ratios, 0.5), percentile(ratios, 0.99)
+
+
+def flood(mix, seed):
+    """Return (p50, p99) of the most urgent class while the least urgent floods."""
+    order = mix.by_urgency
+    floods = [arrivals.Flood(order[-1].name, 10.0, FAULT_AT_MS, SECONDS * 1000)]
+    trial = _run(mix, 0.5, seed, floods=floods)
+    ratios = _ratios(trial, mix, order[0].name, FAULT_AT_MS)
+    return percentile(ratios, 0.5), percentile(ratios, 0.99)
+
+
+def failing(mix, seed):
+    """Return the share of tasks that a failing endpoint gets in the first 5 s."""
+    trial = _run(mix, 0.6, seed, failing=(FAILING, FAULT_AT_MS))
+    window = [
+        failed
+        for start_ms, _, failed in trial.starts
+        if FAULT_AT_MS <= start_ms < FAULT_AT_MS + WINDOW_MS
+    ]
+    return (sum(window) / len(window),)
+
+
+def compare(title, without, measure, *arguments):
+    """Print the medians over the seeds with and without a part of the policy."""
+    for label, patch in (("with", None), ("without", without)):
+        if patch:
+            patch.start()
+        try:
+            runs = [measure(*arguments, seed) for seed in SEEDS]
+        finally:
+            if patch:
+                patch.stop()
+        medians = [statistics.median(values) for values in zip(*runs, strict=True)]
+        figures = " | ".join(f"{value:.3g}" for value in medians)
+        print(f"| {title} | {label} | {figures} |", flush=True)
+
+
+def _run(mix, load, seed, floods=(), **options):
+    jobs = arrivals.plan_jobs(mix, FLEET, load, SECONDS, seed, floods=floods)
+    return Trial(FLEET, jobs, WaitingStarts(mix, seed), **options).run()
+
+
+def _ratios(trial, mix, class_name="", from_ms=5_000):
+    return sorted(
+        run.ratio
+        for run in trial.runs
+        if run.planned.due_ms >= from_ms
+        and not run.refused
+        and class_name in ("", run.planned.class_name)
+    )
+
+
+def main():
+    """Run all comparisons."""
+    for mix in workloads.MIXES.values():
+        for load in (0.6, 0.85):
+            title = f"speeds, {mix.name} {load}"
+            compare(title, WITHOUT_SPEEDS, steady, mix, load)
+        compare(f"headroom, flood, {mix.name}", WITHOUT_HEADROOM, flood, mix)
+        title = f"holding back, failing endpoint, {mix.name}"
+        compare(title, WITHOUT_HOLDING_BACK, failing, mix)
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
