Keep an instance's installed libraries out of the binary

An idle entry from the binary had 73.3 MB resident, over the bound of 64 MB: litestar loads pydantic where it finds it, here in the interpreter's own site-packages. The check of the binary ran without site-packages and couldn't see it; a test of the start does.

--- /dev/null
+++ b/tests/test_boot.py
@@ -0,0 +1,35 @@
+"""The one file imports its own libraries, not those that an instance has."""
+
+import importlib.util
+import sys
+import tempfile
+import unittest
+import zipfile
+from pathlib import Path
+from unittest import mock
+
+BOOT = Path(__file__).resolve().parent.parent / "tools" / "boot.py"
+
+
+class BootTests(unittest.TestCase):
+    """What is importable after the start."""
+
+    def test_installed_libraries_are_left_out(self):
+        spec = importlib.util.spec_from_file_location("boot", BOOT)
+        boot = importlib.util.module_from_spec(spec)
+        spec.loader.exec_module(boot)
+        with tempfile.TemporaryDirectory() as folder:
+            file = Path(folder) / "program"
+            with zipfile.ZipFile(file, "w") as archive:
+                archive.writestr(boot.MANIFEST, "digest\nlibrary/one.so")
+                archive.writestr("library/one.so", b"")
+            kept = [str(file), "/usr/lib/python3.11"]
+            installed = "/usr/lib/python3.11/site-packages"
+            with (
+                mock.patch.object(sys, "path", [*kept, installed]),
+                mock.patch.dict("os.environ", {boot.FOLDER_VARIABLE: folder}),
+            ):
+                boot.boot(file)
+                unpacked, *rest = sys.path
+            self.assertEqual(rest, kept)
+            self.assertTrue((Path(unpacked) / "library" / "one.so").exists())
--- a/tools/boot.py
+++ b/tools/boot.py
@@ -43,6 +43,14 @@
             raise
 
 
+def _is_ours(path):
+    """Return whether to import from ``path``: not what the instance has installed.
+
+    Libraries load optional parts wherever they find them.
+    """
+    return Path(path).name not in ("site-packages", "dist-packages")
+
+
 def boot(file):
     """Make the modules in ``file`` importable."""
     with zipfile.ZipFile(file) as archive:
@@ -53,7 +61,7 @@
                 _unpack(archive, names, folder)
         except OSError as error:
             sys.exit(f"can't unpack: {error}; set {FOLDER_VARIABLE}")
-    sys.path.insert(0, str(folder))
+    sys.path[:] = [str(folder), *(path for path in sys.path if _is_ours(path))]
 
 
 if __name__ == "__main__":
