Spend less on each round of an agent

One AgentStatus is kept until something in it changes, a lone waiting class isn't sorted, headroom and team quotas are only reckoned where they can matter.

--- a/plantainhitch/coordination/agent_core.py
+++ b/plantainhitch/coordination/agent_core.py
@@ -95,6 +95,7 @@
         self._is_paused = False
         self._expired_ms = clock.now_ms()
         self._round = Round()
+        self._status = None
         self._counts = AgentCounts()
 
     @property
@@ -182,8 +183,11 @@
         """Fill the free slots and return what is to be done."""
         self._fill_slots()
         result, self._round = self._round, Round()
+        self._status = self._status or self._new_status()
         for number, link in self._links.items():
-            self._send_status(result, number, link)
+            if link.status is not self._status:
+                link.status = self._status
+                result.messages.append((number, self._status))
             self._send_reports(result, number, link)
         return result
 
@@ -209,6 +213,8 @@
         """Return the waiting class that gets the next slot, or None."""
         shares = self._shares
         names = [name for name in self._queue.classes() if shares.allows(name)]
+        if len(names) == 1:
+            return names[0]
         return min(names, key=lambda name: (shares.order(name), name), default=None)
 
     def _begin(self, waiting):
@@ -331,6 +337,7 @@
     def _announced(self, endpoint):
         if self._endpoint != endpoint:
             log.info("endpoint announced", endpoint=endpoint.name, slots=endpoint.slots)
+            self._status = None
         self._endpoint = endpoint
         self._announced_ms = self._clock.now_ms()
         self._slots.capacity = endpoint.slots
@@ -353,6 +360,7 @@
         if reachable == self._is_reachable:
             return
         self._is_reachable = reachable
+        self._status = None
         log.notice("endpoint reachable" if reachable else "endpoint unreachable")
         if not reachable:
             refusal = NotRun(Reason.ENDPOINT_REFUSED)
@@ -370,6 +378,7 @@
             return
         log.notice("draining" if draining else "taking starts again", cause=cause.value)
         self._slots.is_draining = self.is_draining
+        self._status = None
         if self.is_draining:
             self._give_back(self._queue.take_all(), NotRun(Reason.DRAINING))
 
@@ -397,9 +406,9 @@
 
     # Frames
 
-    def _send_status(self, result, number, link):
+    def _new_status(self):
         endpoint = self._endpoint
-        status = m.AgentStatus(
+        return m.AgentStatus(
             endpoint=endpoint.name if endpoint else self._name,
             slots=endpoint.slots if endpoint else 0,
             cores=endpoint.cores if endpoint else 0,
@@ -409,9 +418,6 @@
             ready=self.is_ready,
             rack=self._rack,
         )
-        if status != link.status:
-            link.status = status
-            result.messages.append((number, status))
 
     def _send_reports(self, result, number, link):
         if not link.reports:
--- a/plantainhitch/coordination/headroom.py
+++ b/plantainhitch/coordination/headroom.py
@@ -31,6 +31,8 @@
 
     def hold(self, shares, class_name, free):
         """Return whether to keep the last free slot from the class."""
+        if free != 1 and not self._is_holding:
+            return False
         self._settle(shares.slots)
         self._is_holding = (
             free == 1
@@ -42,8 +44,9 @@
 
     def release(self, slots):
         """Stop holding a slot back."""
-        self._settle(slots)
-        self._is_holding = False
+        if self._is_holding:
+            self._settle(slots)
+            self._is_holding = False
 
     def _is_worth_it(self, shares, class_name):
         target_ms = shares.tightest_waiting_target_ms(class_name)
--- a/plantainhitch/coordination/shares.py
+++ b/plantainhitch/coordination/shares.py
@@ -154,12 +154,15 @@
 
     def _change(self, class_name, count):
         now_ms = self._now()
-        team = self._team(self._definition(class_name).team)
-        for usage in (self._usage(class_name), team):
-            usage.settle(now_ms)
-            usage.held += count
-            if usage.held < 0:
-                raise ValueError(f"class {class_name!r} holds {usage.held} slots")
+        usage = self._usage(class_name)
+        usage.settle(now_ms)
+        usage.held += count
+        if usage.held < 0:
+            raise ValueError(f"class {class_name!r} holds {usage.held} slots")
+        if self.has_quota(class_name):
+            team = self._team(self._definition(class_name).team)
+            team.settle(now_ms)
+            team.held += count
 
     def _now(self):
         return self._clock.now_ms()
