Try a change of classes again after a passing fault of the store

Cause: one failed read refused an operator's change at once as not made. Such a change is now tried for 2 s; the new test fails before. Ruled out: trying for as long as for an unknown effect (15 s), since the refusal is certain and the operator can ask again.

--- a/plantainhitch/coordination/configuration.py
+++ b/plantainhitch/coordination/configuration.py
@@ -38,6 +38,8 @@
 REFRESH_MS = 1_000
 # How long ``apply`` tries to find out whether its change took effect.
 SETTLE_LIMIT_MS = 15_000
+# How long ``apply`` tries to reach a store that fails without any effect.
+STORE_PATIENCE_MS = 2_000
 PUSH_LIMIT_MS = 1_000
 MAX_HISTORY = 100
 RETRY_AFTER_MS = 1_000
@@ -161,7 +163,7 @@
         either it is applied now, or the conflict shows what the first one did, and
         then the first can't take effect any more.
         """
-        deadline_ms = self._clock.now_ms() + SETTLE_LIMIT_MS
+        begun_ms = self._clock.now_ms()
         backoff = Backoff()
         may_be_applied = False
         while True:
@@ -172,10 +174,9 @@
                 case Failure(PlatformFault(kind=kind)):
                     may_be_applied = may_be_applied or kind is FaultKind.UNKNOWN
             wait_ms = backoff.next_ms()
-            if not may_be_applied:
-                return Failure(_store_down("the change was not made", not_run=True))
-            if self._clock.now_ms() + wait_ms > deadline_ms:
-                return Failure(_outcome_unknown(document.change_id))
+            limit_ms = SETTLE_LIMIT_MS if may_be_applied else STORE_PATIENCE_MS
+            if self._clock.now_ms() + wait_ms - begun_ms > limit_ms:
+                return Failure(_unsettled(document.change_id, may_be_applied))
             await self._clock.sleep_ms(wait_ms)
 
     async def _attempt(self, document):
@@ -284,6 +285,12 @@
     return PlatformFault(FaultKind.NOT_APPLIED, fault.detail)
 
 
+def _unsettled(change_id, may_be_applied):
+    if may_be_applied:
+        return _outcome_unknown(change_id)
+    return _store_down("the change was not made", not_run=True)
+
+
 def _version_conflict(document, head):
     message = (
         f"version {document.version - 1} was read, but version {head.version} is in "
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -11,7 +11,7 @@
 from plantainhitch.protocol.errors import ErrorCode
 from plantainhitch.standins.table import Faults, MemoryPlatform, TableService
 from plantainhitch.state.classes import ClassDefinition, ClassDocument
-from plantainhitch.transport.platform import Write
+from plantainhitch.transport.platform import FaultKind, PlatformFault, Write
 
 TEAMS = {}
 
@@ -142,6 +142,17 @@
         self.assertIs(other_content.code, ErrorCode.VERSION_CONFLICT)
         self.assertEqual([document.version for document in self.accepted], [1, 2])
 
+    async def test_one_failed_read_refuses_nothing(self):
+        read = self.platform.read
+        faults = [Failure(PlatformFault(FaultKind.NOT_APPLIED, "timed out"))]
+
+        async def read_with_fault(table, key):
+            return faults.pop() if faults else await read(table, key)
+
+        self.platform.read = read_with_fault
+        self.assertEqual((await self.apply(0, "c1")).unwrap().version, 1)
+        self.assertFalse(faults)
+
     async def test_outage_refuses_and_keeps_the_version(self):
         await self.apply(0, "c1")
         self.platform.set_faults(Faults(outage=True))
