--- a/plantainhitch/coordination/admission.py
+++ b/plantainhitch/coordination/admission.py
@@ -62,9 +62,14 @@
         rate = self._rate(class_name).per_ms(self._clock.now_ms())
         return queued / rate if rate > 0 else math.inf
 
-    def check(self, definition, queued, joining):
-        """Return None where the job may join, or a ``Refusal`` with not_run."""
-        if queued + joining > self._max_queue and queued:
+    def check(self, document, job, queued):
+        """Return None where the job may join ``queued`` tasks, or a ``Refusal``."""
+        if document is None:
+            return _not_run(ErrorCode.NO_CONFIGURATION, "no configuration yet")
+        definition = document.classes.get(job.class_name)
+        if definition is None:
+            return _not_run(ErrorCode.CLASS_UNKNOWN, f"no class {job.class_name!r}")
+        if queued and queued + len(job.tasks) > self._max_queue:
             return self._refuse(definition, queued)
         if queued <= self._min_queue:
             return None
@@ -92,3 +97,7 @@
         if rate is None:
             rate = self._rates[class_name] = DecayingRate(RATE_WINDOW_MS)
         return rate
+
+
+def _not_run(code, message):
+    return Refusal(code, message, not_run=True)
--- a/plantainhitch/coordination/dispatcher.py
+++ b/plantainhitch/coordination/dispatcher.py
@@ -6,7 +6,6 @@
 """
 
 from collections import Counter
-from dataclasses import dataclass, field
 
 from ..outcomes import NotRun, Reason, Succeeded, Unknown
 from ..protocol import messages as m
@@ -18,6 +17,7 @@
 from .expiry import Expiry
 from .health import HealthJudge
 from .observer import DispatchObserver
+from .outbox import Outbox
 from .placement import Placement
 from .queues import ClassQueues, Work
 from .retries import is_endpoint_fault, may_retry
@@ -32,14 +32,6 @@
 YIELD_FACTOR = 20
 
 
-@dataclass(slots=True)
-class Outbox:
-    """Messages to send, by agent incarnation."""
-
-    starts: dict = field(default_factory=dict)
-    others: list = field(default_factory=list)
-
-
 class Dispatcher:
     """Submissions, queues and placement of one entry."""
 
@@ -112,19 +104,8 @@
 
     def check(self, job):
         """Return None where the job would be taken now, or a ``Refusal``."""
-        if self._document is None:
-            return Refusal(
-                ErrorCode.NO_CONFIGURATION, "no configuration yet", not_run=True
-            )
-        definition = self._document.classes.get(job.class_name)
-        if definition is None:
-            return Refusal(
-                ErrorCode.CLASS_UNKNOWN,
-                f"no class {job.class_name!r}",
-                not_run=True,
-            )
-        queue = self._queues.of(job.class_name)
-        return self._admission.check(definition, len(queue), len(job.tasks))
+        queued = len(self._queues.of(job.class_name))
+        return self._admission.check(self._document, job, queued)
 
     def submit(self, raw_id, job, is_admitted=False):
         """Return the ``Submission`` under the id, begun if new, or a ``Refusal``.
@@ -186,7 +167,7 @@
         agent = self._agents.get(incarnation)
         if agent is not None and agent.linked:
             agent.lose_link(self._clock.now_ms())
-            self._outbox.starts.pop(incarnation, None)
+            self._outbox.drop_starts(incarnation)
 
     def agent_refused(self, incarnation):
         """An agent's address refuses connections: give it less time."""
@@ -259,10 +240,7 @@
 
     def take_outbox(self):
         """Return (agent incarnation, message) pairs to send, in order."""
-        outbox, self._outbox = self._outbox, Outbox()
-        pairs = outbox.others
-        pairs += [(key, m.StartBatch(starts)) for key, starts in outbox.starts.items()]
-        return pairs
+        return self._outbox.take()
 
     # Private parts, from the caller's side to the agents'
 
@@ -354,7 +332,7 @@
             timeout_ms=definition.timeout_ms,
             traceparent=work.span.traceparent,
         )
-        self._outbox.starts.setdefault(agent.incarnation, []).append(start)
+        self._outbox.add_start(agent.incarnation, start)
         self._admission.started(definition.name)
 
     def _report(self, agent, report):
@@ -404,4 +382,4 @@
             self._finish(late.work, NotRun(late.reason))
 
     def _send(self, agent, message):
-        self._outbox.others.append((agent.incarnation, message))
+        self._outbox.add(agent.incarnation, message)
