Give the agent's view of its endpoint a module of its own

The status that entries are sent is compared when it is made anew, so that an announcement or a count without a change sends nothing; tested, as is a change.

--- a/plantainhitch/coordination/agent_core.py
+++ b/plantainhitch/coordination/agent_core.py
@@ -18,15 +18,12 @@
 from ..protocol import messages as m
 from . import agent_events as e
 from .agent_configuration import AgentConfiguration
+from .endpoint_watch import EndpointWatch
 from .headroom import HOLD_CHECK_MS, Headroom
 from .shares import ShareBook
 from .slots import START_VALID_MS, SlotTable, Verdict
 from .start_queue import MAX_WAITING, StartQueue
 
-# An endpoint announces itself every 5 s.
-ANNOUNCEMENT_LIMIT_MS = 12_000
-# Unanswered questions in a row after which the endpoint counts as gone.
-MAX_UNANSWERED = 2
 EXPIRE_MS = 1_000
 
 log = logs.get_logger("agent")
@@ -86,17 +83,13 @@
         self._links = {}
         self._link_of = {}
         self._configuration = AgentConfiguration(clock)
-        self._endpoint = None
-        self._is_reachable = False
-        self._announced_ms = 0
-        self._unanswered = 0
-        self._is_suspect = False
+        self._watch = EndpointWatch(clock)
         self._drain_causes = set()
         self._is_paused = False
         self._expired_ms = clock.now_ms()
         self._round = Round()
-        self._status = None
         self._counts = AgentCounts()
+        self._status = self._new_status()
 
     @property
     def counts(self):
@@ -111,7 +104,7 @@
     @property
     def endpoint(self):
         """The endpoint as last announced, or None."""
-        return self._endpoint
+        return self._watch.endpoint
 
     @property
     def slots(self):
@@ -126,7 +119,7 @@
     @property
     def is_ready(self):
         """Whether tasks can be run now, drains apart."""
-        return self._endpoint is not None and self._is_reachable
+        return self._watch.is_ready
 
     @property
     def is_draining(self):
@@ -143,15 +136,9 @@
     @property
     def should_ask_busy(self):
         """Whether the endpoint is to be asked for its busy slots."""
-        if self._endpoint is None:
+        if self._watch.endpoint is None:
             return False
-        silent_ms = self._clock.now_ms() - self._announced_ms
-        return (
-            self._slots.needs_busy_count
-            or self._is_suspect
-            or not self._is_reachable
-            or silent_ms > ANNOUNCEMENT_LIMIT_MS
-        )
+        return self._slots.needs_busy_count or self._watch.is_doubtful
 
     def handle(self, event):
         """Take in one event."""
@@ -183,7 +170,6 @@
         """Fill the free slots and return what is to be done."""
         self._fill_slots()
         result, self._round = self._round, Round()
-        self._status = self._status or self._new_status()
         for number, link in self._links.items():
             if link.status is not self._status:
                 link.status = self._status
@@ -321,7 +307,7 @@
         self._shares.note_run(running.class_name, report.run_ms)
         self._counts.outcomes[type(outcome).__name__] += 1
         if isinstance(outcome, NotRun | Unknown):
-            self._is_suspect = True
+            self._watch.suspect()
         if outcome == Unknown(Reason.TIMED_OUT):
             self._round.cancels.append(key)
         self._report_to(running.entry, report)
@@ -335,36 +321,20 @@
     # The endpoint
 
     def _announced(self, endpoint):
-        if self._endpoint != endpoint:
-            log.info("endpoint announced", endpoint=endpoint.name, slots=endpoint.slots)
-            self._status = None
-        self._endpoint = endpoint
-        self._announced_ms = self._clock.now_ms()
+        self._watch.announced(endpoint)
         self._slots.capacity = endpoint.slots
         self._shares.slots = endpoint.slots
         self._drain(DrainCause.LEAVING, False)
+        self._update_status()
 
     def _busy_counted(self, busy, running):
-        if busy is None:
-            self._unanswered += 1
-            if self._unanswered >= MAX_UNANSWERED:
-                self._set_reachable(False)
-            return
-        self._unanswered = 0
-        self._is_suspect = False
-        self._announced_ms = self._clock.now_ms()
-        self._slots.busy_counted(busy, running)
-        self._set_reachable(True)
-
-    def _set_reachable(self, reachable):
-        if reachable == self._is_reachable:
-            return
-        self._is_reachable = reachable
-        self._status = None
-        log.notice("endpoint reachable" if reachable else "endpoint unreachable")
-        if not reachable:
+        if busy is not None:
+            self._watch.answered()
+            self._slots.busy_counted(busy, running)
+        elif self._watch.kept_silent():
             refusal = NotRun(Reason.ENDPOINT_REFUSED)
             self._give_back(self._queue.take_all(), refusal)
+        self._update_status()
 
     # Drain, configuration, time
 
@@ -378,7 +348,7 @@
             return
         log.notice("draining" if draining else "taking starts again", cause=cause.value)
         self._slots.is_draining = self.is_draining
-        self._status = None
+        self._update_status()
         if self.is_draining:
             self._give_back(self._queue.take_all(), NotRun(Reason.DRAINING))
 
@@ -406,8 +376,14 @@
 
     # Frames
 
+    def _update_status(self):
+        """Make the status anew; links are sent it in the next round if it changed."""
+        status = self._new_status()
+        if status != self._status:
+            self._status = status
+
     def _new_status(self):
-        endpoint = self._endpoint
+        endpoint = self._watch.endpoint
         return m.AgentStatus(
             endpoint=endpoint.name if endpoint else self._name,
             slots=endpoint.slots if endpoint else 0,
--- a/tests/test_agent_core.py
+++ b/tests/test_agent_core.py
@@ -313,6 +313,14 @@
         driver.do(e.BusyCounted(1, 1))
         self.assertEqual(len(driver.started), 3)
 
+    def test_entries_are_told_of_a_changed_announcement_once(self):
+        driver = AgentDriver(slots=2)
+        driver.link(1)
+        larger = e.EndpointInfo("ep", ENDPOINT.address, 4)
+        sent = driver.do(e.Announced(larger), e.BusyCounted(0, 0))
+        self.assertEqual([message.slots for _, message in sent], [4])
+        self.assertEqual(driver.do(e.Announced(larger), e.BusyCounted(0, 0)), [])
+
     def test_unreachable_endpoint_gets_no_starts(self):
         driver = AgentDriver(slots=1)
         driver.link(1)
