Find out a drain and a configuration that are broken on purpose

A drain that only tells the entries lets starts under way begin; writes without conditions let two operators win one version. The checks that hold for ours find both.

--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -3,10 +3,12 @@
 import asyncio
 import random
 import unittest
+import unittest.mock
 
 from returns.result import Failure, Success
 
 from plantainhitch.clock import ManualClock
+from plantainhitch.coordination import configuration
 from plantainhitch.coordination.configuration import ConfigurationStore
 from plantainhitch.protocol.errors import ErrorCode
 from plantainhitch.standins.table import Faults, MemoryPlatform, TableService
@@ -96,6 +98,18 @@
                 self.assertIn(f"by {other!r}", refusal.message)
         self.assertTrue(all(item.told for item in operators), "no race came about")
 
+    async def test_writes_without_conditions_are_found_out(self):
+        whole = configuration.transaction
+
+        def unconditional(document, head_revision):
+            return [Write(x.key, x.value) for x in whole(document, head_revision)]
+
+        with (
+            unittest.mock.patch.object(configuration, "transaction", unconditional),
+            self.assertRaises(AssertionError),
+        ):
+            await self.run_operators(random.Random(1), 20)
+
 
 class ConfigurationTest(unittest.IsolatedAsyncioTestCase):
     """One store under faults."""
--- a/tests/test_dispatch_random.py
+++ b/tests/test_dispatch_random.py
@@ -10,7 +10,8 @@
 
 from hypothesis import given, settings, strategies as st
 
-from plantainhitch.coordination import slots
+from plantainhitch.coordination import agent_events as e, slots
+from plantainhitch.coordination.agent_core import AgentCore
 from plantainhitch.outcomes import Failed, NotRun, Reason, Succeeded, Unknown
 from plantainhitch.protocol.calls import JobState
 
@@ -121,6 +122,34 @@
         self.check(schedule)
 
 
+def begun_after_drain(world):
+    """Drain an endpoint with frames under way; return how many starts follow it."""
+    world.submit(6)
+    world.place()
+    side = world.sides[0]
+    side.core.handle(e.DrainOrdered(True))
+    before = world.began.total()
+    for _ in range(10):
+        side.deliver(to_agent=True)
+        side.finish()
+    return world.began.total() - before
+
+
+class DrainTests(unittest.TestCase):
+    """Nothing begins at a drained endpoint, whatever is under way to it."""
+
+    def test_drained_endpoint_begins_nothing(self):
+        self.assertEqual(begun_after_drain(World()), 0)
+
+    def test_drain_that_only_tells_the_entries_is_found_out(self):
+        patch = unittest.mock.patch.object
+        with (
+            patch(slots.SlotTable, "is_draining", False),
+            patch(AgentCore, "is_draining", False),
+        ):
+            self.assertGreater(begun_after_drain(World()), 0)
+
+
 class BrokenVariantTests(unittest.TestCase):
     """The same checks find variants that are broken on purpose."""
 
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -108,7 +108,7 @@
 
 
 class DrainTests(ProcessTestCase):
-    """An endpoint that is leaving gets no new work after a few seconds."""
+    """A draining endpoint is sent no start later than the limit."""
 
     async def test_no_start_later_than_the_limit(self):
         async with Fleet(agents=3) as fleet:
