Never say not run of an id or key before its owner was asked

Cause, found while reading: a malformed resubmission of a running job was answered not_run true, as were a body over the limit and any submission that reached an entry while it started. Now only the owner's refusals say it; calls without an id or a key keep it.

--- a/plantainhitch/commands/entry.py
+++ b/plantainhitch/commands/entry.py
@@ -5,6 +5,7 @@
 from .. import logs
 from ..clock import Clock
 from ..coordination.entry import BoundAddresses, EntryNode
+from ..protocol.calls import OpenIds, SingleRequest
 from ..protocol.errors import ErrorCode, Refusal
 from ..transport.entry_http import create_app
 from ..transport.platform_http import PlatformClient
@@ -58,5 +59,8 @@
     async def ask(self, call):
         """Hand a call to the node; refuse one that comes too early."""
         if self.node is None:
-            return Refusal(ErrorCode.NOT_READY, "this entry is starting", not_run=True)
+            # Under an id or a key something may run at another entry.
+            is_new = isinstance(call, OpenIds | SingleRequest)
+            message = "this entry is starting"
+            return Refusal(ErrorCode.NOT_READY, message, not_run=is_new)
         return await self.node.ask(call)
--- a/plantainhitch/transport/caller_routes.py
+++ b/plantainhitch/transport/caller_routes.py
@@ -25,7 +25,6 @@
 from . import replies
 from .openapi import operation
 
-KEY_HEADER = "idempotency-key"
 MAX_KEY_CHARACTERS = 200
 STATUS_RUNNING = 202
 TRACE_HEADER = "traceparent"
@@ -86,7 +85,7 @@
 )
 async def submit_with_key(
     request: Request,
-    key: Annotated[str | None, HeaderParameter(name=KEY_HEADER)] = None,
+    key: Annotated[str | None, HeaderParameter(name=replies.KEY_HEADER)] = None,
     wait_ms: WaitMs = 0,
 ) -> ASGIResponse:
     """Submit a job under the caller's own key, or under a new id without one."""
@@ -96,7 +95,7 @@
     if key is None:
         return await _submit_under_new_id(request, job, wait_ms)
     if not 1 <= len(key) <= MAX_KEY_CHARACTERS:
-        message = f"{KEY_HEADER} has 1 to {MAX_KEY_CHARACTERS} characters"
+        message = f"{replies.KEY_HEADER} has 1 to {MAX_KEY_CHARACTERS} characters"
         return replies.refuse(
             request, Refusal(ErrorCode.BAD_FIELD, message, not_run=True)
         )
@@ -167,7 +166,7 @@
 async def _ask(request, call):
     answer = await request.app.state.node.ask(call)
     if isinstance(answer, Refusal):
-        return replies.refuse(request, answer, _class_name(call))
+        return replies.refuse(request, answer, _class_name(call), by_owner=True)
     return replies.json_reply(
         border.write_answer(answer),
         _status(answer),
--- a/plantainhitch/transport/replies.py
+++ b/plantainhitch/transport/replies.py
@@ -1,6 +1,7 @@
 """HTTP replies and request bodies of the border, with one shape for all errors."""
 
 import math
+from dataclasses import replace
 
 from litestar import Response
 from litestar.exceptions import (
@@ -17,6 +18,8 @@
 from ..protocol.errors import ErrorCode, Refusal
 
 JSON_TYPE = "application/json"
+KEY_HEADER = "idempotency-key"
+SUBMISSIONS_PATH = "/v1/submissions/"
 STATUS_TOO_LARGE = 413
 STATUS_SERVER_ERROR = 500
 
@@ -36,10 +39,13 @@
     return json_reply(border.write_error(refusal), refusal.http_status, headers)
 
 
-def refuse(request, refusal, class_name=""):
-    """Count a refused call in the entry's metrics and return its reply."""
+def refuse(request, refusal, class_name="", *, by_owner=False):
+    """Count a refused call in the entry's metrics and return its reply.
+
+    ``by_owner``: the refusal comes from the entry that would have run the job.
+    """
     _count(request, refusal, class_name)
-    return error_reply(refusal, request)
+    return error_reply(refusal if by_owner else _cautious(request, refusal), request)
 
 
 def reply_headers(request, retry_after_ms=0):
@@ -107,9 +113,21 @@
         metrics.refused(class_name, refusal.code)
 
 
+def _cautious(request, refusal):
+    """Return the refusal, without "not run" where the call names an id or a key.
+
+    Something may run under these, whatever is wrong with this call.
+    """
+    names_id = request.url.path.startswith(SUBMISSIONS_PATH)
+    if refusal.not_run and (names_id or KEY_HEADER in request.headers):
+        return replace(refusal, not_run=False)
+    return refusal
+
+
 def _exception_reply(request, refusal):
     """Return what ``refuse`` does, as the kind that exception handlers give."""
     _count(request, refusal)
+    refusal = _cautious(request, refusal)
     return Response(
         border.write_error(refusal),
         status_code=refusal.http_status,
