--- a/plantainhitch/coordination/entry.py
+++ b/plantainhitch/coordination/entry.py
@@ -258,8 +258,7 @@
         for incarnation in list(self._dialers):
             if incarnation not in current:
                 self._dialers.pop(incarnation).stop_redialling()
-        dispatcher = self._core.dispatcher
-        dispatcher.set_drained(self._membership.drained)
+        self._core.dispatcher.set_drained(self._membership.drained)
 
     # Tasks that post events
 
@@ -300,14 +299,6 @@
             configuration_version=self._configuration.version,
         )
 
-    def _other_entries(self):
-        own = self._member.incarnation
-        return [
-            x
-            for x in self._membership.entries(self._member.region)
-            if x.incarnation != own
-        ]
-
     def _spawn(self, coroutine):
         task = asyncio.create_task(coroutine)
         self._tasks.add(task)
