--- a/plantainhitch/commands/classes.py
+++ b/plantainhitch/commands/classes.py
@@ -16,6 +16,7 @@
 from .client import Answered, NoReply, Refused
 from .exit_codes import ExitCode
 from .output import format_table, print_error, print_json
+from .usage import number
 
 APPLY_TIMEOUT_MS = 30_000
 NO_VERSION = ClassesModel(0, "", "", {}, {})
@@ -38,8 +39,9 @@
     def history(self, entry="", limit=20, json=False):
         """Show the newest versions: who changed what."""
 
+        path = f"/v1/classes/history?limit={number('limit', limit, least=1)}"
+
         async def action(client):
-            path = f"/v1/classes/history?limit={int(limit)}"
             return operator.finish(await client.get(path), json, _show_history)
 
         return operator.run(entry, action)
@@ -57,6 +59,8 @@
             author: who makes the change; the system's user name if empty.
             json: print the accepted version as JSON.
         """
+        if base is not None:
+            base = number("base", base)
         parsed = class_files.read(file)
         if isinstance(parsed, Failure):
             for problem in parsed.failure():
@@ -76,7 +80,7 @@
     if not isinstance(current, ClassesModel):
         return operator.fail(current)
     change = ApplyModel(
-        base_version=current.version if base is None else int(base),
+        base_version=current.version if base is None else base,
         change_id=uuid.uuid4().hex,
         author=author,
         classes=classes,
--- a/plantainhitch/commands/main.py
+++ b/plantainhitch/commands/main.py
@@ -12,6 +12,7 @@
 
 from ..settings import SettingsError
 from .exit_codes import ExitCode
+from .usage import UsageError
 
 # Command name -> (module, function) below this package.
 COMMANDS = {
@@ -52,7 +53,7 @@
         result = fire.Fire(
             {name: _load(name)}, command=words, name="plantainhitch", serialize=_silent
         )
-    except SettingsError as error:
+    except (SettingsError, UsageError) as error:
         print(error, file=sys.stderr)
         return ExitCode.USAGE
     return result if isinstance(result, int) else 0
--- a/plantainhitch/commands/standin.py
+++ b/plantainhitch/commands/standin.py
@@ -5,9 +5,10 @@
 
 import asyncio
 
-from ..transport.addresses import Address
+from .usage import address, number
 
 EXIT_OK = 0
+LEAST_SPEED = 0.01
 
 
 class StandIn:
@@ -17,11 +18,20 @@
         """Serve the platform's table service and object store in memory."""
         from ..standins.platform import serve
 
-        asyncio.run(serve(Address.from_text(listen)))
+        asyncio.run(serve(address("listen", listen)))
         return EXIT_OK
 
     def endpoint(self, **options):
         """Serve an endpoint; the options are those of ``standins.endpoint.main``."""
         from ..standins.endpoint import main
 
+        for name in ("slots", "cores", "memory_mb", "accelerators"):
+            if name in options:
+                least = 1 if name == "slots" else 0
+                number(name, options[name], least=least)
+        if "speed" in options:
+            number("speed", options["speed"], least=LEAST_SPEED, kind=float)
+        for name in ("listen", "agent"):
+            if options.get(name):
+                address(name, options[name])
         return main(**options)
--- a/plantainhitch/commands/submit.py
+++ b/plantainhitch/commands/submit.py
@@ -11,6 +11,7 @@
 from .exit_codes import ExitCode
 from .jobs import JobRunner, read_bodies, write_job
 from .output import print_error, write_whole
+from .usage import number
 
 
 @SetParseFns(class_name=str, file=str, entry=str, output=str, submission=str)
@@ -41,6 +42,8 @@
     if not class_name or not file:
         print_error("usage: submit --class NAME --file JOBS.jsonl --entry IP:PORT")
         return ExitCode.USAGE
+    declared_ms = number("declared_ms", declared_ms)
+    timeout_s = number("timeout_s", timeout_s, kind=float)
     try:
         addresses = entry_addresses(entry)
         bodies, bad_lines = read_bodies(_read(file))
@@ -51,7 +54,7 @@
         for line in bad_lines:
             print_error(f"{file}: {line}")
         return ExitCode.USAGE
-    body = write_job(class_name, bodies, int(declared_ms))
+    body = write_job(class_name, bodies, declared_ms)
     result = asyncio.run(_run(addresses, body, timeout_s * 1_000, submission))
     return _finish(result, output, json)
 
--- /dev/null
+++ b/plantainhitch/commands/usage.py
@@ -0,0 +1,29 @@
+"""Options of the command line that are checked by hand, and the error for bad ones."""
+
+from ..transport.addresses import Address
+
+
+class UsageError(ValueError):
+    """An option has a bad value; the command prints the error and ends with 2."""
+
+
+def number(option, value, *, least=0, kind=int):
+    """Return ``value`` as a number; raise UsageError where it isn't one.
+
+    ``kind`` is int or float; ``least`` is the smallest value allowed.
+    """
+    allowed = f"a whole number of at least {least}"
+    if kind is float:
+        allowed = f"a number of at least {least}"
+    is_number = isinstance(value, int | kind) and not isinstance(value, bool)
+    if not is_number or not value >= least:
+        raise UsageError(f"--{option}: {value!r} is not {allowed}")
+    return kind(value)
+
+
+def address(option, value):
+    """Return ``value`` as an ``Address``; raise UsageError where it isn't one."""
+    try:
+        return Address.from_text(str(value))
+    except ValueError as error:
+        raise UsageError(f"--{option}: {error}") from error
--- a/tests/test_commands.py
+++ b/tests/test_commands.py
@@ -100,6 +100,26 @@
         self.assertEqual((code, out, target.exists()), (1, "", False))
         self.assertIn("task 0: failed, task_failed (no widget)", errors)
 
+    def test_bad_numbers_and_addresses(self):
+        cases = (
+            "classes history --limit abc",
+            "classes history --limit 0",
+            "classes apply nowhere.toml --base x",
+            "load --load -1",
+            "load --seconds abc",
+            "submit --class x --file nowhere --declared_ms soon",
+            "standin platform --listen nonsense",
+            "standin endpoint --slots none",
+            "standin endpoint --speed 0",
+            "standin endpoint --agent here",
+        )
+        for words in cases:
+            with self.subTest(words):
+                printed = io.StringIO()
+                with contextlib.redirect_stderr(printed):
+                    self.assertEqual(main(words.split()), ExitCode.USAGE)
+                self.assertIn(words.split()[-2], printed.getvalue())
+
     async def test_submit_usage(self):
         cases = {
             "one bad line": '{"a": 1}\n{"a"\n',
