Use one set of exit codes in all commands

The long-running commands and the stand-ins had constants of their own beside ExitCode. The values are the same; found while reading the whole change.

--- a/plantainhitch/commands/agent.py
+++ b/plantainhitch/commands/agent.py
@@ -9,6 +9,7 @@
 from ..transport.agent_http import AgentApp
 from ..transport.platform_http import PlatformClient
 from . import lifecycle
+from .exit_codes import ExitCode
 
 log = logs.get_logger("agent")
 
@@ -17,7 +18,7 @@
     """Run an agent with the settings file ``settings`` until SIGTERM."""
     loaded = lifecycle.load_settings(settings)
     if loaded is None:
-        return lifecycle.EXIT_USAGE
+        return ExitCode.USAGE
     logs.configure(loaded.log_level)
     return uvloop.run(run(loaded, Clock(), lifecycle.StopSignals.install))
 
@@ -35,7 +36,7 @@
         bound = await lifecycle.Listeners.start(settings, clock, holder, app)
     except OSError as error:
         log.critical("can't listen", error=str(error))
-        return lifecycle.EXIT_FAILED
+        return ExitCode.FAILED
     node = AgentNode.from_settings(settings, clock, platform, bound.link, bound.http)
     holder.node = node
     announce(http=bound.http, link=bound.link)
@@ -44,7 +45,7 @@
     await node.aclose()
     await bound.http_server.aclose(within_ms=0)
     await platform.aclose()
-    return lifecycle.EXIT_OK
+    return ExitCode.OK
 
 
 class AgentHolder(lifecycle.NodeHolder):
--- a/plantainhitch/commands/entry.py
+++ b/plantainhitch/commands/entry.py
@@ -10,6 +10,7 @@
 from ..transport.entry_http import create_app
 from ..transport.platform_http import PlatformClient
 from . import lifecycle
+from .exit_codes import ExitCode
 
 log = logs.get_logger("entry")
 
@@ -18,7 +19,7 @@
     """Run an entry with the settings file ``settings`` until SIGTERM."""
     loaded = lifecycle.load_settings(settings)
     if loaded is None:
-        return lifecycle.EXIT_USAGE
+        return ExitCode.USAGE
     logs.configure(loaded.log_level)
     return uvloop.run(run(loaded, Clock(), lifecycle.StopSignals.install))
 
@@ -36,7 +37,7 @@
         listeners = await lifecycle.Listeners.start(settings, clock, holder, app)
     except OSError as error:
         log.critical("can't listen", error=str(error))
-        return lifecycle.EXIT_FAILED
+        return ExitCode.FAILED
     bound = BoundAddresses(listeners.link, listeners.http)
     node = EntryNode.from_settings(settings, clock, platform, bound)
     holder.node = node
@@ -47,7 +48,7 @@
     listeners.link_server.close()
     await node.aclose()
     await platform.aclose()
-    return lifecycle.EXIT_OK
+    return ExitCode.OK
 
 
 class EntryHolder(lifecycle.NodeHolder):
--- a/plantainhitch/commands/lifecycle.py
+++ b/plantainhitch/commands/lifecycle.py
@@ -11,10 +11,6 @@
 from ..transport.addresses import Address
 from ..transport.http_server import serve
 
-EXIT_OK = 0
-EXIT_FAILED = 1
-EXIT_USAGE = 2
-
 log = logs.get_logger("lifecycle")
 
 
--- a/plantainhitch/commands/standin.py
+++ b/plantainhitch/commands/standin.py
@@ -5,9 +5,9 @@
 
 import asyncio
 
+from .exit_codes import ExitCode
 from .usage import address, number
 
-EXIT_OK = 0
 LEAST_SPEED = 0.01
 
 
@@ -19,7 +19,7 @@
         from ..standins.platform import serve
 
         asyncio.run(serve(address("listen", listen)))
-        return EXIT_OK
+        return ExitCode.OK
 
     def endpoint(self, **options):
         """Serve an endpoint; the options are those of ``standins.endpoint.main``."""
