--- a/plantainhitch/clock.py
+++ b/plantainhitch/clock.py
@@ -1,4 +1,7 @@
-"""The project's clock: monotonic milliseconds, real or set by hand.
+"""The project's clock: steady milliseconds, real or set by hand.
+
+The steady clock goes on while the machine is suspended, so that what was agreed
+before a suspension is seen to be over after it.
 
 Decision classes take a ``Clock`` and never read the time in another way, so that
 tests can drive them with a ``ManualClock``.
@@ -11,11 +14,11 @@
 
 
 class Clock:
-    """A monotonic clock in whole milliseconds."""
+    """A steady clock in whole milliseconds."""
 
     def now_ms(self):
         """Return the milliseconds since an arbitrary fixed origin."""
-        return time.monotonic_ns() // NS_PER_MS
+        return time.clock_gettime_ns(time.CLOCK_BOOTTIME) // NS_PER_MS
 
     def wall_ms(self):
         """Return the milliseconds since the Unix epoch, by the instance's clock.
--- /dev/null
+++ b/plantainhitch/commands/deployed.py
@@ -0,0 +1,97 @@
+"""``plantainhitch deployed-entry`` and ``deployed-agent``: run on the users' platform.
+
+Settings come from the file that the platform places, see ``platform.settings``.
+"""
+
+import gc
+
+import uvloop
+
+from .. import logs
+from ..clock import Clock
+from ..coordination.jobs.entry_node import JobEntryNode, new_member
+from ..coordination.jobs.route_watch import RouteWatch
+from ..coordination.jobs.scheduler import Scheduler
+from ..coordination.membership import Membership
+from ..coordination.runs.agent_node import LINK_TIMING, RunAgentNode
+from ..coordination.runs.run_book import RunBook
+from ..platform import settings as platform_settings
+from ..platform.configuration import RouteSource
+from ..platform.endpoint import EndpointOrders
+from ..platform.front import FrontApp, ReadinessApp
+from ..platform.heartbeats import HeartbeatApp
+from ..platform.store import RowStore
+from ..protocol import messages as m
+from ..transport import links
+from ..transport.http_server import serve
+from . import lifecycle
+from .exit_codes import ExitCode
+
+log = logs.get_logger("deployed")
+
+
+def deployed_entry():
+    """Run an entry with the settings that the platform placed, until SIGTERM."""
+    return _run(run_entry)
+
+
+def deployed_agent():
+    """Run an agent with the settings that the platform placed, until SIGTERM."""
+    return _run(run_agent)
+
+
+def _run(role):
+    logs.configure("info")
+    deployment = platform_settings.load()
+    gc.freeze()
+    return uvloop.run(role(deployment, Clock(), lifecycle.StopSignals.install))
+
+
+async def run_entry(deployment, clock, install_signals):
+    """Serve as an entry until the signals ask to stop."""
+    signals = install_signals()
+    store = RowStore.from_deployment(deployment, clock)
+    member = new_member(m.ROLE_ENTRY, deployment)
+    routes = RouteWatch(clock, RouteSource(store), lambda table: None)
+    membership = Membership(
+        store, clock, region=deployment.region, on_change=lambda: node.members_changed()
+    )
+    scheduler = Scheduler(clock, deployment.bounds.lease_ms)
+    node = JobEntryNode(deployment, member, clock, scheduler, routes, membership)
+    front = await serve(FrontApp(node), deployment.front)
+    await serve(ReadinessApp(node), deployment.readiness)
+    log.notice("started", name=deployment.name, incarnation=member.incarnation.hex())
+    await lifecycle.run_until_stopped(node, signals, deployment.bounds.shutdown_ms)
+    await front.aclose(within_ms=deployment.bounds.stop_ms)
+    await node.aclose()
+    log.notice("stopped", name=deployment.name)
+    return ExitCode.OK
+
+
+async def run_agent(deployment, clock, install_signals):
+    """Serve as an agent until the signals ask to stop."""
+    signals = install_signals()
+    store = RowStore.from_deployment(deployment, clock)
+    member = new_member(m.ROLE_AGENT, deployment)
+    hello = m.Hello(m.ROLE_AGENT, member.incarnation, deployment.name, deployment.zone)
+    book = RunBook(clock, deployment.bounds.lease_ms, first_fence=clock.wall_ms())
+    node = RunAgentNode(
+        hello,
+        clock,
+        book,
+        lambda endpoint_id: EndpointOrders(deployment.endpoint, clock, endpoint_id),
+    )
+    heartbeats = HeartbeatApp(deployment.pool, node.on_report, node.on_leave)
+    await serve(heartbeats, deployment.heartbeats)
+    link_server = await links.listen(
+        deployment.link, clock, node.serve_link, LINK_TIMING
+    )
+    membership = Membership(store, clock)
+    registering = lifecycle.spawn(membership.register(member))
+    log.notice("started", name=deployment.name, incarnation=member.incarnation.hex())
+    await lifecycle.run_until_stopped(node, signals, deployment.bounds.shutdown_ms)
+    link_server.close()
+    registering.cancel()
+    await node.aclose()
+    log.notice("stopped", name=deployment.name)
+    return ExitCode.OK
--- a/plantainhitch/commands/lifecycle.py
+++ b/plantainhitch/commands/lifecycle.py
@@ -29,6 +29,11 @@
     print(json.dumps(line), flush=True)
 
 
+def spawn(coroutine):
+    """Start a task; keep what is returned for as long as it should run."""
+    return asyncio.create_task(coroutine)
+
+
 class NodeHolder:
     """Stands for the node while its addresses are not bound yet."""
 
--- a/plantainhitch/commands/main.py
+++ b/plantainhitch/commands/main.py
@@ -21,6 +21,8 @@
     "check": ("check", "check"),
     "classes": ("classes", "Classes"),
     "demo": ("demo", "demo"),
+    "deployed-agent": ("deployed", "deployed_agent"),
+    "deployed-entry": ("deployed", "deployed_entry"),
     "endpoints": ("endpoints", "Endpoints"),
     "entry": ("entry", "entry"),
     "load": ("load", "load"),
--- a/plantainhitch/coordination/agent_links.py
+++ b/plantainhitch/coordination/agent_links.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+from dataclasses import dataclass, field, replace
 
 from .. import logs
 from ..protocol import messages as m
@@ -17,10 +18,25 @@
 log = logs.get_logger("agent-links")
 
 
+@dataclass(frozen=True, slots=True)
+class DialRules:
+    """How an address is dialled.
+
+    ``follows`` keeps dialling it when another incarnation answers there; without
+    it the dialer ends. ``redial_ms`` is the longest wait between two tries.
+    """
+
+    timing: links.LinkTiming = field(default_factory=links.LinkTiming)
+    redial_ms: int = MAX_REDIAL_MS
+    connect_timeout_ms: int = CONNECT_TIMEOUT_MS
+    follows: bool = False
+
+
 class AgentDialer:
     """Keeps one link to one agent incarnation and posts what happens on it."""
 
-    def __init__(self, member, own_hello, clock, post):
+    def __init__(self, member, own_hello, clock, post, rules=None):
+        self._rules = rules or DialRules()
         self._member = member
         self._own_hello = own_hello
         self._clock = clock
@@ -46,14 +62,14 @@
             if self._over:
                 break
             await self._clock.sleep_ms(delay_ms * random.uniform(0.5, 1.0))
-            delay_ms = min(delay_ms * 2, MAX_REDIAL_MS)
+            delay_ms = min(delay_ms * 2, self._rules.redial_ms)
         self._post(AgentGone(self.incarnation))
 
     async def _connect(self):
         address = Address.from_text(self._member.link)
         try:
-            async with asyncio.timeout(CONNECT_TIMEOUT_MS / 1000):
-                return await links.connect(address, self._clock)
+            async with asyncio.timeout(self._rules.connect_timeout_ms / 1000):
+                return await links.connect(address, self._clock, self._rules.timing)
         except ConnectionRefusedError:
             self._post(AgentRefused(self.incarnation))
         except (OSError, TimeoutError) as error:
@@ -66,7 +82,12 @@
         if hello is None:
             link.close("no hello")
             return False
-        if hello.incarnation != self.incarnation:
+        if hello.incarnation != self.incarnation and self._rules.follows:
+            self._post(AgentGone(self.incarnation))
+            self._member = replace(
+                self._member, incarnation=hello.incarnation, name=hello.name
+            )
+        elif hello.incarnation != self.incarnation:
             # Another process answers at this address, so ours is dead.
             self._over = True
             link.close("another incarnation")
@@ -79,7 +100,7 @@
 
     def _receive(self, link, envelope):
         message = envelope.message
-        if isinstance(message, m.ReportBatch):
+        if isinstance(message, m.ReportBatch | m.RunReports):
             link.acknowledge(message.number)
         self._post(AgentSaid(self.incarnation, message))
 
--- /dev/null
+++ b/plantainhitch/coordination/jobs/entry_node.py
@@ -0,0 +1,206 @@
+"""The entry node of a deployment: wires ``Scheduler`` to callers and agents.
+
+One task owns the scheduler. Callers' tasks hand it a job and wait for a future;
+dialers post what agents say.
+"""
+
+import asyncio
+
+from ... import logs
+from ...protocol import messages as m
+from ...state.ids import new_incarnation
+from ...state.members import Member
+from .. import events as e
+from ..agent_links import AgentDialer, DialRules
+from ..inbox import Inbox
+from ..runs.agent_node import LINK_TIMING
+from .scheduler import GaveUp, NeverRan
+
+TICK_MS = 25
+# A dialled agent on the same network answers within a few ms; a frozen one doesn't.
+DIAL_RULES = DialRules(
+    LINK_TIMING, redial_ms=500, connect_timeout_ms=1_000, follows=True
+)
+# After SIGTERM new jobs are taken this long: until the balancer has missed two of
+# its checks, one a second.
+TAKE_AFTER_STOP_MS = 2_500
+DRAIN_POLL_MS = 20
+
+log = logs.get_logger("entry")
+
+
+class JobEntryNode:
+    """One entry process of a deployment, without its listeners."""
+
+    def __init__(self, deployment, member, clock, scheduler, routes, membership):
+        self._deployment = deployment
+        self._member = member
+        self._clock = clock
+        self._scheduler = scheduler
+        self._routes = routes
+        self._membership = membership
+        self._inbox = Inbox()
+        self._dialers = {}
+        self._tasks = set()
+        self._stopping_since_ms = None
+
+    @property
+    def ready(self):
+        """Whether the balancer should send callers here."""
+        return self._routes.table is not None and self._stopping_since_ms is None
+
+    @property
+    def routes(self):
+        """The route table in force, or None before the first."""
+        return self._routes.table
+
+    @property
+    def scheduler(self):
+        """The decisions, for reading only."""
+        return self._scheduler
+
+    @property
+    def is_closing(self):
+        """Whether answers should close their connections."""
+        return self._stopping_since_ms is not None
+
+    def members_changed(self):
+        """Dial agents that are new; called by the membership."""
+        for member in self._membership.agents(self._deployment.region):
+            self._dial(member)
+
+    def pending(self, route):
+        """Return how many jobs of a route have not begun."""
+        return self._scheduler.pending(route.name)
+
+    async def run_job(self, spec, route, patience_ms, left):
+        """Return the ``JobOutcome`` of a job.
+
+        ``left`` is a future that is done when the caller leaves.
+        """
+        if self._is_late():
+            return NeverRan("the entry stops")
+        ended = asyncio.get_running_loop().create_future()
+
+        def end(outcome):
+            if not ended.done():
+                ended.set_result(outcome)
+
+        self._inbox.post(lambda: self._scheduler.submit(spec, route, patience_ms, end))
+        await asyncio.wait((ended, left), return_when=asyncio.FIRST_COMPLETED)
+        if not ended.done():
+            reason = "the caller left"
+            self._inbox.post(lambda: self._scheduler.abandon(spec.job_id, reason))
+            return GaveUp(reason)
+        return ended.result()
+
+    async def run(self, stop):
+        """Serve until ``stop`` is set and the jobs have ended."""
+        owned = (
+            self._run_scheduler(),
+            self._tick(),
+            self._routes.run(),
+            self._join(),
+        )
+        background = [asyncio.create_task(coroutine) for coroutine in owned]
+        stopping = asyncio.create_task(self._drain_after(stop))
+        try:
+            done, _ = await asyncio.wait(
+                (*background, stopping), return_when=asyncio.FIRST_COMPLETED
+            )
+            for task in done:
+                task.result()
+        finally:
+            for task in (*background, stopping, *self._tasks):
+                task.cancel()
+
+    async def aclose(self):
+        """Close the links."""
+        for agent in self._scheduler.fleet.agents.values():
+            if agent.link is not None:
+                agent.link.close("the entry ends")
+
+    def status(self):
+        """Return what the node is doing, for the log."""
+        return {"jobs": len(self._scheduler.jobs), "dialled": len(self._dialers)}
+
+    async def _run_scheduler(self):
+        scheduler = self._scheduler
+        while True:
+            for event in await self._inbox.take():
+                match event:
+                    case e.AgentSaid(incarnation, message):
+                        scheduler.agent_said(incarnation, message)
+                    case e.AgentLinked(hello=hello, link=link):
+                        scheduler.agent_linked(hello, link)
+                    case e.AgentUnlinked(incarnation, link):
+                        scheduler.agent_unlinked(incarnation, link)
+                    case e.AgentGone(incarnation) | e.AgentRefused(incarnation):
+                        scheduler.agent_gone(incarnation)
+                    case e.Tick():
+                        pass
+                    case _:
+                        event()
+            for agent, message in scheduler.round():
+                agent.link.send(message)
+
+    async def _tick(self):
+        while True:
+            await self._clock.sleep_ms(TICK_MS)
+            self._inbox.post(e.Tick())
+
+    async def _join(self):
+        registering = asyncio.create_task(self._membership.register(self._member))
+        try:
+            await self._membership.run()
+        finally:
+            registering.cancel()
+
+    def _dial(self, member):
+        if member.link in self._dialers:
+            return
+        dialer = AgentDialer(
+            member, self._hello, self._clock, self._inbox.post, DIAL_RULES
+        )
+        self._dialers[member.link] = dialer
+        task = asyncio.create_task(dialer.run())
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    def _hello(self):
+        table = self._routes.table
+        return m.Hello(
+            role=m.ROLE_ENTRY,
+            incarnation=self._member.incarnation,
+            name=self._member.name,
+            zone=self._member.zone,
+            configuration_version=table.version if table else 0,
+        )
+
+    def _is_late(self):
+        since_ms = self._stopping_since_ms
+        return (
+            since_ms is not None
+            and self._clock.now_ms() - since_ms > TAKE_AFTER_STOP_MS
+        )
+
+    async def _drain_after(self, stop):
+        await stop.wait()
+        self._stopping_since_ms = self._clock.now_ms()
+        log.notice("stopping", **self.status())
+        while not self._is_late() or self._scheduler.jobs:
+            await self._clock.sleep_ms(DRAIN_POLL_MS)
+
+
+def new_member(role, deployment):
+    """Return this process as a ``Member`` with a fresh incarnation."""
+    return Member(
+        role=role,
+        incarnation=new_incarnation(),
+        name=deployment.name,
+        zone=deployment.zone,
+        region=deployment.region,
+        rack="",
+        link=str(deployment.link),
+        http=str(deployment.metrics),
+    )
--- /dev/null
+++ b/plantainhitch/coordination/jobs/fleet.py
@@ -0,0 +1,114 @@
+"""What an entry believes of the agents: room, speed, and when it last heard."""
+
+from dataclasses import dataclass, field
+
+from ...protocol import messages as m
+from ...state.jobs import Room
+from ..runs.owners import OWNER_LEASE_MS
+from .speeds import Speeds
+
+# An agent that has been silent for this long gets no new runs: three heartbeats.
+SUSPECT_AFTER_MS = 450
+# Added to the leases of owner and endpoint before a run is taken for ended.
+LOST_MARGIN_MS = 150
+
+
+@dataclass(slots=True, eq=False)
+class AgentView:
+    """One agent incarnation; ``unseen`` are orders that ``free`` doesn't show yet."""
+
+    incarnation: bytes
+    name: str
+    zone: str
+    link: object = None
+    status: m.EndpointStatus | None = None
+    free: Room = Room()
+    order_number: int = 0
+    unseen: list[tuple[int, Room]] = field(default_factory=list)
+    heard_ms: int = 0
+    is_gone: bool = False
+    # Names of tasks with a run here.
+    tasks: dict = field(default_factory=dict)
+
+    @property
+    def is_ready(self):
+        """Whether the agent takes starts as far as known."""
+        return self.link is not None and self.status is not None and self.status.ready
+
+    def room(self):
+        """Return the free room as believed, less what was ordered since."""
+        room = self.free
+        for _, ordered in self.unseen:
+            room -= ordered
+        return room
+
+
+class Fleet:
+    """All agents that an entry knows."""
+
+    def __init__(self, clock, lease_ms):
+        self._clock = clock
+        self._silence_ms = OWNER_LEASE_MS + lease_ms * 1.02 + LOST_MARGIN_MS
+        self._lapse_ms = lease_ms * 1.02 + LOST_MARGIN_MS
+        self._agents = {}
+        self.speeds = Speeds()
+
+    @property
+    def agents(self):
+        """The views by incarnation, for reading only."""
+        return self._agents
+
+    def of(self, incarnation):
+        """Return the view of an agent, or None."""
+        return self._agents.get(incarnation)
+
+    def linked(self, hello, link):
+        """Note a new link to an agent; return its view."""
+        agent = self._agents.get(hello.incarnation)
+        if agent is None:
+            agent = AgentView(hello.incarnation, hello.name, hello.zone)
+            self._agents[hello.incarnation] = agent
+        agent.link = link
+        agent.heard_ms = self._clock.now_ms()
+        agent.unseen.clear()
+        return agent
+
+    def heard(self, agent, message):
+        """Take in a message of an agent."""
+        agent.heard_ms = self._clock.now_ms()
+        match message:
+            case m.EndpointStatus():
+                agent.status = message
+                self.speeds.introduce(message)
+            case m.RunReports(orders_seen=orders_seen, free=free):
+                agent.free = free
+                agent.unseen = [item for item in agent.unseen if item[0] > orders_seen]
+
+    def usable(self, pool):
+        """Return the agents of a pool that take starts and were heard lately."""
+        newest_ms = self._clock.now_ms() - SUSPECT_AFTER_MS
+        return [
+            agent
+            for agent in self._agents.values()
+            if agent.is_ready
+            and agent.status.pool == pool
+            and self._last_heard_ms(agent) >= newest_ms
+        ]
+
+    def is_lost(self, agent):
+        """Return whether no run that we own can be at work there any more.
+
+        The agent stops our runs when it has not heard of us for the owner's lease;
+        if it can't, the endpoint's lease lapses.
+        """
+        silent_ms = self._clock.now_ms() - self._last_heard_ms(agent)
+        return silent_ms > (self._lapse_ms if agent.is_gone else self._silence_ms)
+
+    def forget(self, agent):
+        """Drop an agent that has no runs of ours."""
+        self._agents.pop(agent.incarnation, None)
+
+    def _last_heard_ms(self, agent):
+        if agent.link is not None:
+            agent.heard_ms = max(agent.heard_ms, agent.link.last_heard_ms)
+        return agent.heard_ms
--- /dev/null
+++ b/plantainhitch/coordination/jobs/job.py
@@ -0,0 +1,142 @@
+"""The state of one job at its owner: which tasks may start, run or have ended."""
+
+import enum
+from dataclasses import dataclass, field
+
+from ...state.jobs import JobSpec, RunKey, StepSpec
+from ...state.routes import Route
+
+
+class TaskPhase(enum.Enum):
+    """Where a task stands; a ``PLACED`` one has a run at an agent."""
+
+    BLOCKED = "blocked"
+    READY = "ready"
+    PLACED = "placed"
+    DONE = "done"
+
+
+@dataclass(slots=True, eq=False)
+class Task:
+    """One task; ``run`` is the number of its newest run."""
+
+    job: "Job"
+    step: int
+    index: int
+    name: str
+    phase: TaskPhase = TaskPhase.BLOCKED
+    run: int = 0
+    failures: int = 0
+    agent: bytes = b""
+    placed_ms: int = 0
+    expected_ms: float = 0.0
+    checkpoint: str = ""
+
+    @property
+    def key(self):
+        """The key of the newest run."""
+        return RunKey(self.name, self.run)
+
+    @property
+    def spec(self) -> StepSpec:
+        """The step that the task belongs to."""
+        return self.job.spec.steps[self.step]
+
+
+@dataclass(slots=True, eq=False)
+class Job:
+    """A job; times are on this process's clock.
+
+    ``objective_ms`` is how long the caller should wait at most, ``leaves_ms`` the
+    time at which the caller gives up.
+    """
+
+    spec: JobSpec
+    route: Route
+    arrived_ms: int
+    leaves_ms: int
+    objective_ms: float
+    tasks: list[list[Task]] = field(default_factory=list)
+    has_started: bool = False
+    _left: list[int] = field(default_factory=list)
+
+    @classmethod
+    def from_spec(cls, spec, route, arrived_ms, patience_ms):
+        """Return a job with the tasks of its first steps ready."""
+        chain_ms = _longest_chain_ms(spec.steps)
+        job = cls(
+            spec=spec,
+            route=route,
+            arrived_ms=arrived_ms,
+            leaves_ms=arrived_ms + patience_ms,
+            objective_ms=route.stretch * chain_ms + route.target_ms,
+        )
+        for number, step in enumerate(spec.steps):
+            names = (spec.task_name(number, index) for index in range(step.count))
+            job.tasks.append(
+                [Task(job, number, index, name) for index, name in enumerate(names)]
+            )
+            job._left.append(step.count)
+        job.unblock()
+        return job
+
+    @property
+    def job_id(self):
+        """The caller's id."""
+        return self.spec.job_id
+
+    @property
+    def due_ms(self):
+        """When the job should have ended."""
+        return self.arrived_ms + self.objective_ms
+
+    @property
+    def is_done(self):
+        """Whether all tasks have ended as done."""
+        return not any(self._left)
+
+    @property
+    def work_ms(self):
+        """The estimated work of all tasks, in core-milliseconds."""
+        return sum(
+            step.count * step.estimate_ms * step.room.cpu_millis / 1_000
+            for step in self.spec.steps
+        )
+
+    def unblock(self):
+        """Make the tasks ready whose earlier steps are done; return them."""
+        ready = []
+        for number, step in enumerate(self.spec.steps):
+            if any(self._left[earlier] for earlier in step.after):
+                continue
+            for task in self.tasks[number]:
+                if task.phase is TaskPhase.BLOCKED:
+                    task.phase = TaskPhase.READY
+                    ready.append(task)
+        return ready
+
+    def ready_tasks(self):
+        """Return the tasks that wait for a place."""
+        return self._in_phase(TaskPhase.READY)
+
+    def placed_tasks(self):
+        """Return the tasks that have a run at an agent."""
+        return self._in_phase(TaskPhase.PLACED)
+
+    def finish(self, task):
+        """Note that a task has ended as done; return the tasks that are ready now."""
+        task.phase = TaskPhase.DONE
+        self._left[task.step] -= 1
+        return self.unblock() if not self._left[task.step] else []
+
+    def _in_phase(self, phase):
+        return [task for step in self.tasks for task in step if task.phase is phase]
+
+
+def _longest_chain_ms(steps):
+    """Return the estimated work of the longest chain of steps, in ms."""
+    ends = []
+    for step in steps:
+        begins_ms = max((ends[earlier] for earlier in step.after), default=0)
+        ends.append(begins_ms + step.estimate_ms)
+    return max(ends)
--- /dev/null
+++ b/plantainhitch/coordination/runs/agent_node.py
@@ -0,0 +1,304 @@
+"""The agent node of a deployment: wires ``RunBook`` to its endpoint and owners.
+
+One task owns the book and works through the inbox. Calls to the endpoint run in
+tasks of their own and post their results.
+"""
+
+import asyncio
+import contextlib
+from dataclasses import dataclass
+
+from ... import logs
+from ...protocol import messages as m
+from ...state.endpoints import (
+    EndpointReport,
+    Inventory,
+    OrderResult,
+    Rejected,
+    Rejection,
+)
+from ...state.jobs import RunKey
+from ...transport import links
+from ..agent_links import exchange_hellos
+from ..inbox import Inbox
+from .run_book import StartOrder, StopOrder
+
+TICK_MS = 50
+# The wait of an inventory: a third of the shortest lease, so that one lost answer
+# does not let it lapse.
+INVENTORY_WAIT_MS = 300
+# Between tries while no endpoint answers.
+INVENTORY_RETRY_MS = 50
+# Owners without news of their own learn the free room this often.
+ROOM_REPORT_MS = 25
+LINK_TIMING = links.LinkTiming(heartbeat_ms=150, dead_after_ms=1_500)
+DRAIN_POLL_MS = 20
+
+log = logs.get_logger("agent")
+
+
+@dataclass(frozen=True, slots=True)
+class Heartbeat:
+    """The endpoint reported."""
+
+    report: EndpointReport
+
+
+@dataclass(frozen=True, slots=True)
+class OwnerLinked:
+    """An entry has opened a link."""
+
+    incarnation: bytes
+    link: links.Link
+
+
+@dataclass(frozen=True, slots=True)
+class OwnerUnlinked:
+    """The link of an entry has ended."""
+
+    incarnation: bytes
+    link: links.Link
+
+
+@dataclass(frozen=True, slots=True)
+class OwnerSaid:
+    """A frame came from an entry."""
+
+    incarnation: bytes
+    envelope: m.Envelope
+
+
+@dataclass(frozen=True, slots=True)
+class StartAnswered:
+    """The endpoint answered a start, or didn't."""
+
+    key: RunKey
+    result: OrderResult
+
+
+@dataclass(frozen=True, slots=True)
+class StopAnswered:
+    """The endpoint answered a stop, or didn't."""
+
+    key: RunKey
+    result: OrderResult
+
+
+@dataclass(frozen=True, slots=True)
+class Listed:
+    """An inventory came, or something else in its place."""
+
+    endpoint: tuple[str, int]
+    result: Inventory | OrderResult
+
+
+@dataclass(frozen=True, slots=True)
+class Ticked:
+    """Time has passed."""
+
+
+class RunAgentNode:
+    """One agent process of a deployment, without its listeners."""
+
+    def __init__(self, hello, clock, book, connect_endpoint):
+        self._hello = hello
+        self._clock = clock
+        self._book = book
+        # ``connect_endpoint(endpoint_id)`` returns what gives orders to it.
+        self._connect_endpoint = connect_endpoint
+        self._inbox = Inbox()
+        self._links = {}
+        self._orders = None
+        self._inventories = None
+        self._tasks = set()
+        self._last_status = None
+        self._last_free = None
+        self._room_reported_ms = 0
+
+    @property
+    def book(self):
+        """The decisions, for reading only."""
+        return self._book
+
+    def on_report(self, report):
+        """Take in a heartbeat of the endpoint; an ``EndpointReport``."""
+        self._inbox.post(Heartbeat(report))
+
+    def on_leave(self, endpoint_id):
+        """Note that the endpoint ends now; its connections tell when it has."""
+        log.info("endpoint leaves", endpoint=endpoint_id)
+
+    async def serve_link(self, link):
+        """Serve one entry's link until it ends."""
+        hello = await exchange_hellos(link, self._hello)
+        if hello is None:
+            link.close("no hello")
+            return
+        incarnation = hello.incarnation
+        self._inbox.post(OwnerLinked(incarnation, link))
+        closed = await link.run(
+            lambda envelope: self._inbox.post(OwnerSaid(incarnation, envelope)),
+        )
+        log.info("entry lost", entry=hello.name, why=closed.detail)
+        self._inbox.post(OwnerUnlinked(incarnation, link))
+
+    async def run(self, stop):
+        """Serve until ``stop`` is set and what runs has ended."""
+        owned = (self._run_book(), self._tick())
+        background = [asyncio.create_task(coroutine) for coroutine in owned]
+        stopping = asyncio.create_task(self._drain_after(stop))
+        try:
+            done, _ = await asyncio.wait(
+                (*background, stopping), return_when=asyncio.FIRST_COMPLETED
+            )
+            for task in done:
+                task.result()
+        finally:
+            for task in (*background, stopping, *self._tasks):
+                task.cancel()
+
+    async def aclose(self):
+        """Close what is open."""
+        for link in self._links.values():
+            link.close("the agent ends")
+        if self._orders is not None:
+            self._orders.close()
+
+    def status(self):
+        """Return what the node is doing, for the log."""
+        return {"runs": len(self._book.runs), "links": len(self._links)}
+
+    async def _run_book(self):
+        while True:
+            for event in await self._inbox.take():
+                self._handle(event)
+            for order in self._book.round():
+                self._spawn(self._give(order))
+            self._report()
+
+    def _handle(self, event):
+        book = self._book
+        match event:
+            case OwnerSaid(incarnation, envelope):
+                book.owners.heard(incarnation, envelope.echo_ms, envelope.ack)
+                if isinstance(envelope.message, m.RunOrders):
+                    book.orders(incarnation, envelope.message, envelope.echo_ms)
+            case StartAnswered(key, result):
+                book.start_answered(key, result)
+            case StopAnswered(key, result):
+                book.stop_answered(key, result)
+            case Listed(endpoint, result):
+                self._take_inventory(endpoint, result)
+            case Heartbeat(report):
+                if book.heartbeat(report):
+                    self._meet(report)
+            case OwnerLinked(incarnation, link):
+                book.owners.open(incarnation)
+                self._links[incarnation] = link
+                link.send(book.status())
+                link.send(book.report_for(incarnation))
+            case OwnerUnlinked(incarnation, link):
+                if self._links.get(incarnation) is link:
+                    del self._links[incarnation]
+                    book.owners.close(incarnation)
+            case Ticked():
+                keep = {run.owner for run in book.runs.values()}
+                book.owners.forget_dead(keep)
+
+    def _take_inventory(self, endpoint, result):
+        known = self._book.endpoint
+        if known is None or endpoint != (known.endpoint_id, known.born_ms):
+            return
+        match result:
+            case Inventory():
+                self._book.inventory(result)
+            case Rejected(Rejection.GONE):
+                self._book.endpoint_gone("nothing listens at the endpoint")
+            case Rejected(Rejection.FENCE):
+                self._book.raise_fence()
+
+    def _meet(self, report):
+        """Begin to hold the leases of a new lifetime of the endpoint."""
+        if self._inventories is not None:
+            self._inventories.cancel()
+        self._orders = self._connect_endpoint(report.endpoint_id)
+        self._inventories = self._spawn(self._hold(report, self._orders))
+
+    async def _hold(self, report, orders):
+        """Renew the endpoint's lease and post what it lists, until cancelled."""
+        lifetime = (report.endpoint_id, report.born_ms)
+        wait_ms = 0
+        with contextlib.closing(orders):
+            while True:
+                book = self._book
+                lease_until_ms = book.lease_until_ms
+                if lease_until_ms is not None:
+                    book.lease_sent()
+                result = await orders.inventory(
+                    book.fence, book.seen, lease_until_ms, wait_ms
+                )
+                self._inbox.post(Listed(lifetime, result))
+                wait_ms = INVENTORY_WAIT_MS
+                if isinstance(result, Inventory):
+                    await asyncio.sleep(0)  # the book takes it in before the next
+                else:
+                    wait_ms = 0
+                    await self._clock.sleep_ms(INVENTORY_RETRY_MS)
+
+    async def _give(self, order):
+        book = self._book
+        match order:
+            case StartOrder(start):
+                result = await self._orders.start(
+                    start.key,
+                    start.payload,
+                    book.lease_until_ms or 0,
+                    book.fence,
+                    start.checkpoint,
+                )
+                self._inbox.post(StartAnswered(start.key, result))
+            case StopOrder(key):
+                result = await self._orders.stop(key, book.fence)
+                self._inbox.post(StopAnswered(key, result))
+
+    def _report(self):
+        """Send each owner what is new to it."""
+        status = self._book.status()
+        if status != self._last_status:
+            self._last_status = status
+            for link in self._links.values():
+                link.send(status)
+        now_ms = self._clock.now_ms()
+        free = self._book.free
+        is_due = (
+            free != self._last_free
+            and now_ms - self._room_reported_ms >= ROOM_REPORT_MS
+        )
+        if is_due:
+            self._last_free = free
+            self._room_reported_ms = now_ms
+        for incarnation, link in self._links.items():
+            owner = self._book.owners.of(incarnation)
+            if is_due or owner.new_ends:
+                link.send(self._book.report_for(incarnation))
+
+    async def _tick(self):
+        while True:
+            await self._clock.sleep_ms(TICK_MS)
+            self._inbox.post(Ticked())
+
+    async def _drain_after(self, stop):
+        await stop.wait()
+        log.notice("stopping", runs=len(self._book.runs))
+        self._book.stop_taking()
+        self._inbox.post(Ticked())
+        await self._clock.sleep_ms(DRAIN_POLL_MS)
+        while self._book.runs:
+            await self._clock.sleep_ms(DRAIN_POLL_MS)
+        await self._clock.sleep_ms(DRAIN_POLL_MS)
+
+    def _spawn(self, coroutine):
+        task = asyncio.create_task(coroutine)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        return task
--- /dev/null
+++ b/plantainhitch/coordination/runs/run_book.py
@@ -0,0 +1,462 @@
+"""The decisions of an agent about runs: a plain class without sockets.
+
+The agent is the only one that gives orders to its endpoint. A run takes up room
+from the moment when its start is ordered until its end is listed, or until it is
+proved that it never began: an order without an answer may be carried out later, so
+such a run is stopped first, which makes the endpoint refuse a late start.
+"""
+
+import enum
+from collections import OrderedDict
+from dataclasses import dataclass
+
+from ... import logs
+from ...protocol import messages as m
+from ...state.endpoints import (
+    Accepted,
+    End,
+    EndpointReport,
+    Inventory,
+    NoAnswer,
+    Rejected,
+    Rejection,
+)
+from ...state.jobs import Room, RunKey
+from .owners import Owners
+
+# Ends are kept for owners that ask again, at most this many.
+MAX_REMEMBERED_ENDS = 2_000
+# How much slower than ours the endpoint's steady clock may be.
+CLOCK_SLACK = 1.02
+# Time for a lapsed run to be gone once its lease is over.
+LAPSE_MARGIN_MS = 80
+# How far a fence is raised that the endpoint found too low.
+FENCE_STEP = 60_000
+# An order to stop is given again after this long without its effect.
+STOP_RETRY_MS = 200
+# An endpoint that has not answered for this long gets no new runs: longer than an
+# inventory with a wait, and one that was lost.
+SUSPECT_AFTER_MS = 600
+
+log = logs.get_logger("runs")
+
+
+class Phase(enum.Enum):
+    """Where a run stands; ``DOUBTFUL`` ones may or may not be at the endpoint."""
+
+    WAITING = "waiting"
+    STARTING = "starting"
+    RUNNING = "running"
+    DOUBTFUL = "doubtful"
+    STOPPING = "stopping"
+
+
+@dataclass(slots=True)
+class Run:
+    """A run of an owner; ``stopped_clock_ms`` is the endpoint's time of its stop."""
+
+    owner: bytes
+    start: m.RunStart
+    waits_until_ms: int
+    phase: Phase = Phase.WAITING
+    started_ms: int = 0
+    stop_sent_ms: int = 0
+    stopped_clock_ms: int | None = None
+    reason: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class StartOrder:
+    """To do: order the start of a run."""
+
+    start: m.RunStart
+
+
+@dataclass(frozen=True, slots=True)
+class StopOrder:
+    """To do: order the stop of a run."""
+
+    key: RunKey
+
+
+class RunBook:
+    """The runs at one endpoint, those waiting for its room, and their owners."""
+
+    def __init__(self, clock, lease_ms, first_fence):
+        self._clock = clock
+        self._lease_ms = lease_ms
+        self._fence = first_fence
+        self._owners = Owners(clock)
+        self._runs = {}
+        self._ended = OrderedDict()
+        self._endpoint = None
+        self._is_reconciled = False
+        self._seen = 0
+        self._clock_offset_ms = None
+        self._heard_ms = clock.now_ms()
+        self._renewed_ms = None
+        self._is_stopping = False
+        self._strays = frozenset()
+        self._orders = []
+
+    @property
+    def owners(self):
+        """The owners of runs."""
+        return self._owners
+
+    @property
+    def runs(self):
+        """All runs by key, for reading only."""
+        return self._runs
+
+    @property
+    def endpoint(self):
+        """The newest ``EndpointReport``, or None."""
+        return self._endpoint
+
+    @property
+    def fence(self):
+        """The number that marks our orders as newer than an earlier agent's."""
+        return self._fence
+
+    @property
+    def seen(self):
+        """The number of the last end that was taken in."""
+        return self._seen
+
+    @property
+    def lease_until_ms(self):
+        """The end of a full lease on the endpoint's clock, None while unknown."""
+        if self._clock_offset_ms is None or self.is_suspect:
+            return None
+        return self._clock.now_ms() + self._clock_offset_ms + self._lease_ms
+
+    @property
+    def is_suspect(self):
+        """Whether the endpoint has been silent; its lease is not renewed then."""
+        return self._clock.now_ms() - self._heard_ms > SUSPECT_AFTER_MS
+
+    @property
+    def is_ready(self):
+        """Whether starts are taken."""
+        return (
+            self._endpoint is not None
+            and self._is_reconciled
+            and not self._endpoint.draining
+            and not self._is_stopping
+            and not self.is_suspect
+        )
+
+    @property
+    def used(self):
+        """The room of all runs that are, or may be, at the endpoint."""
+        return _total(run for run in self._runs.values() if _is_there(run))
+
+    @property
+    def free(self):
+        """The room left, less what the waiting starts will take."""
+        if self._endpoint is None:
+            return Room()
+        return self._endpoint.capacity - _total(self._runs.values())
+
+    def status(self):
+        """Return the ``EndpointStatus`` as it is now."""
+        endpoint = self._endpoint
+        if endpoint is None:
+            return m.EndpointStatus("", 0, "", ready=False)
+        return m.EndpointStatus(
+            endpoint_id=endpoint.endpoint_id,
+            born_ms=endpoint.born_ms,
+            pool=endpoint.pool,
+            ready=self.is_ready,
+            draining=endpoint.draining,
+            capacity=endpoint.capacity,
+            kind=endpoint.kind,
+            rack=endpoint.rack,
+            labels=endpoint.labels,
+        )
+
+    def report_for(self, incarnation):
+        """Return the next ``RunReports`` for an owner."""
+        owner = self._owners.of(incarnation)
+        number, ends = self._owners.take_ends(owner)
+        return m.RunReports(number, owner.orders_seen, ends, self.free)
+
+    # Events
+
+    def stop_taking(self):
+        """Take no more starts; what runs goes on."""
+        self._is_stopping = True
+        self._refuse_waiting("agent stops")
+
+    def heartbeat(self, report: EndpointReport):
+        """Take in a heartbeat; return whether it is of a new lifetime."""
+        known = self._endpoint
+        if known is not None and report.born_ms < known.born_ms:
+            return False
+        is_new = known is None or (report.endpoint_id, report.born_ms) != (
+            known.endpoint_id,
+            known.born_ms,
+        )
+        if not is_new and report.sequence < known.sequence:
+            return False
+        if is_new:
+            self.endpoint_gone("a new lifetime of the endpoint")
+            log.info(
+                "endpoint",
+                endpoint=report.endpoint_id,
+                born=report.born_ms,
+                cpu=report.capacity.cpu_millis,
+                kind=report.kind,
+                rack=report.rack,
+            )
+        self._endpoint = report
+        if report.draining:
+            if known is None or is_new or not known.draining:
+                log.info("endpoint drains", remaining_ms=report.remaining_ms)
+            self._refuse_waiting("draining")
+        return is_new
+
+    def endpoint_gone(self, why):
+        """Note that the endpoint's lifetime is over: nothing of it runs any more."""
+        for key in [key for key, run in self._runs.items() if _is_there(run)]:
+            self._finish(key, End.LOST, why)
+        if self._is_reconciled:
+            log.warning("endpoint lost", why=why)
+        self._is_reconciled = False
+        self._seen = 0
+        self._clock_offset_ms = None
+        self._renewed_ms = None
+        self._strays = frozenset()
+        self._refuse_waiting("endpoint lost")
+
+    def orders(self, incarnation, orders: m.RunOrders, echo_ms):
+        """Take in an owner's orders from a frame that echoes ``echo_ms``."""
+        owner = self._owners.of(incarnation)
+        owner.orders_seen = max(owner.orders_seen, orders.number)
+        for key in orders.known:
+            if key not in self._runs:
+                self._repeat_end(incarnation, key)
+        for start in orders.starts:
+            self._take(incarnation, start, echo_ms)
+        for key in orders.stops:
+            self._stop_for_owner(incarnation, key)
+
+    def start_answered(self, key, result):
+        """Take in the answer to a start."""
+        run = self._runs.get(key)
+        if run is None or run.phase not in (Phase.STARTING, Phase.STOPPING):
+            return
+        match result:
+            case Accepted(clock_ms):
+                self._note_clock(clock_ms)
+                if run.phase is Phase.STARTING:
+                    run.phase = Phase.RUNNING
+            case NoAnswer():
+                log.warning("start without an answer", task=key.task, run=key.run)
+                run.phase = Phase.DOUBTFUL
+                self._send_stop(run)
+            case Rejected(Rejection.GONE):
+                self.endpoint_gone("nothing listens at the endpoint")
+            case Rejected(Rejection.OTHER_LIFETIME):
+                self._finish(key, End.NOT_STARTED, "other_lifetime")
+            case Rejected(Rejection.FENCE, clock_ms):
+                self._note_clock(clock_ms)
+                self.raise_fence()
+                self._finish(key, End.NOT_STARTED, "fence")
+            case Rejected(reason, clock_ms):
+                self._note_clock(clock_ms)
+                self._finish(key, End.NOT_STARTED, reason.value)
+
+    def stop_answered(self, key, result):
+        """Take in the answer to a stop."""
+        run = self._runs.get(key)
+        if run is None:
+            return
+        match result:
+            case Accepted(clock_ms):
+                run.stopped_clock_ms = clock_ms
+            case Rejected(Rejection.GONE):
+                self.endpoint_gone("nothing listens at the endpoint")
+            case Rejected(Rejection.FENCE):
+                self.raise_fence()
+
+    def raise_fence(self):
+        """Take a higher fence: the endpoint has seen one above ours."""
+        self._fence += FENCE_STEP
+        log.warning("fence raised", fence=self._fence)
+
+    def lease_sent(self):
+        """Note that a renewal is sent which the endpoint may receive."""
+        self._renewed_ms = self._clock.now_ms()
+
+    def inventory(self, found: Inventory):
+        """Take in what runs and what has ended."""
+        self._note_clock(found.clock_ms)
+        for ended in found.ended:
+            if ended.number > self._seen:
+                self._seen = ended.number
+                self._take_end(ended)
+        at_work = {task.key for task in found.running}
+        for key, run in list(self._runs.items()):
+            if key not in at_work:
+                self._consider_absent(key, run, found.clock_ms)
+        self._strays = frozenset(key for key in at_work if key not in self._runs)
+        for key in self._strays:
+            self._orders.append(StopOrder(key))
+        if not self._is_reconciled and not self._strays:
+            self._is_reconciled = True
+            log.info("endpoint reconciled", seen=self._seen)
+
+    def round(self):
+        """Return the orders to give now, after all events at hand."""
+        now_ms = self._clock.now_ms()
+        self._expire_lease(now_ms)
+        self._expire_runs(now_ms)
+        self._repeat_stops(now_ms)
+        if self.is_ready:
+            self._start_waiting(now_ms)
+        orders, self._orders = self._orders, []
+        return orders
+
+    # Parts of the events
+
+    def _take(self, incarnation, start, echo_ms):
+        key = start.key
+        if key in self._runs:
+            return
+        if key in self._ended:
+            self._repeat_end(incarnation, key)
+            return
+        now_ms = self._clock.now_ms()
+        run = Run(incarnation, start, now_ms + start.wait_ms)
+        self._runs[key] = run
+        self._owners.heard(incarnation, echo_ms, 0)
+        if not self._owners.is_alive(incarnation):
+            self._finish(key, End.NOT_STARTED, "stale order")
+        elif not self.is_ready:
+            self._finish(key, End.NOT_STARTED, "not ready")
+        elif not self._endpoint.capacity.holds(start.room):
+            self._finish(key, End.NOT_STARTED, "too large")
+        else:
+            for other in self._runs.values():
+                if other.start.key.task == key.task and other is not run:
+                    self._stop(other, "a newer run of the task")
+
+    def _stop_for_owner(self, incarnation, key):
+        run = self._runs.get(key)
+        if run is None:
+            self._repeat_end(incarnation, key)
+        else:
+            self._stop(run, "stopped by the owner")
+
+    def _stop(self, run, reason):
+        run.reason = run.reason or reason
+        match run.phase:
+            case Phase.WAITING:
+                self._finish(run.start.key, End.NOT_STARTED, reason)
+            case Phase.STARTING | Phase.RUNNING:
+                run.phase = Phase.STOPPING
+                self._send_stop(run)
+
+    def _send_stop(self, run):
+        run.stop_sent_ms = self._clock.now_ms()
+        self._orders.append(StopOrder(run.start.key))
+
+    def _repeat_stops(self, now_ms):
+        for run in self._runs.values():
+            is_leaving = run.phase in (Phase.STOPPING, Phase.DOUBTFUL)
+            if is_leaving and now_ms - run.stop_sent_ms >= STOP_RETRY_MS:
+                self._send_stop(run)
+
+    def _repeat_end(self, incarnation, key):
+        end = self._ended.get(key) or m.RunEnd(key, End.LOST, "unknown run")
+        self._owners.of(incarnation).new_ends.append(end)
+
+    def _take_end(self, ended):
+        run = self._runs.get(ended.key)
+        if run is None:
+            log.info("end of an unknown run", task=ended.key.task, end=ended.end.name)
+            return
+        self._finish(ended.key, ended.end, run.reason, ended.checkpoint)
+
+    def _consider_absent(self, key, run, clock_ms):
+        """Judge a run that the endpoint does not list as at work."""
+        match run.phase:
+            case Phase.STOPPING | Phase.DOUBTFUL:
+                stopped_ms = run.stopped_clock_ms
+                if stopped_ms is not None and clock_ms > stopped_ms:
+                    self._finish(key, End.NOT_STARTED, run.reason or "no answer")
+            case Phase.RUNNING:
+                # Listed neither as at work nor as ended: seen only where an answer
+                # overtook the start's, so the next list decides.
+                if self._clock.now_ms() - run.started_ms > self._lease_ms:
+                    self._finish(key, End.LOST, "not listed")
+
+    def _note_clock(self, clock_ms):
+        if clock_ms:
+            self._heard_ms = self._clock.now_ms()
+            self._clock_offset_ms = clock_ms - self._heard_ms
+
+    def _expire_lease(self, now_ms):
+        """Give up what runs where the endpoint's lease can't hold any more."""
+        if self._renewed_ms is None or not self._is_reconciled:
+            return
+        over_ms = self._renewed_ms + self._lease_ms * CLOCK_SLACK + LAPSE_MARGIN_MS
+        if now_ms > over_ms:
+            self.endpoint_gone("no answer for longer than the lease")
+
+    def _expire_runs(self, now_ms):
+        alive = {}
+        for key, run in list(self._runs.items()):
+            if run.owner not in alive:
+                alive[run.owner] = self._owners.is_alive(run.owner)
+            if not alive[run.owner]:
+                self._stop(run, "owner silent")
+            elif run.phase is Phase.WAITING and now_ms > run.waits_until_ms:
+                self._finish(key, End.NOT_STARTED, "no room in time")
+
+    def _start_waiting(self, now_ms):
+        waiting = [run for run in self._runs.values() if run.phase is Phase.WAITING]
+        if not waiting:
+            return
+        free = self._endpoint.capacity - self.used
+        there = {run.start.key.task for run in self._runs.values() if _is_there(run)}
+        for run in sorted(waiting, key=lambda run: run.start.rank):
+            start = run.start
+            if free.holds(start.room) and start.key.task not in there:
+                run.phase = Phase.STARTING
+                run.started_ms = now_ms
+                free -= start.room
+                self.lease_sent()
+                self._orders.append(StartOrder(start))
+
+    def _refuse_waiting(self, reason):
+        for key, run in list(self._runs.items()):
+            if run.phase is Phase.WAITING:
+                self._finish(key, End.NOT_STARTED, reason)
+
+    def _finish(self, key, end, reason="", checkpoint=""):
+        run = self._runs.pop(key)
+        run_ms = self._clock.now_ms() - run.started_ms if run.started_ms else 0
+        report = m.RunEnd(key, end, reason, checkpoint, run_ms)
+        self._ended[key] = report
+        while len(self._ended) > MAX_REMEMBERED_ENDS:
+            self._ended.popitem(last=False)
+        self._owners.of(run.owner).new_ends.append(report)
+        if end is not End.DONE:
+            log.info("run ended", task=key.task, run=key.run, end=end.name, why=reason)
+
+
+def _is_there(run):
+    return run.phase is not Phase.WAITING
+
+
+def _total(runs):
+    cpu_millis = memory_mb = gpus = 0
+    for run in runs:
+        room = run.start.room
+        cpu_millis += room.cpu_millis
+        memory_mb += room.memory_mb
+        gpus += room.gpus
+    return Room(cpu_millis, memory_mb, gpus)
--- /dev/null
+++ b/plantainhitch/deployment.py
@@ -0,0 +1,46 @@
+"""What a process is told of the deployment that it belongs to."""
+
+from dataclasses import dataclass
+
+from .transport.addresses import Address
+
+
+@dataclass(frozen=True, slots=True)
+class Bounds:
+    """Times in milliseconds that the deployment sets.
+
+    ``lease_ms`` is the longest lease of an endpoint, ``stop_ms`` how long a stop
+    takes there, ``resubmit_ms`` how long callers wait before they submit again
+    after a lost answer, and ``shutdown_ms`` how long a process has to end.
+    """
+
+    drain_ms: int
+    lease_ms: int
+    stop_ms: int
+    resubmit_ms: int
+    shutdown_ms: int
+    configuration_ms: int
+
+
+@dataclass(frozen=True, slots=True)
+class Deployment:
+    """Name, place and addresses of one process and of what it depends on.
+
+    An agent has ``heartbeats`` (where its endpoint reports) and ``endpoint``; an
+    entry has ``front`` (callers) and ``readiness``. ``seeds`` are hosts of entries
+    that may be running.
+    """
+
+    name: str
+    zone: str
+    region: str
+    pool: str
+    link: Address
+    metrics: Address
+    front: Address | None
+    readiness: Address | None
+    heartbeats: Address | None
+    endpoint: Address | None
+    store: Address
+    seeds: tuple[str, ...]
+    bounds: Bounds
--- /dev/null
+++ b/plantainhitch/platform/configuration.py
@@ -0,0 +1,95 @@
+"""The operator's configuration row."""
+
+import msgspec
+
+from .. import logs
+from ..state.routes import Route, RouteTable
+
+# The key of the newest configuration in the operator's table.
+KEY = "config"
+
+log = logs.get_logger("configuration")
+
+
+class _RouteModel(msgspec.Struct):
+    name: str
+    host: str
+    path_prefix: str
+    service: str  # the pool of endpoints
+    priority: int = 0
+    max_attempts: int = 1
+    stretch: float = 1.0
+    target_latency_ms: float = 0  # added to the stretched work, not the whole target
+    timeout_ms: float = 0
+
+
+class _ServiceModel(msgspec.Struct):
+    name: str
+    admission_check: bool = False
+
+
+class _LimitsModel(msgspec.Struct):
+    max_body_bytes: int = 1 << 20
+
+
+class _ConfigurationModel(msgspec.Struct):
+    version: int
+    routes: list[_RouteModel]
+    services: list[_ServiceModel] = []
+    limits: _LimitsModel = msgspec.field(default_factory=_LimitsModel)
+
+
+def decode(value):
+    """Return the ``RouteTable`` in a row's value; raise ValueError if unreadable."""
+    model = msgspec.json.decode(value, type=_ConfigurationModel)
+    return RouteTable(
+        version=model.version,
+        routes=tuple(map(_route, model.routes)),
+        max_body_bytes=model.limits.max_body_bytes,
+        self_checking_pools=frozenset(
+            service.name for service in model.services if service.admission_check
+        ),
+    )
+
+
+def _route(model):
+    return Route(
+        name=model.name,
+        host=model.host,
+        path_prefix=model.path_prefix,
+        pool=model.service,
+        priority=model.priority,
+        max_attempts=model.max_attempts,
+        stretch=model.stretch,
+        target_ms=round(model.target_latency_ms),
+        timeout_ms=round(model.timeout_ms),
+    )
+
+
+class RouteSource:
+    """Reads route tables from the operator's row, for ``RouteWatch``."""
+
+    def __init__(self, store):
+        self._store = store
+
+    async def read(self):
+        """Return Success((revision, RouteTable or None)) or a Failure."""
+        found = await self._store.changes_of_operator(0, 0)
+        return found.map(_newest)
+
+    async def wait(self, revision, wait_ms):
+        """Return what has changed since ``revision``, in the form of ``read``."""
+        found = await self._store.changes_of_operator(revision, wait_ms)
+        return found.map(_newest)
+
+
+def _newest(changes):
+    table = None
+    for row in changes.rows:
+        if row.key != KEY or row.value is None:
+            continue
+        try:
+            table = decode(row.value)
+        except (msgspec.DecodeError, ValueError, UnicodeDecodeError) as error:
+            log.error("unreadable configuration", revision=row.revision, why=str(error))
+    return changes.revision, table
--- /dev/null
+++ b/plantainhitch/platform/endpoint.py
@@ -0,0 +1,207 @@
+"""The endpoint of an agent's machine: orders to it, and its heartbeats."""
+
+import msgspec
+
+from ..state.endpoints import (
+    Accepted,
+    End,
+    EndedTask,
+    EndpointReport,
+    Inventory,
+    NoAnswer,
+    Rejected,
+    Rejection,
+    RunningTask,
+)
+from ..state.jobs import Room, RunKey
+from ..transport.http_client import HttpAnswer, HttpClient, NotSent
+
+# An order is answered within a few ms on the same machine; a later answer is taken
+# for lost, and the run is stopped before it is placed anywhere else.
+ORDER_TIMEOUT_MS = 150
+# Beyond the time that the endpoint was asked to wait for an end.
+INVENTORY_SLACK_MS = 200
+# Orders in parallel; each channel to an endpoint costs its operator something.
+MAX_CONNECTIONS = 6
+IDLE_LIMIT_MS = 600_000
+# Connecting within one machine takes well under a millisecond.
+CONNECT_TIMEOUT_S = 0.3
+_HEARTBEAT_STATES = {"ready": False, "draining": True}
+_ENDS = {
+    "done": End.DONE,
+    "failed": End.FAILED,
+    "stopped": End.STOPPED,
+    "lapsed": End.LAPSED,
+    "broken": End.BROKEN,
+    "alone": End.ALONE,
+}
+_REASONS = {
+    reason.value: reason
+    for reason in (
+        Rejection.FENCE,
+        Rejection.OLD_RUN,
+        Rejection.LEASE_OVER,
+        Rejection.NO_ROOM,
+    )
+}
+
+
+class _CapacityModel(msgspec.Struct):
+    cpu: int
+    mem_mb: int
+    gpu: int = 0
+
+
+class _HeartbeatModel(msgspec.Struct):
+    service: str  # the pool
+    state: str
+    seq: int
+    capacity: _CapacityModel
+    born: int  # Unix ms of the lifetime's start
+    labels: list[str] = []
+    remaining_ms: float | None = None
+    clock_ms: float = 0
+
+
+class _InventoryModel(msgspec.Struct):
+    clock_ms: float
+    running: list[list]
+    finished: list[list]
+    born: int = 0
+
+
+class _AnswerModel(msgspec.Struct):
+    clock_ms: float = 0
+    reason: str = ""
+
+
+def decode_heartbeat(endpoint_id, body):
+    """Return the ``EndpointReport`` in a heartbeat; raise ValueError if unreadable."""
+    model = msgspec.json.decode(body, type=_HeartbeatModel)
+    if model.state not in _HEARTBEAT_STATES:
+        raise ValueError(f"state: {model.state!r}")
+    capacity = model.capacity
+    labels = tuple(model.labels)
+    return EndpointReport(
+        endpoint_id=endpoint_id,
+        born_ms=model.born,
+        sequence=model.seq,
+        pool=model.service,
+        draining=_HEARTBEAT_STATES[model.state],
+        capacity=Room(capacity.cpu, capacity.mem_mb, capacity.gpu),
+        # The first label is the kind of machine, the second its rack.
+        kind=labels[0] if labels else "",
+        rack=labels[1] if len(labels) > 1 else "",
+        labels=labels,
+        remaining_ms=None if model.remaining_ms is None else int(model.remaining_ms),
+        clock_ms=int(model.clock_ms),
+    )
+
+
+class EndpointOrders:
+    """Gives orders to one lifetime of one endpoint."""
+
+    def __init__(self, address, clock, endpoint_id):
+        self._http = HttpClient(
+            address,
+            clock,
+            max_connections=MAX_CONNECTIONS,
+            idle_limit_ms=IDLE_LIMIT_MS,
+            connect_timeout_s=CONNECT_TIMEOUT_S,
+        )
+        self._headers = (
+            (b"Content-Type", b"application/json"),
+            (b"X-Target-Instance", endpoint_id.encode()),
+        )
+
+    async def start(self, key, payload, lease_until_ms, fence, checkpoint=""):
+        """Order a run; ``lease_until_ms`` is on the endpoint's clock."""
+        body = {
+            "task": key.task,
+            "run": key.run,
+            "spec": payload,
+            "deadline_ms": lease_until_ms,
+            "fence": fence,
+        }
+        if checkpoint:
+            body["checkpoint"] = checkpoint
+        return await self._order(b"/run-start", body)
+
+    async def stop(self, key, fence):
+        """Order the end of a run; one that isn't there yet will be refused."""
+        body = {"task": key.task, "run": key.run, "fence": fence}
+        return await self._order(b"/run-stop", body)
+
+    async def inventory(self, fence, seen, lease_until_ms, wait_ms):
+        """Renew the lease and list what runs: Inventory, Rejected or NoAnswer.
+
+        Ends up to number ``seen`` are forgotten. ``lease_until_ms`` None renews
+        nothing. The answer comes at the next end, after ``wait_ms`` at the latest.
+        """
+        body = {"fence": fence, "last_seen": seen, "wait_ms": wait_ms}
+        if lease_until_ms is not None:
+            body["deadline_ms"] = lease_until_ms
+        answer = await self._post(b"/hold", body, wait_ms + INVENTORY_SLACK_MS)
+        if not isinstance(answer, HttpAnswer) or answer.status != 200:
+            return _judge(answer)
+        try:
+            return _inventory(msgspec.json.decode(answer.body, type=_InventoryModel))
+        except (msgspec.DecodeError, ValueError, TypeError, KeyError) as error:
+            return NoAnswer(f"unreadable inventory: {error}")
+
+    def close(self):
+        """Close the connections."""
+        self._http.close()
+
+    async def _order(self, path, body):
+        return _judge(await self._post(path, body, ORDER_TIMEOUT_MS))
+
+    async def _post(self, path, body, timeout_ms):
+        data = msgspec.json.encode(body)
+        return await self._http.request(
+            b"POST", path, data, self._headers, timeout_ms=timeout_ms
+        )
+
+
+def _judge(answer):
+    if isinstance(answer, NotSent):
+        gone = answer.refused
+        return Rejected(Rejection.GONE if gone else Rejection.UNREACHABLE)
+    if not isinstance(answer, HttpAnswer):
+        return NoAnswer(repr(answer))
+    clock_ms, reason = _read_answer(answer.body)
+    match answer.status:
+        case 200:
+            return Accepted(clock_ms)
+        case 409:
+            return Rejected(_REASONS.get(reason, Rejection.BAD_REQUEST), clock_ms)
+        case 421:
+            return Rejected(Rejection.OTHER_LIFETIME, clock_ms)
+        case 429 | 503:
+            return Rejected(Rejection.UNHEALTHY, clock_ms)
+        case 400:
+            return Rejected(Rejection.BAD_REQUEST, clock_ms)
+    return NoAnswer(f"HTTP status {answer.status}")
+
+
+def _read_answer(body):
+    try:
+        model = msgspec.json.decode(body, type=_AnswerModel)
+    except (msgspec.DecodeError, UnicodeDecodeError):
+        # Refusals of an unhealthy endpoint have no body that can be relied on.
+        return 0, ""
+    return int(model.clock_ms), model.reason
+
+
+def _inventory(model):
+    return Inventory(
+        clock_ms=int(model.clock_ms),
+        born_ms=model.born,
+        running=tuple(
+            RunningTask(RunKey(row[0], row[1]), row[2], row[3]) for row in model.running
+        ),
+        ended=tuple(
+            EndedTask(row[0], RunKey(row[1], row[2]), _ENDS[row[3]], row[4])
+            for row in model.finished
+        ),
+    )
--- /dev/null
+++ b/plantainhitch/platform/heartbeats.py
@@ -0,0 +1,54 @@
+"""The HTTP application that an endpoint reports to, on its own machine."""
+
+import msgspec
+
+from .. import logs
+from ..transport.asgi import MAX_SMALL_BODY_BYTES, Reply, answer, read_body
+from . import endpoint
+
+_PATH = "/instances/"
+
+log = logs.get_logger("heartbeats")
+
+
+class HeartbeatApp:
+    """Decodes heartbeats and hands them to ``on_report`` and ``on_leave``.
+
+    ``on_report(EndpointReport)`` runs before the acknowledgement is sent.
+    """
+
+    def __init__(self, pool, on_report, on_leave):
+        self._pool = pool
+        self._on_report = on_report
+        self._on_leave = on_leave
+
+    async def __call__(self, scope, receive, send):
+        """Serve one request."""
+        body = await read_body(receive, MAX_SMALL_BODY_BYTES)
+        await answer(send, self._reply(scope["method"], scope["path"], body))
+
+    def _reply(self, method, path, body):
+        endpoint_id = path.removeprefix(_PATH)
+        if not path.startswith(_PATH) or not endpoint_id:
+            return Reply(404, b'{"error":"no such call"}')
+        if body is None:
+            return Reply(413, b'{"error":"the body is too large"}')
+        match method:
+            case "PUT":
+                return self._report(endpoint_id, body)
+            case "DELETE":
+                self._on_leave(endpoint_id)
+                return Reply(200, b"{}")
+        return Reply(405, b'{"error":"the method is not allowed"}')
+
+    def _report(self, endpoint_id, body):
+        try:
+            report = endpoint.decode_heartbeat(endpoint_id, body)
+        except (msgspec.DecodeError, ValueError) as error:
+            log.warning("unreadable heartbeat", endpoint=endpoint_id, why=str(error))
+            return Reply(400, b'{"error":"the heartbeat is not readable"}')
+        if report.pool != self._pool:
+            log.warning("heartbeat of another pool", pool=report.pool)
+            return Reply(400, b'{"error":"another service"}')
+        self._on_report(report)
+        return Reply(200, b"{}")
--- a/plantainhitch/protocol/codec.py
+++ b/plantainhitch/protocol/codec.py
@@ -11,7 +11,7 @@
 import capnp
 
 from ..outcomes import Failed, NotRun, Reason, Succeeded, Unknown
-from . import messages as m
+from . import messages as m, run_codec
 from .compression import compress, decompress
 
 capnp.remove_import_hook()
@@ -103,7 +103,7 @@
             target.status = message.status
             target.body = message.body
         case _:
-            raise TypeError(f"no frame for {message!r}")
+            run_codec.write_message(frame, message)
 
 
 def _read_message(frame):
@@ -132,7 +132,7 @@
         case "reply":
             source = frame.reply
             return m.Reply(source.number, source.status, bytes(source.body))
-    raise ValueError(f"unknown message {which}")
+    return run_codec.read_message(frame, which)
 
 
 def _write_keys(target, keys):
--- a/plantainhitch/protocol/messages.py
+++ b/plantainhitch/protocol/messages.py
@@ -8,6 +8,8 @@
 from typing import NamedTuple
 
 from ..outcomes import Outcome
+from ..state.endpoints import End
+from ..state.jobs import Room, RunKey
 
 PROTOCOL_VERSION = 1
 ROLE_ENTRY = "entry"
@@ -160,6 +162,82 @@
     body: bytes
 
 
+@dataclass(slots=True)
+class RunStart:
+    """An order to start one run of a task of a job.
+
+    It may wait ``wait_ms`` at the agent for room; among waiting starts the lowest
+    ``rank`` begins first. ``estimate_ms`` is its expected run time there.
+    """
+
+    key: RunKey
+    payload: str
+    room: Room
+    estimate_ms: int = 0
+    wait_ms: int = 0
+    rank: float = 0.0
+    checkpoint: str = ""
+
+
+@dataclass(slots=True)
+class RunOrders:
+    """Orders of one round for one agent, numbered per sender.
+
+    ``known`` names runs sent on an earlier link that should be at the agent; it
+    reports those that are not.
+    """
+
+    number: int
+    starts: list[RunStart] = field(default_factory=list)
+    stops: list[RunKey] = field(default_factory=list)
+    known: list[RunKey] = field(default_factory=list)
+
+
+@dataclass(slots=True)
+class RunEnd:
+    """The end of a run; ``run_ms`` counts from its start at the endpoint."""
+
+    key: RunKey
+    end: End
+    reason: str = ""
+    checkpoint: str = ""
+    run_ms: int = 0
+
+
+@dataclass(slots=True)
+class RunReports:
+    """Ends of runs, numbered per owner, with the room left as they are sent.
+
+    ``orders_seen`` is the number of the receiver's last ``RunOrders`` that ``free``
+    takes into account; ``soon_ms`` is when the next run is expected to end.
+    """
+
+    number: int
+    orders_seen: int
+    ends: list[RunEnd] = field(default_factory=list)
+    free: Room = Room()
+    soon_ms: int = 0
+
+
+@dataclass(slots=True)
+class EndpointStatus:
+    """What an agent says of its endpoint.
+
+    ``ready`` means that it takes starts, and that no run of an earlier lifetime of
+    the endpoint or of the agent is at work any more.
+    """
+
+    endpoint_id: str
+    born_ms: int
+    pool: str
+    ready: bool
+    draining: bool = False
+    capacity: Room = Room()
+    kind: str = ""
+    rack: str = ""
+    labels: tuple[str, ...] = ()
+
+
 Message = (
     Hello
     | AgentStatus
@@ -172,6 +250,9 @@
     | Heartbeat
     | Call
     | Reply
+    | RunOrders
+    | RunReports
+    | EndpointStatus
 )
 
 
--- /dev/null
+++ b/plantainhitch/protocol/run_codec.py
@@ -0,0 +1,151 @@
+"""The messages about runs of tasks as they stand in frames."""
+
+from ..state.endpoints import End
+from ..state.jobs import Room, RunKey
+from . import messages as m
+
+
+def write_message(frame, message):
+    """Write a message about runs; raise TypeError for any other."""
+    match message:
+        case m.RunOrders():
+            _write_orders(frame.init("runOrders"), message)
+        case m.RunReports():
+            _write_reports(frame.init("runReports"), message)
+        case m.EndpointStatus():
+            _write_status(frame.init("endpoint"), message)
+        case _:
+            raise TypeError(f"no frame for {message!r}")
+
+
+def read_message(frame, which):
+    """Return the message called ``which`` in a frame; raise ValueError if unknown."""
+    match which:
+        case "runOrders":
+            return _read_orders(frame.runOrders)
+        case "runReports":
+            return _read_reports(frame.runReports)
+        case "endpoint":
+            return _read_status(frame.endpoint)
+    raise ValueError(f"unknown message {which}")
+
+
+def _write_orders(target, orders):
+    target.number = orders.number
+    if orders.starts:
+        items = target.init("starts", len(orders.starts))
+        for item, start in zip(items, orders.starts, strict=True):
+            _write_start(item, start)
+    if orders.stops:
+        _write_keys(target.init("stops", len(orders.stops)), orders.stops)
+    if orders.known:
+        _write_keys(target.init("known", len(orders.known)), orders.known)
+
+
+def _read_orders(source):
+    return m.RunOrders(
+        source.number,
+        [_read_start(item) for item in source.starts],
+        _read_keys(source.stops),
+        _read_keys(source.known),
+    )
+
+
+def _write_reports(target, reports):
+    target.number = reports.number
+    target.ordersSeen = reports.orders_seen
+    target.soonMs = reports.soon_ms
+    _write_room(target.free, reports.free)
+    if not reports.ends:
+        return
+    items = target.init("ends", len(reports.ends))
+    for item, end in zip(items, reports.ends, strict=True):
+        item.task, item.run = end.key
+        item.end = end.end.value
+        item.reason = end.reason
+        item.checkpoint = end.checkpoint
+        item.runMs = end.run_ms
+
+
+def _read_reports(source):
+    ends = [
+        m.RunEnd(
+            RunKey(item.task, item.run),
+            End(item.end),
+            item.reason,
+            item.checkpoint,
+            item.runMs,
+        )
+        for item in source.ends
+    ]
+    return m.RunReports(
+        source.number, source.ordersSeen, ends, _read_room(source.free), source.soonMs
+    )
+
+
+def _write_status(target, status):
+    target.endpointId = status.endpoint_id
+    target.bornMs = status.born_ms
+    target.pool = status.pool
+    target.ready = status.ready
+    target.draining = status.draining
+    _write_room(target.capacity, status.capacity)
+    target.kind = status.kind
+    target.rack = status.rack
+    target.labels = list(status.labels)
+
+
+def _read_status(source):
+    return m.EndpointStatus(
+        endpoint_id=source.endpointId,
+        born_ms=source.bornMs,
+        pool=source.pool,
+        ready=source.ready,
+        draining=source.draining,
+        capacity=_read_room(source.capacity),
+        kind=source.kind,
+        rack=source.rack,
+        labels=tuple(source.labels),
+    )
+
+
+def _write_start(item, start):
+    item.task, item.run = start.key
+    item.payload = start.payload
+    _write_room(item.room, start.room)
+    item.estimateMs = start.estimate_ms
+    item.waitMs = start.wait_ms
+    item.rank = start.rank
+    if start.checkpoint:
+        item.checkpoint = start.checkpoint
+
+
+def _read_start(item):
+    return m.RunStart(
+        key=RunKey(item.task, item.run),
+        payload=item.payload,
+        room=_read_room(item.room),
+        estimate_ms=item.estimateMs,
+        wait_ms=item.waitMs,
+        rank=item.rank,
+        checkpoint=item.checkpoint,
+    )
+
+
+def _write_keys(items, keys):
+    for item, key in zip(items, keys, strict=True):
+        item.task, item.run = key
+
+
+def _read_keys(items):
+    return [RunKey(item.task, item.run) for item in items]
+
+
+def _write_room(target, room):
+    target.cpuMillis = room.cpu_millis
+    target.memoryMb = room.memory_mb
+    target.gpus = room.gpus
+
+
+def _read_room(source):
+    return Room(source.cpuMillis, source.memoryMb, source.gpus)
--- a/plantainhitch/protocol/wire.capnp
+++ b/plantainhitch/protocol/wire.capnp
@@ -18,6 +18,9 @@
     call @11 :Call;
     reply @12 :Reply;
     drain @13 :Bool;
+    runOrders @14 :RunOrders;
+    runReports @15 :RunReports;
+    endpoint @16 :EndpointStatus;
   }
 }
 
@@ -98,3 +101,63 @@
   status @1 :UInt16;
   body @2 :Data;
 }
+
+# Runs of tasks of jobs, from here on.
+
+struct Room {
+  cpuMillis @0 :Int32;
+  memoryMb @1 :Int32;
+  gpus @2 :Int32;
+}
+
+struct RunStart {
+  task @0 :Text;
+  run @1 :UInt32;
+  payload @2 :Text;
+  room @3 :Room;
+  estimateMs @4 :UInt32;
+  waitMs @5 :UInt32;      # how long the start may wait for room
+  rank @6 :Float64;       # the lowest rank among waiting starts begins first
+  checkpoint @7 :Text;
+}
+
+struct RunStop {
+  task @0 :Text;
+  run @1 :UInt32;
+}
+
+struct RunOrders {
+  number @0 :UInt64;
+  starts @1 :List(RunStart);
+  stops @2 :List(RunStop);
+  known @3 :List(RunStop); # runs that the sender believes to be here
+}
+
+struct RunEnd {
+  task @0 :Text;
+  run @1 :UInt32;
+  end @2 :UInt8;
+  reason @3 :Text;
+  checkpoint @4 :Text;
+  runMs @5 :UInt32;
+}
+
+struct RunReports {
+  number @0 :UInt64;
+  ordersSeen @1 :UInt64;
+  ends @2 :List(RunEnd);
+  free @3 :Room;          # capacity less all that runs or waits
+  soonMs @4 :UInt32;      # when the next run is expected to end
+}
+
+struct EndpointStatus {
+  endpointId @0 :Text;
+  bornMs @1 :UInt64;
+  pool @2 :Text;
+  ready @3 :Bool;         # takes starts; all runs of earlier lifetimes are gone
+  draining @4 :Bool;
+  capacity @5 :Room;
+  kind @6 :Text;
+  rack @7 :Text;
+  labels @8 :List(Text);
+}
--- /dev/null
+++ b/plantainhitch/state/jobs.py
@@ -0,0 +1,78 @@
+"""Jobs of the users' platform: what a caller submits, and the keys of its tasks.
+
+A job has steps, a step has tasks, and each start of a task is a *run* with a
+number of its own.
+"""
+
+from dataclasses import dataclass
+from typing import NamedTuple
+
+
+class RunKey(NamedTuple):
+    """One start of one task: the task's name and the number of the run."""
+
+    task: str
+    run: int
+
+
+@dataclass(frozen=True, slots=True)
+class Room:
+    """An amount of processor (thousandths of a core), memory (MB) and GPUs."""
+
+    cpu_millis: int = 0
+    memory_mb: int = 0
+    gpus: int = 0
+
+    def __add__(self, other):
+        return Room(
+            self.cpu_millis + other.cpu_millis,
+            self.memory_mb + other.memory_mb,
+            self.gpus + other.gpus,
+        )
+
+    def __sub__(self, other):
+        return Room(
+            self.cpu_millis - other.cpu_millis,
+            self.memory_mb - other.memory_mb,
+            self.gpus - other.gpus,
+        )
+
+    def holds(self, other):
+        """Return whether ``other`` fits into this room."""
+        return (
+            self.cpu_millis >= other.cpu_millis
+            and self.memory_mb >= other.memory_mb
+            and self.gpus >= other.gpus
+        )
+
+
+@dataclass(frozen=True, slots=True)
+class StepSpec:
+    """One step: ``count`` equal tasks that may start after the steps in ``after``.
+
+    ``estimate_ms`` is the caller's rough run time of a task. ``label`` is one that
+    the endpoint must have, ``data_rack`` the rack on which a task runs fastest, and
+    ``max_per_endpoint`` the most tasks of the step on one endpoint (0: no bound).
+    """
+
+    count: int
+    room: Room
+    estimate_ms: int = 0
+    after: tuple[int, ...] = ()
+    label: str = ""
+    data_rack: str = ""
+    max_per_endpoint: int = 0
+    checkpointing: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class JobSpec:
+    """A job as submitted; ``payload`` is handed to each of its tasks."""
+
+    job_id: str
+    payload: str
+    steps: tuple[StepSpec, ...]
+
+    def task_name(self, step, index):
+        """Return the name of a task; the 0 stands for the only occurrence."""
+        return f"{self.job_id}.0.{step}.{index}"
--- a/plantainhitch/transport/http_client.py
+++ b/plantainhitch/transport/http_client.py
@@ -30,9 +30,13 @@
 
 @dataclass(frozen=True, slots=True)
 class NotSent:
-    """No byte of the request was written."""
+    """No byte of the request was written.
+
+    ``refused`` means that nothing listens at the address.
+    """
 
     detail: str
+    refused: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -151,9 +155,19 @@
 class HttpClient:
     """Sends requests to one address over a pool of connections."""
 
-    def __init__(self, address, clock, *, max_connections=MAX_CONNECTIONS):
+    def __init__(
+        self,
+        address,
+        clock,
+        *,
+        max_connections=MAX_CONNECTIONS,
+        idle_limit_ms=IDLE_LIMIT_MS,
+        connect_timeout_s=CONNECT_TIMEOUT_S,
+    ):
         self._address = address
         self._clock = clock
+        self._idle_limit_ms = idle_limit_ms
+        self._connect_timeout_s = connect_timeout_s
         self._idle = collections.deque()
         self._open = set()
         self._slots = asyncio.Semaphore(max_connections)
@@ -186,6 +200,10 @@
 
     async def aclose(self):
         """Close every connection."""
+        self.close()
+
+    def close(self):
+        """Close every connection; calls in progress are lost."""
         for connection in list(self._open):
             connection.close()
         self._idle.clear()
@@ -199,7 +217,7 @@
         return [b"".join(lines), body] if body else lines
 
     def _take_idle(self):
-        oldest_ms = self._clock.now_ms() - IDLE_LIMIT_MS
+        oldest_ms = self._clock.now_ms() - self._idle_limit_ms
         while self._idle:
             connection, since_ms = self._idle.pop()
             if since_ms >= oldest_ms and connection.is_usable:
@@ -210,10 +228,12 @@
     async def _connect(self):
         loop = asyncio.get_running_loop()
         try:
-            async with asyncio.timeout(CONNECT_TIMEOUT_S):
+            async with asyncio.timeout(self._connect_timeout_s):
                 _, connection = await loop.create_connection(
                     self._new_connection, self._address.host, self._address.port
                 )
+        except ConnectionRefusedError as error:
+            return NotSent(str(error), refused=True)
         except (OSError, TimeoutError) as error:
             return NotSent(str(error) or "no connection in time")
         self._open.add(connection)
--- a/plantainhitch/transport/links.py
+++ b/plantainhitch/transport/links.py
@@ -19,6 +19,14 @@
 MAX_UNSENT_BYTES = 64 * 1024 * 1024
 
 
+@dataclass(frozen=True, slots=True)
+class LinkTiming:
+    """When a link sends heartbeats, and when it is closed for silence, in ms."""
+
+    heartbeat_ms: int = HEARTBEAT_MS
+    dead_after_ms: int = SILENCE_LIMIT_MS
+
+
 @dataclass(frozen=True, slots=True)
 class LinkClosed:
     """Why a link ended; ``bad_frame`` when the peer sent an unreadable frame."""
@@ -30,14 +38,15 @@
 class Link:
     """One framed connection; use ``run`` in the task that owns it."""
 
-    def __init__(self, reader, writer, clock, *, dead_after_ms=SILENCE_LIMIT_MS):
+    def __init__(self, reader, writer, clock, timing=LinkTiming()):  # noqa: B008
         self._reader = reader
         self._writer = writer
         self._clock = clock
-        self._dead_after_ms = dead_after_ms
+        self._timing = timing
         self._last_sent_ms = clock.now_ms()
         self._last_heard_ms = clock.now_ms()
         self._peer_stamp_ms = 0
+        self._echo_ms = 0
         self._ack = 0
         self._sent_ack = 0
         self._sent_frames = 0
@@ -49,6 +58,11 @@
         """The newest stamp received from the peer, on the peer's clock."""
         return self._peer_stamp_ms
 
+    @property
+    def echo_ms(self):
+        """The newest stamp of ours that the peer has echoed, 0 where none."""
+        return self._echo_ms
+
     @property
     def last_heard_ms(self):
         """When a frame last came from the peer, on our clock."""
@@ -125,6 +139,7 @@
         if isinstance(envelope, m.Envelope):
             self._last_heard_ms = self._clock.now_ms()
             self._peer_stamp_ms = envelope.stamp_ms
+            self._echo_ms = max(self._echo_ms, envelope.echo_ms)
         return envelope
 
     def _ack_to_send(self, message):
@@ -149,25 +164,25 @@
     async def _beat(self):
         while True:
             idle_ms = self._clock.now_ms() - self._last_sent_ms
-            await self._clock.sleep_ms(max(HEARTBEAT_MS - idle_ms, 1))
+            await self._clock.sleep_ms(max(self._timing.heartbeat_ms - idle_ms, 1))
             now_ms = self._clock.now_ms()
-            if now_ms - self._last_heard_ms > self._dead_after_ms:
+            if now_ms - self._last_heard_ms > self._timing.dead_after_ms:
                 self.close(f"silent for {now_ms - self._last_heard_ms} ms")
                 return
-            if now_ms - self._last_sent_ms >= HEARTBEAT_MS:
+            if now_ms - self._last_sent_ms >= self._timing.heartbeat_ms:
                 self.send(m.Heartbeat())
 
 
-async def connect(address, clock):
+async def connect(address, clock, timing=LinkTiming()):  # noqa: B008
     """Return a ``Link`` to ``address``; raise OSError where none can be had."""
     reader, writer = await asyncio.open_connection(address.host, address.port)
-    return Link(reader, writer, clock)
+    return Link(reader, writer, clock, timing)
 
 
-async def listen(address, clock, on_link):
+async def listen(address, clock, on_link, timing=LinkTiming()):  # noqa: B008
     """Serve links at ``address``: run ``await on_link(link)`` for each one."""
 
     async def accept(reader, writer):
-        await on_link(Link(reader, writer, clock))
+        await on_link(Link(reader, writer, clock, timing))
 
     return await asyncio.start_server(accept, address.host, address.port)
