--- a/plantainhitch/commands/deployed.py
+++ b/plantainhitch/commands/deployed.py
@@ -4,6 +4,8 @@
 """
 
 import gc
+import sys
+from dataclasses import fields
 
 import uvloop
 
@@ -22,6 +24,7 @@
 from ..platform.heartbeats import HeartbeatApp
 from ..platform.store import RowStore
 from ..protocol import messages as m
+from ..settings import SettingsError
 from ..transport import links
 from ..transport.http_server import serve
 from . import lifecycle
@@ -41,12 +44,36 @@
 
 
 def _run(role):
-    logs.configure("info")
+    logs.configure("info", sys.stdout)
     deployment = platform_settings.load()
     gc.freeze()
     return uvloop.run(role(deployment, Clock(), lifecycle.StopSignals.install))
 
 
+async def _reload(signals, deployment):
+    """Say what has changed each time the settings file is replaced.
+
+    Addresses and bounds are fixed while a process lives: callers and other processes
+    hold connections to them, and leases were agreed under them.
+    """
+    known = deployment
+    while True:
+        await signals.reload.wait()
+        signals.reload.clear()
+        try:
+            found = platform_settings.load()
+        except SettingsError as error:
+            log.error("settings not reloaded", why=str(error))
+            continue
+        changed = [
+            field.name
+            for field in fields(found)
+            if getattr(found, field.name) != getattr(known, field.name)
+        ]
+        log.notice("settings reloaded", changed=changed, in_force="at the next start")
+        known = found
+
+
 async def run_entry(deployment, clock, install_signals):
     """Serve as an entry until the signals ask to stop."""
     signals = install_signals()
@@ -61,7 +88,9 @@
     front = await serve(FrontApp(node), deployment.front)
     await serve(ReadinessApp(node), deployment.readiness)
     log.notice("started", name=deployment.name, incarnation=member.incarnation.hex())
+    reloading = lifecycle.spawn(_reload(signals, deployment))
     await lifecycle.run_until_stopped(node, signals, deployment.bounds.shutdown_ms)
+    reloading.cancel()
     await front.aclose(within_ms=deployment.bounds.stop_ms)
     await node.aclose()
     log.notice("stopped", name=deployment.name)
@@ -89,7 +118,9 @@
     membership = Membership(store, clock)
     registering = lifecycle.spawn(membership.register(member))
     log.notice("started", name=deployment.name, incarnation=member.incarnation.hex())
+    reloading = lifecycle.spawn(_reload(signals, deployment))
     await lifecycle.run_until_stopped(node, signals, deployment.bounds.shutdown_ms)
+    reloading.cancel()
     link_server.close()
     registering.cancel()
     await node.aclose()
--- a/plantainhitch/commands/lifecycle.py
+++ b/plantainhitch/commands/lifecycle.py
@@ -86,11 +86,15 @@
 
 
 class StopSignals:
-    """SIGTERM and SIGINT: the first asks to drain, the second to end at once."""
+    """SIGTERM and SIGINT: the first asks to drain, the second to end at once.
+
+    SIGHUP sets ``reload``, which says that the settings file has changed.
+    """
 
     def __init__(self):
         self.drain = asyncio.Event()
         self.end = asyncio.Event()
+        self.reload = asyncio.Event()
 
     @classmethod
     def install(cls):
@@ -99,6 +103,7 @@
         loop = asyncio.get_running_loop()
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, signals.receive)
+        loop.add_signal_handler(signal.SIGHUP, signals.reload.set)
         return signals
 
     def receive(self):
--- a/plantainhitch/coordination/jobs/fleet.py
+++ b/plantainhitch/coordination/jobs/fleet.py
@@ -4,6 +4,7 @@
 
 from ...protocol import messages as m
 from ...state.jobs import Room
+from ...state.queue_ranks import SAME_RANK
 from ..runs.owners import OWNER_LEASE_MS
 from .speeds import Speeds
 
@@ -23,6 +24,8 @@
     link: object = None
     status: m.EndpointStatus | None = None
     free: Room = Room()
+    soon: tuple[int, ...] = ()
+    waiting: tuple[tuple[float, int], ...] = ()
     order_number: int = 0
     unseen: list[tuple[int, Room]] = field(default_factory=list)
     heard_ms: int = 0
@@ -35,12 +38,34 @@
         """Whether the agent takes starts as far as known."""
         return self.link is not None and self.status is not None and self.status.ready
 
-    def room(self):
-        """Return the free room as believed, less what was ordered since."""
-        room = self.free
+    def fits(self, step):
+        """Return whether a task of the step may run at the endpoint at all."""
+        status = self.status
+        if step.label and step.label not in status.labels:
+            return False
+        return status.capacity.holds(step.room)
+
+    def wait_ms(self, room, rank, ahead_millis=0):
+        """Return how long a start of a rank would wait for room there, or None.
+
+        None means longer than the agent foretells. ``ahead_millis`` is processor
+        that has been promised since, or is kept free.
+        """
+        free = self.free
+        ahead = sum(cpu for other, cpu in self.waiting if other <= rank * SAME_RANK)
+        ahead += ahead_millis
         for _, ordered in self.unseen:
-            room -= ordered
-        return room
+            free -= ordered
+            ahead += ordered.cpu_millis
+        need = ahead + room.cpu_millis
+        if free.memory_mb < room.memory_mb or free.gpus < room.gpus:
+            return None
+        if self.free.cpu_millis >= need:
+            return 0
+        for horizon_ms, cpu_millis in zip(m.HORIZONS_MS, self.soon, strict=False):
+            if cpu_millis >= need:
+                return horizon_ms
+        return None
 
 
 class Fleet:
@@ -80,8 +105,10 @@
             case m.EndpointStatus():
                 agent.status = message
                 self.speeds.introduce(message)
-            case m.RunReports(orders_seen=orders_seen, free=free):
-                agent.free = free
+            case m.RunReports(orders_seen=orders_seen):
+                agent.free = message.free
+                agent.soon = message.soon
+                agent.waiting = message.waiting
                 agent.unseen = [item for item in agent.unseen if item[0] > orders_seen]
 
     def usable(self, pool):
@@ -95,6 +122,17 @@
             and self._last_heard_ms(agent) >= newest_ms
         ]
 
+    def slowness(self, agent):
+        """Return the slowness of an agent's endpoint."""
+        return self.speeds.slowness(agent.status.endpoint_id)
+
+    def processor_millis(self, pool):
+        """Return the processor of a pool, slow endpoints counting for less."""
+        return sum(
+            agent.status.capacity.cpu_millis / self.slowness(agent)
+            for agent in self.usable(pool)
+        )
+
     def is_lost(self, agent):
         """Return whether no run that we own can be at work there any more.
 
--- a/plantainhitch/coordination/jobs/job.py
+++ b/plantainhitch/coordination/jobs/job.py
@@ -47,30 +47,21 @@
 class Job:
     """A job; times are on this process's clock.
 
-    ``objective_ms`` is how long the caller should wait at most, ``leaves_ms`` the
-    time at which the caller gives up.
+    ``leaves_ms`` is the time at which the caller gives up.
     """
 
     spec: JobSpec
     route: Route
     arrived_ms: int
     leaves_ms: int
-    objective_ms: float
     tasks: list[list[Task]] = field(default_factory=list)
-    has_started: bool = False
+    has_run: bool = False
     _left: list[int] = field(default_factory=list)
 
     @classmethod
     def from_spec(cls, spec, route, arrived_ms, patience_ms):
         """Return a job with the tasks of its first steps ready."""
-        chain_ms = _longest_chain_ms(spec.steps)
-        job = cls(
-            spec=spec,
-            route=route,
-            arrived_ms=arrived_ms,
-            leaves_ms=arrived_ms + patience_ms,
-            objective_ms=route.stretch * chain_ms + route.target_ms,
-        )
+        job = cls(spec, route, arrived_ms, arrived_ms + patience_ms)
         for number, step in enumerate(spec.steps):
             names = (spec.task_name(number, index) for index in range(step.count))
             job.tasks.append(
@@ -86,9 +77,11 @@
         return self.spec.job_id
 
     @property
-    def due_ms(self):
-        """When the job should have ended."""
-        return self.arrived_ms + self.objective_ms
+    def has_started(self):
+        """Whether a task has run, or may be running."""
+        return self.has_run or any(
+            task.phase is TaskPhase.PLACED for step in self.tasks for task in step
+        )
 
     @property
     def is_done(self):
@@ -103,6 +96,14 @@
             for step in self.spec.steps
         )
 
+    def chain_ms(self, size_ms):
+        """Return the work of the longest chain of steps; ``size_ms(step)`` each."""
+        ends = []
+        for step in self.spec.steps:
+            begins_ms = max((ends[earlier] for earlier in step.after), default=0)
+            ends.append(begins_ms + size_ms(step))
+        return max(ends)
+
     def unblock(self):
         """Make the tasks ready whose earlier steps are done; return them."""
         ready = []
@@ -131,12 +132,3 @@
 
     def _in_phase(self, phase):
         return [task for step in self.tasks for task in step if task.phase is phase]
-
-
-def _longest_chain_ms(steps):
-    """Return the estimated work of the longest chain of steps, in ms."""
-    ends = []
-    for step in steps:
-        begins_ms = max((ends[earlier] for earlier in step.after), default=0)
-        ends.append(begins_ms + step.estimate_ms)
-    return max(ends)
--- a/plantainhitch/coordination/jobs/scheduler.py
+++ b/plantainhitch/coordination/jobs/scheduler.py
@@ -11,11 +11,10 @@
 from ... import logs
 from ...protocol import messages as m
 from ...state.endpoints import End
+from .demand import Demand
 from .fleet import Fleet
-from .job import Job, Task, TaskPhase
-
-# How long a start may wait at an agent whose room another entry took first.
-AGENT_WAIT_MS = 120
+from .job import Job, TaskPhase
+from .placement import AGENT_WAIT_MS, Placement
 
 log = logs.get_logger("jobs")
 
@@ -68,6 +67,8 @@
         self._jobs = {}
         self._done = {}
         self._orders = {}
+        self._demand = Demand(clock)
+        self._placement = Placement(clock, self._fleet, self._demand)
 
     @property
     def fleet(self):
@@ -90,6 +91,8 @@
         """Take in a job; ``on_end(JobOutcome)`` is called once, perhaps at once."""
         now_ms = self._clock.now_ms()
         job = Job.from_spec(spec, route, now_ms, patience_ms)
+        slack_ms = self._placement.slack_ms(job)
+        self._demand.observe(route.name, job.work_ms, slack_ms)
         reason = self._refusal(job)
         if reason:
             log.info("job refused", job=spec.job_id, route=route.name, why=reason)
@@ -137,9 +140,12 @@
         self._fleet.heard(agent, message)
         if isinstance(message, m.EndpointStatus) and message.ready:
             self._replace_predecessors(agent)
-        if isinstance(message, m.RunReports):
-            for end in message.ends:
-                self._run_ended(agent, end)
+        match message:
+            case m.RunReports(ends=ends):
+                for end in ends:
+                    self._run_ended(agent, end)
+            case m.QueueLoads(loads):
+                self._demand.take_total(loads)
 
     def round(self):
         """Return the messages to send: pairs of an ``AgentView`` and a message."""
@@ -150,8 +156,6 @@
             if agent.link is None:
                 continue
             agent.order_number += 1
-            for start in order.starts:
-                agent.unseen.append((agent.order_number, start.room))
             messages.append(
                 (
                     agent,
@@ -161,10 +165,23 @@
                 )
             )
         self._orders.clear()
+        if self._demand.is_due():
+            messages.extend(self._loads())
         return messages
 
     # Parts
 
+    def _loads(self):
+        """Return the messages that tell each agent the loads of its pool."""
+        linked = [agent for agent in self._fleet.agents.values() if agent.is_ready]
+        by_pool = {}
+        for agent in linked:
+            pool = agent.status.pool
+            if pool not in by_pool:
+                millis = self._fleet.processor_millis(pool)
+                by_pool[pool] = self._demand.loads(millis)
+            yield agent, by_pool[pool]
+
     def _refusal(self, job):
         """Return why a job can't be taken, or nothing."""
         if job.job_id in self._jobs:
@@ -173,7 +190,7 @@
         if not agents:
             return "no endpoint is ready"
         for step in job.spec.steps:
-            if not any(_fits(agent, step) for agent in agents):
+            if not any(agent.fits(step) for agent in agents):
                 return "no endpoint is large enough"
         return ""
 
@@ -199,6 +216,7 @@
 
     def _requeue(self, task, agent):
         agent.tasks.pop(task.name, None)
+        task.job.has_run = True  # as far as can be told
         task.agent = b""
         task.phase = TaskPhase.READY
 
@@ -209,6 +227,7 @@
         if end.checkpoint:
             task.checkpoint = end.checkpoint
         job = task.job
+        job.has_run = job.has_run or end.end is not End.NOT_STARTED
         del agent.tasks[task.name]
         match end.end:
             case End.DONE:
@@ -228,8 +247,9 @@
 
     def _observe(self, agent, task, end):
         estimate_ms = task.spec.estimate_ms
+        queue = task.job.route.name
         endpoint_id = agent.status.endpoint_id
-        self._fleet.speeds.observe(endpoint_id, estimate_ms, end.run_ms)
+        self._fleet.speeds.observe(endpoint_id, queue, estimate_ms, end.run_ms)
 
     def _expire(self):
         now_ms = self._clock.now_ms()
@@ -242,8 +262,9 @@
                 self._give_up(job, "the caller's time is over")
 
     def _give_up(self, job, reason):
+        outcome = GaveUp(reason) if job.has_started else NeverRan(reason)
         self._stop_runs(job)
-        self._end(job, GaveUp(reason) if job.has_started else NeverRan(reason))
+        self._end(job, outcome)
 
     def _stop_runs(self, job):
         for task in job.placed_tasks():
@@ -261,70 +282,55 @@
             route=job.route.name,
             outcome=repr(outcome),
             took_ms=took_ms,
-            objective_ms=round(job.objective_ms),
+            objective_ms=round(self._placement.objective_ms(job)),
         )
         self._done.pop(job.job_id)(outcome)
 
     def _place(self):
-        """Place ready tasks, those of the jobs with the least slack first."""
-        waiting = [
-            (job.due_ms, job) for job in self._jobs.values() if job.ready_tasks()
-        ]
+        """Begin what finds room, in the order of the ranks."""
+        waiting = [job for job in self._jobs.values() if job.ready_tasks()]
         if not waiting:
             return
+        placement = self._placement
         usable = {}
-        for _, job in sorted(waiting, key=lambda pair: pair[0]):
+        ahead = {}
+        order = [(placement.rank(job), placement.due_ms(job), job) for job in waiting]
+        for _, due_ms, job in sorted(order, key=lambda item: item[:2]):
             pool = job.route.pool
             if pool not in usable:
-                usable[pool] = [
-                    [agent, agent.room()] for agent in self._fleet.usable(pool)
-                ]
-            for task in job.ready_tasks():
-                if not self._place_task(task, usable[pool]):
-                    break
-
-    def _place_task(self, task: Task, candidates):
-        """Place a task where it is expected to end first; return whether it was."""
-        step = task.spec
-        best, best_ms = None, 0.0
-        for candidate in candidates:
-            agent, room = candidate
-            if not room.holds(step.room) or not _fits(agent, step):
+                usable[pool] = self._fleet.usable(pool)
+                ahead[pool] = 0.0
+            if not job.has_started and placement.is_worthless(job):
+                self._give_up(job, "too late to be of use")
                 continue
-            slowness = self._fleet.speeds.slowness(agent.status.endpoint_id)
-            if best is None or slowness < best_ms:
-                best, best_ms = candidate, slowness
-        if best is None:
-            return False
-        agent = best[0]
-        best[1] -= step.room
-        self._start(task, agent, step.estimate_ms * best_ms)
-        return True
-
-    def _start(self, task, agent, expected_ms):
+            is_late = placement.is_demoted(job)
+            for task, place in placement.place_all(job, usable[pool]):
+                self._start(task, place, due_ms, is_late)
+            if not job.has_started:
+                if placement.is_hopeless(job, ahead[pool]):
+                    self._give_up(job, "too much is waiting")
+                    continue
+                ahead[pool] += job.work_ms
+
+    def _start(self, task, place, due_ms, is_late):
+        agent, now_ms = place.agent, self._clock.now_ms()
         task.run += 1
         task.phase = TaskPhase.PLACED
         task.agent = agent.incarnation
-        task.placed_ms = self._clock.now_ms()
-        task.expected_ms = expected_ms
-        task.job.has_started = True
+        task.placed_ms = now_ms
+        task.expected_ms = place.run_ms
         agent.tasks[task.name] = task
+        agent.unseen.append((agent.order_number + 1, task.spec.room))
         self._order(agent).starts.append(
             m.RunStart(
                 key=task.key,
                 payload=task.job.spec.payload,
                 room=task.spec.room,
-                estimate_ms=round(expected_ms),
+                estimate_ms=round(place.run_ms),
                 wait_ms=AGENT_WAIT_MS,
-                rank=task.job.due_ms - self._clock.now_ms(),
+                queue=task.job.route.name,
                 checkpoint=task.checkpoint,
+                slack_ms=round(due_ms - now_ms),
+                is_late=is_late,
             )
         )
-
-
-def _fits(agent, step):
-    """Return whether a task of the step may run at the agent's endpoint at all."""
-    status = agent.status
-    if step.label and step.label not in status.labels:
-        return False
-    return status.capacity.holds(step.room)
--- a/plantainhitch/coordination/runs/agent_node.py
+++ b/plantainhitch/coordination/runs/agent_node.py
@@ -181,8 +181,7 @@
         match event:
             case OwnerSaid(incarnation, envelope):
                 book.owners.heard(incarnation, envelope.echo_ms, envelope.ack)
-                if isinstance(envelope.message, m.RunOrders):
-                    book.orders(incarnation, envelope.message, envelope.echo_ms)
+                self._take_message(incarnation, envelope)
             case StartAnswered(key, result):
                 book.start_answered(key, result)
             case StopAnswered(key, result):
@@ -205,6 +204,15 @@
                 keep = {run.owner for run in book.runs.values()}
                 book.owners.forget_dead(keep)
 
+    def _take_message(self, incarnation, envelope):
+        match envelope.message:
+            case m.RunOrders():
+                self._book.orders(incarnation, envelope.message, envelope.echo_ms)
+            case m.QueueLoads(loads):
+                total = self._book.loads(incarnation, loads)
+                if incarnation in self._links:
+                    self._links[incarnation].send(total)
+
     def _take_inventory(self, endpoint, result):
         known = self._book.endpoint
         if known is None or endpoint != (known.endpoint_id, known.born_ms):
--- a/plantainhitch/coordination/runs/owners.py
+++ b/plantainhitch/coordination/runs/owners.py
@@ -22,6 +22,7 @@
     orders_seen: int = 0
     last_number: int = 0
     is_linked: bool = False
+    loads: list[m.QueueLoad] = field(default_factory=list)
     new_ends: list[m.RunEnd] = field(default_factory=list)
     unread: list[tuple[int, list[m.RunEnd]]] = field(default_factory=list)
 
@@ -70,6 +71,18 @@
         owner = self._owners.get(incarnation)
         return owner is not None and owner.lease_until_ms >= self._clock.now_ms()
 
+    def total_loads(self):
+        """Return the loads of the queues of all owners that are alive, summed."""
+        total = {}
+        for name, owner in self._owners.items():
+            if not self.is_alive(name):
+                continue
+            for load in owner.loads:
+                known = total.get(load.queue)
+                share = load.share + (known.share if known else 0.0)
+                total[load.queue] = m.QueueLoad(load.queue, share, load.slack_ms)
+        return list(total.values())
+
     def forget_dead(self, keep):
         """Drop owners without a link or lease that are not in ``keep``."""
         for name in list(self._owners):
--- a/plantainhitch/coordination/runs/run_book.py
+++ b/plantainhitch/coordination/runs/run_book.py
@@ -22,6 +22,7 @@
     Rejection,
 )
 from ...state.jobs import Room, RunKey
+from ...state.queue_ranks import QueueRanks
 from .owners import Owners
 
 # Ends are kept for owners that ask again, at most this many.
@@ -34,6 +35,10 @@
 FENCE_STEP = 60_000
 # An order to stop is given again after this long without its effect.
 STOP_RETRY_MS = 200
+# A run that is being stopped is expected to be gone after this.
+STOP_MS = 50
+# A run that has outlasted its estimate is expected to take this share of it longer.
+OVERRUN_SHARE = 0.15
 # An endpoint that has not answered for this long gets no new runs: longer than an
 # inventory with a wait, and one that was lost.
 SUSPECT_AFTER_MS = 600
@@ -58,6 +63,7 @@
     owner: bytes
     start: m.RunStart
     waits_until_ms: int
+    due_ms: int = 0
     phase: Phase = Phase.WAITING
     started_ms: int = 0
     stop_sent_ms: int = 0
@@ -97,6 +103,7 @@
         self._renewed_ms = None
         self._is_stopping = False
         self._strays = frozenset()
+        self._ranks = QueueRanks()
         self._orders = []
 
     @property
@@ -154,10 +161,31 @@
 
     @property
     def free(self):
-        """The room left, less what the waiting starts will take."""
+        """The room left beside what runs; starts may wait for it."""
         if self._endpoint is None:
             return Room()
-        return self._endpoint.capacity - _total(self._runs.values())
+        return self._endpoint.capacity - self.used
+
+    def outlook(self):
+        """Return the processor expected to be free at each of ``HORIZONS_MS``."""
+        now_ms = self._clock.now_ms()
+        soon = [self.free.cpu_millis] * len(m.HORIZONS_MS)
+        for run in self._runs.values():
+            if _is_there(run):
+                left_ms = self._left_ms(run, now_ms)
+                for number, horizon_ms in enumerate(m.HORIZONS_MS):
+                    if left_ms <= horizon_ms:
+                        soon[number] += run.start.room.cpu_millis
+        return tuple(soon)
+
+    def waiting(self):
+        """Return the processor that waiting starts need, by rank."""
+        by_rank = {}
+        for run in self._runs.values():
+            if run.phase is Phase.WAITING:
+                rank = self._ranks.rank(run.start.queue, run.start.is_late)
+                by_rank[rank] = by_rank.get(rank, 0) + run.start.room.cpu_millis
+        return tuple(by_rank.items())
 
     def status(self):
         """Return the ``EndpointStatus`` as it is now."""
@@ -180,7 +208,9 @@
         """Return the next ``RunReports`` for an owner."""
         owner = self._owners.of(incarnation)
         number, ends = self._owners.take_ends(owner)
-        return m.RunReports(number, owner.orders_seen, ends, self.free)
+        return m.RunReports(
+            number, owner.orders_seen, ends, self.free, self.outlook(), self.waiting()
+        )
 
     # Events
 
@@ -242,6 +272,13 @@
         for key in orders.stops:
             self._stop_for_owner(incarnation, key)
 
+    def loads(self, incarnation, loads):
+        """Take in the loads of an owner's queues; return those of all owners."""
+        self._owners.of(incarnation).loads = loads
+        total = self._owners.total_loads()
+        self._ranks = QueueRanks(total)
+        return m.QueueLoads(total)
+
     def start_answered(self, key, result):
         """Take in the answer to a start."""
         run = self._runs.get(key)
@@ -329,7 +366,7 @@
             self._repeat_end(incarnation, key)
             return
         now_ms = self._clock.now_ms()
-        run = Run(incarnation, start, now_ms + start.wait_ms)
+        run = Run(incarnation, start, now_ms + start.wait_ms, now_ms + start.slack_ms)
         self._runs[key] = run
         self._owners.heard(incarnation, echo_ms, 0)
         if not self._owners.is_alive(incarnation):
@@ -420,17 +457,44 @@
         waiting = [run for run in self._runs.values() if run.phase is Phase.WAITING]
         if not waiting:
             return
-        free = self._endpoint.capacity - self.used
+        capacity = self._endpoint.capacity
+        free = capacity - self.used
         there = {run.start.key.task for run in self._runs.values() if _is_there(run)}
-        for run in sorted(waiting, key=lambda run: run.start.rank):
+        used = self._used_by_queue()
+        for run in sorted(waiting, key=self._turn):
             start = run.start
-            if free.holds(start.room) and start.key.task not in there:
+            reserved = self._ranks.reserved(start.queue, capacity.cpu_millis, used)
+            leaves = free.cpu_millis - start.room.cpu_millis
+            is_room = free.holds(start.room) and leaves >= reserved
+            if is_room and start.key.task not in there:
                 run.phase = Phase.STARTING
                 run.started_ms = now_ms
                 free -= start.room
+                used[start.queue] = used.get(start.queue, 0) + start.room.cpu_millis
                 self.lease_sent()
                 self._orders.append(StartOrder(start))
 
+    def _turn(self, run):
+        """Return what orders waiting starts: rank first, then when they are due."""
+        start = run.start
+        return self._ranks.rank(start.queue, start.is_late), run.due_ms
+
+    def _used_by_queue(self):
+        used = {}
+        for run in self._runs.values():
+            if _is_there(run):
+                queue = run.start.queue
+                used[queue] = used.get(queue, 0) + run.start.room.cpu_millis
+        return used
+
+    def _left_ms(self, run, now_ms):
+        """Return how much longer a run is expected to take."""
+        if run.phase in (Phase.STOPPING, Phase.DOUBTFUL):
+            return STOP_MS
+        estimate_ms = run.start.estimate_ms
+        left_ms = estimate_ms - (now_ms - run.started_ms)
+        return max(left_ms, estimate_ms * OVERRUN_SHARE)
+
     def _refuse_waiting(self, reason):
         for key, run in list(self._runs.items()):
             if run.phase is Phase.WAITING:
--- a/plantainhitch/platform/settings.py
+++ b/plantainhitch/platform/settings.py
@@ -78,9 +78,12 @@
         if field.name not in table:
             if field.required:
                 yield Problem(key, "", "missing")
-        elif isinstance(field.type, type) and issubclass(field.type, msgspec.Struct):
-            if isinstance(table[field.name], dict):
-                yield from _missing(field.type, table[field.name], f"{key}.")
+        elif _is_table(field.type) and isinstance(table[field.name], dict):
+            yield from _missing(field.type, table[field.name], f"{key}.")
+
+
+def _is_table(kind):
+    return isinstance(kind, type) and issubclass(kind, msgspec.Struct)
 
 
 def _decode(settings):
--- a/plantainhitch/protocol/messages.py
+++ b/plantainhitch/protocol/messages.py
@@ -12,6 +12,8 @@
 from ..state.jobs import Room, RunKey
 
 PROTOCOL_VERSION = 1
+# When, after a report, the room of an endpoint is foretold.
+HORIZONS_MS = (25, 50, 100, 200, 400, 800)
 ROLE_ENTRY = "entry"
 ROLE_AGENT = "agent"
 
@@ -166,8 +168,9 @@
 class RunStart:
     """An order to start one run of a task of a job.
 
-    It may wait ``wait_ms`` at the agent for room; among waiting starts the lowest
-    ``rank`` begins first. ``estimate_ms`` is its expected run time there.
+    It may wait ``wait_ms`` at the agent for room, in the order of ``QueueRanks``;
+    ``is_late`` says that its job can't end in time any more, ``slack_ms`` how long
+    it is until the job is due. ``estimate_ms`` is the expected run time there.
     """
 
     key: RunKey
@@ -175,8 +178,10 @@
     room: Room
     estimate_ms: int = 0
     wait_ms: int = 0
-    rank: float = 0.0
+    queue: str = ""
     checkpoint: str = ""
+    slack_ms: int = 0
+    is_late: bool = False
 
 
 @dataclass(slots=True)
@@ -208,15 +213,37 @@
 class RunReports:
     """Ends of runs, numbered per owner, with the room left as they are sent.
 
-    ``orders_seen`` is the number of the receiver's last ``RunOrders`` that ``free``
-    takes into account; ``soon_ms`` is when the next run is expected to end.
+    ``orders_seen`` is the number of the receiver's last ``RunOrders`` that the rest
+    takes into account. ``free`` is the room beside what runs, ``soon`` the processor
+    in thousandths of a core expected to be free at each of ``HORIZONS_MS``, and
+    ``waiting`` the processor that starts of each rank wait for.
     """
 
     number: int
     orders_seen: int
     ends: list[RunEnd] = field(default_factory=list)
     free: Room = Room()
-    soon_ms: int = 0
+    soon: tuple[int, ...] = ()
+    waiting: tuple[tuple[float, int], ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class QueueLoad:
+    """The usual load of a queue as a share of the fleet's processor.
+
+    ``slack_ms`` is how long its jobs can usually wait and still end in time.
+    """
+
+    queue: str
+    share: float
+    slack_ms: int
+
+
+@dataclass(slots=True)
+class QueueLoads:
+    """The loads of the sender's queues; from an agent, those of all entries."""
+
+    loads: list[QueueLoad]
 
 
 @dataclass(slots=True)
@@ -253,6 +280,7 @@
     | RunOrders
     | RunReports
     | EndpointStatus
+    | QueueLoads
 )
 
 
--- a/plantainhitch/protocol/run_codec.py
+++ b/plantainhitch/protocol/run_codec.py
@@ -14,6 +14,12 @@
             _write_reports(frame.init("runReports"), message)
         case m.EndpointStatus():
             _write_status(frame.init("endpoint"), message)
+        case m.QueueLoads(loads):
+            items = frame.init("queueLoads", len(loads))
+            for item, load in zip(items, loads, strict=True):
+                item.queue = load.queue
+                item.share = load.share
+                item.slackMs = load.slack_ms
         case _:
             raise TypeError(f"no frame for {message!r}")
 
@@ -27,6 +33,13 @@
             return _read_reports(frame.runReports)
         case "endpoint":
             return _read_status(frame.endpoint)
+        case "queueLoads":
+            return m.QueueLoads(
+                [
+                    m.QueueLoad(item.queue, item.share, item.slackMs)
+                    for item in frame.queueLoads
+                ]
+            )
     raise ValueError(f"unknown message {which}")
 
 
@@ -54,8 +67,13 @@
 def _write_reports(target, reports):
     target.number = reports.number
     target.ordersSeen = reports.orders_seen
-    target.soonMs = reports.soon_ms
+    target.soon = list(reports.soon)
     _write_room(target.free, reports.free)
+    if reports.waiting:
+        items = target.init("waiting", len(reports.waiting))
+        for item, (rank, cpu_millis) in zip(items, reports.waiting, strict=True):
+            item.rank = rank
+            item.cpuMillis = cpu_millis
     if not reports.ends:
         return
     items = target.init("ends", len(reports.ends))
@@ -79,7 +97,12 @@
         for item in source.ends
     ]
     return m.RunReports(
-        source.number, source.ordersSeen, ends, _read_room(source.free), source.soonMs
+        source.number,
+        source.ordersSeen,
+        ends,
+        _read_room(source.free),
+        tuple(source.soon),
+        tuple((item.rank, item.cpuMillis) for item in source.waiting),
     )
 
 
@@ -115,7 +138,9 @@
     _write_room(item.room, start.room)
     item.estimateMs = start.estimate_ms
     item.waitMs = start.wait_ms
-    item.rank = start.rank
+    item.queue = start.queue
+    item.slackMs = start.slack_ms
+    item.late = start.is_late
     if start.checkpoint:
         item.checkpoint = start.checkpoint
 
@@ -127,8 +152,10 @@
         room=_read_room(item.room),
         estimate_ms=item.estimateMs,
         wait_ms=item.waitMs,
-        rank=item.rank,
+        queue=item.queue,
         checkpoint=item.checkpoint,
+        slack_ms=item.slackMs,
+        is_late=item.late,
     )
 
 
--- a/plantainhitch/protocol/wire.capnp
+++ b/plantainhitch/protocol/wire.capnp
@@ -21,6 +21,7 @@
     runOrders @14 :RunOrders;
     runReports @15 :RunReports;
     endpoint @16 :EndpointStatus;
+    queueLoads @17 :List(QueueLoad);
   }
 }
 
@@ -117,8 +118,10 @@
   room @3 :Room;
   estimateMs @4 :UInt32;
   waitMs @5 :UInt32;      # how long the start may wait for room
-  rank @6 :Float64;       # the lowest rank among waiting starts begins first
+  queue @6 :Text;
   checkpoint @7 :Text;
+  slackMs @8 :Int32;      # among equal ranks the least slack begins first
+  late @9 :Bool;          # can't end in time any more
 }
 
 struct RunStop {
@@ -146,8 +149,14 @@
   number @0 :UInt64;
   ordersSeen @1 :UInt64;
   ends @2 :List(RunEnd);
-  free @3 :Room;          # capacity less all that runs or waits
-  soonMs @4 :UInt32;      # when the next run is expected to end
+  free @3 :Room;          # capacity less all that runs; starts may wait for it
+  soon @4 :List(Int32);   # processor expected free at each of HORIZONS_MS
+  waiting @5 :List(WaitingRoom);
+}
+
+struct WaitingRoom {
+  rank @0 :Float64;
+  cpuMillis @1 :Int32;
 }
 
 struct EndpointStatus {
@@ -161,3 +170,10 @@
   rack @7 :Text;
   labels @8 :List(Text);
 }
+
+# An entry tells its agents its own loads, an agent its entries the sum of all.
+struct QueueLoad {
+  queue @0 :Text;
+  share @1 :Float64;      # of the fleet's processor
+  slackMs @2 :UInt32;
+}
--- /dev/null
+++ b/plantainhitch/state/queue_ranks.py
@@ -0,0 +1,49 @@
+"""The order of queues, and what is kept free for which, from their usual loads.
+
+Operators give no weights. Each queue's share of answers in time counts alike, so a
+queue that usually brings little work is worth more for each unit of it and goes
+first. Shared by entries and agents, so that both order alike.
+"""
+
+# Added to the rank of a start whose job can't end in time; above any share.
+LATE_RANK = 1_000.0
+# Ranks that differ by less than this factor come from the same queue, told of at
+# different times.
+SAME_RANK = 1.05
+# What is kept free for a queue, as a multiple of its usual load. More than this
+# cost the other queues more than it gained.
+HEADROOM = 1.0
+
+
+class QueueRanks:
+    """Ranks of queues, from their ``QueueLoad``; a lower one goes first."""
+
+    def __init__(self, loads=()):
+        self._loads = {load.queue: load for load in loads}
+
+    @property
+    def loads(self):
+        """The loads by queue, for reading only."""
+        return self._loads
+
+    def rank(self, queue, is_late=False):
+        """Return the rank of a start of a queue."""
+        load = self._loads.get(queue)
+        share = load.share if load else 0.0
+        return LATE_RANK + share if is_late else share
+
+    def reserved(self, queue, capacity_millis, used_by_queue):
+        """Return the processor that starts of a queue have to leave free.
+
+        It is kept for queues that bring less work and can wait less long, as far as
+        they don't use their share of ``capacity_millis`` already.
+        """
+        own = self._loads.get(queue)
+        if own is None:
+            return 0
+        reserved = 0.0
+        for load in self._loads.values():
+            if load.share < own.share and load.slack_ms < own.slack_ms:
+                kept = load.share * HEADROOM * capacity_millis
+                reserved += max(0.0, kept - used_by_queue.get(load.queue, 0))
+        return round(reserved)
