Tell members and configuration among peers; judge endpoints by progress

Ruled out: backoff of the store's clients (the table was silent throughout). A job that is submitted again is answered with the first run's outcome.

--- a/plantainhitch/commands/deployed.py
+++ b/plantainhitch/commands/deployed.py
@@ -12,13 +12,14 @@
 from .. import logs
 from ..clock import Clock
 from ..coordination.jobs.entry_node import JobEntryNode, new_member
+from ..coordination.jobs.peers import INTRODUCE_MS, introduce
 from ..coordination.jobs.route_watch import RouteWatch
 from ..coordination.jobs.scheduler import Scheduler
 from ..coordination.membership import Membership
 from ..coordination.runs.agent_node import LINK_TIMING, RunAgentNode
 from ..coordination.runs.run_book import RunBook
 from ..platform import settings as platform_settings
-from ..platform.configuration import RouteSource
+from ..platform.configuration import RouteSource, decode as decode_routes
 from ..platform.endpoint import EndpointOrders
 from ..platform.front import FrontApp, ReadinessApp
 from ..platform.heartbeats import HeartbeatApp
@@ -79,12 +80,17 @@
     signals = install_signals()
     store = RowStore.from_deployment(deployment, clock)
     member = new_member(m.ROLE_ENTRY, deployment)
-    routes = RouteWatch(clock, RouteSource(store), lambda table: None)
+    routes = RouteWatch(
+        clock, RouteSource(store), lambda table: node.routes_changed(table)
+    )
     membership = Membership(
         store, clock, region=deployment.region, on_change=lambda: node.members_changed()
     )
     scheduler = Scheduler(clock, deployment.bounds.lease_ms)
-    node = JobEntryNode(deployment, member, clock, scheduler, routes, membership)
+    node = JobEntryNode(
+        deployment, member, clock, scheduler, routes, membership, decode_routes
+    )
+    link_server = await links.listen(deployment.link, clock, node.serve_link)
     front = await serve(FrontApp(node), deployment.front)
     await serve(ReadinessApp(node), deployment.readiness)
     log.notice("started", name=deployment.name, incarnation=member.incarnation.hex())
@@ -92,11 +98,20 @@
     await lifecycle.run_until_stopped(node, signals, deployment.bounds.shutdown_ms)
     reloading.cancel()
     await front.aclose(within_ms=deployment.bounds.stop_ms)
+    link_server.close()
     await node.aclose()
     log.notice("stopped", name=deployment.name)
     return ExitCode.OK
 
 
+async def _introduce(deployment, member, hello, clock, node):
+    """Introduce an agent to the seeds whenever no entry has a link to it."""
+    while True:
+        await clock.sleep_ms(INTRODUCE_MS)
+        if not node.has_links:
+            await introduce(member, hello, clock, deployment.seed_links)
+
+
 async def run_agent(deployment, clock, install_signals):
     """Serve as an agent until the signals ask to stop."""
     signals = install_signals()
@@ -116,13 +131,17 @@
         deployment.link, clock, node.serve_link, LINK_TIMING
     )
     membership = Membership(store, clock)
-    registering = lifecycle.spawn(membership.register(member))
+    joining = (
+        lifecycle.spawn(membership.register(member)),
+        lifecycle.spawn(_introduce(deployment, member, hello, clock, node)),
+    )
     log.notice("started", name=deployment.name, incarnation=member.incarnation.hex())
     reloading = lifecycle.spawn(_reload(signals, deployment))
     await lifecycle.run_until_stopped(node, signals, deployment.bounds.shutdown_ms)
     reloading.cancel()
     link_server.close()
-    registering.cancel()
+    for task in joining:
+        task.cancel()
     await node.aclose()
     log.notice("stopped", name=deployment.name)
     return ExitCode.OK
--- a/plantainhitch/commands/main.py
+++ b/plantainhitch/commands/main.py
@@ -8,8 +8,6 @@
 import re
 import sys
 
-import fire
-
 from ..settings import SettingsError
 from .exit_codes import ExitCode
 from .usage import UsageError
@@ -30,6 +28,8 @@
     "status": ("status", "status"),
     "submit": ("submit", "submit"),
 }
+# Commands without arguments, which have to stay small.
+DEPLOYED = frozenset({"deployed-agent", "deployed-entry"})
 # ``class`` can't be the name of a function's argument.
 OPTION_NAMES = {"--class": "--class_name"}
 ID_OPTION = "--submission"
@@ -50,6 +50,10 @@
         print(f"usage: plantainhitch COMMAND ...; commands: {names}", file=sys.stderr)
         return ExitCode.USAGE
     name = words[0]
+    if name in DEPLOYED:
+        return _run_deployed(name, words[1:])
+    import fire  # not above: a deployed process goes without its 4 MB
+
     words = _join_ids([_option(word) for word in words])
     try:
         result = fire.Fire(
@@ -61,6 +65,17 @@
     return result if isinstance(result, int) else 0
 
 
+def _run_deployed(name, words):
+    if words:
+        print(f"{name} takes no arguments: {' '.join(words)}", file=sys.stderr)
+        return ExitCode.USAGE
+    try:
+        return _load(name)()
+    except SettingsError as error:
+        print(error, file=sys.stderr)
+        return ExitCode.USAGE
+
+
 def _option(word):
     name, separator, value = word.partition("=")
     return OPTION_NAMES.get(name, name) + separator + value
--- a/plantainhitch/coordination/jobs/entry_node.py
+++ b/plantainhitch/coordination/jobs/entry_node.py
@@ -14,6 +14,7 @@
 from ..agent_links import AgentDialer, DialRules
 from ..inbox import Inbox
 from ..runs.agent_node import LINK_TIMING
+from .peers import Peers
 from .scheduler import GaveUp, NeverRan
 
 TICK_MS = 25
@@ -32,13 +33,18 @@
 class JobEntryNode:
     """One entry process of a deployment, without its listeners."""
 
-    def __init__(self, deployment, member, clock, scheduler, routes, membership):
+    def __init__(
+        self, deployment, member, clock, scheduler, routes, membership, decode_routes
+    ):
         self._deployment = deployment
         self._member = member
         self._clock = clock
         self._scheduler = scheduler
         self._routes = routes
         self._membership = membership
+        self._peers = Peers(
+            clock, member, self._hello, membership, routes, decode_routes
+        )
         self._inbox = Inbox()
         self._dialers = {}
         self._tasks = set()
@@ -68,6 +74,15 @@
         """Dial agents that are new; called by the membership."""
         for member in self._membership.agents(self._deployment.region):
             self._dial(member)
+        self._peers.tell_members()
+
+    def routes_changed(self, table):
+        """Pass a newer configuration on; called by the route watch."""
+        self._peers.tell_routes(table)
+
+    async def serve_link(self, link):
+        """Serve a link from another entry, or from an agent that introduces itself."""
+        await self._peers.serve_link(link)
 
     def pending(self, route):
         """Return how many jobs of a route have not begun."""
@@ -90,7 +105,7 @@
         await asyncio.wait((ended, left), return_when=asyncio.FIRST_COMPLETED)
         if not ended.done():
             reason = "the caller left"
-            self._inbox.post(lambda: self._scheduler.abandon(spec.job_id, reason))
+            self._inbox.post(lambda: self._scheduler.abandon(spec.job_id, end, reason))
             return GaveUp(reason)
         return ended.result()
 
@@ -103,6 +118,8 @@
             self._join(),
         )
         background = [asyncio.create_task(coroutine) for coroutine in owned]
+        for address in self._deployment.seed_links:
+            self._peers.dial(str(address))
         stopping = asyncio.create_task(self._drain_after(stop))
         try:
             done, _ = await asyncio.wait(
@@ -116,6 +133,7 @@
 
     async def aclose(self):
         """Close the links."""
+        self._peers.close()
         for agent in self._scheduler.fleet.agents.values():
             if agent.link is not None:
                 agent.link.close("the entry ends")
--- a/plantainhitch/coordination/jobs/fleet.py
+++ b/plantainhitch/coordination/jobs/fleet.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass, field
 
+from ... import logs
 from ...protocol import messages as m
 from ...state.jobs import Room
 from ...state.queue_ranks import SAME_RANK
@@ -10,9 +11,20 @@
 
 # An agent that has been silent for this long gets no new runs: three heartbeats.
 SUSPECT_AFTER_MS = 450
+# An endpoint whose runs get on less well than this is slower than is known of it;
+# above it, the estimates are too rough to tell.
+SLOW_PACE = 0.6
+LEAST_PACE = 0.05
+# After this many failures without a success an endpoint is held back and tried with
+# single runs. Two, because sound endpoints fail one run in some hundreds.
+HELD_AFTER_FAILURES = 2
+HOLD_MS = 1_000
+MAX_DOUBLINGS = 3
 # Added to the leases of owner and endpoint before a run is taken for ended.
 LOST_MARGIN_MS = 150
 
+log = logs.get_logger("fleet")
+
 
 @dataclass(slots=True, eq=False)
 class AgentView:
@@ -28,6 +40,9 @@
     waiting: tuple[tuple[float, int], ...] = ()
     order_number: int = 0
     unseen: list[tuple[int, Room]] = field(default_factory=list)
+    pace: float = 1.0
+    failures: int = 0
+    held_until_ms: int = 0
     heard_ms: int = 0
     is_gone: bool = False
     # Names of tasks with a run here.
@@ -38,6 +53,11 @@
         """Whether the agent takes starts as far as known."""
         return self.link is not None and self.status is not None and self.status.ready
 
+    @property
+    def is_on_trial(self):
+        """Whether only single runs may show that the endpoint is sound again."""
+        return self.held_until_ms > 0
+
     def fits(self, step):
         """Return whether a task of the step may run at the endpoint at all."""
         status = self.status
@@ -109,6 +129,7 @@
                 agent.free = message.free
                 agent.soon = message.soon
                 agent.waiting = message.waiting
+                agent.pace = message.pace
                 agent.unseen = [item for item in agent.unseen if item[0] > orders_seen]
 
     def usable(self, pool):
@@ -119,12 +140,31 @@
             for agent in self._agents.values()
             if agent.is_ready
             and agent.status.pool == pool
+            and self._may_try(agent)
             and self._last_heard_ms(agent) >= newest_ms
         ]
 
     def slowness(self, agent):
-        """Return the slowness of an agent's endpoint."""
-        return self.speeds.slowness(agent.status.endpoint_id)
+        """Return the slowness of an agent's endpoint, as it gets on now."""
+        slowness = self.speeds.slowness(agent.status.endpoint_id)
+        if agent.pace < SLOW_PACE:
+            return slowness / max(agent.pace, LEAST_PACE)
+        return slowness
+
+    def note_failure(self, agent):
+        """Note that a run failed there; hold the agent back after several."""
+        agent.failures += 1
+        if agent.failures >= HELD_AFTER_FAILURES:
+            doublings = min(agent.failures - HELD_AFTER_FAILURES, MAX_DOUBLINGS)
+            agent.held_until_ms = self._clock.now_ms() + HOLD_MS * 2**doublings
+            log.warning("agent held back", agent=agent.name, failures=agent.failures)
+
+    def note_success(self, agent):
+        """Note that a run was done there."""
+        if agent.failures >= HELD_AFTER_FAILURES:
+            log.info("agent trusted again", agent=agent.name)
+        agent.failures = 0
+        agent.held_until_ms = 0
 
     def processor_millis(self, pool):
         """Return the processor of a pool, slow endpoints counting for less."""
@@ -142,6 +182,12 @@
         silent_ms = self._clock.now_ms() - self._last_heard_ms(agent)
         return silent_ms > (self._lapse_ms if agent.is_gone else self._silence_ms)
 
+    def _may_try(self, agent):
+        """Return whether an agent is trusted, or due for a single run as a trial."""
+        if not agent.held_until_ms:
+            return True
+        return not agent.tasks and self._clock.now_ms() >= agent.held_until_ms
+
     def forget(self, agent):
         """Drop an agent that has no runs of ours."""
         self._agents.pop(agent.incarnation, None)
--- a/plantainhitch/coordination/jobs/job.py
+++ b/plantainhitch/coordination/jobs/job.py
@@ -31,6 +31,8 @@
     placed_ms: int = 0
     expected_ms: float = 0.0
     checkpoint: str = ""
+    # Agents where a run failed or came to nothing, the newest last.
+    avoided: tuple[bytes, ...] = ()
 
     @property
     def key(self):
--- /dev/null
+++ b/plantainhitch/coordination/jobs/peers.py
@@ -0,0 +1,167 @@
+"""What entries tell one another: members and the newest configuration.
+
+The store is where both are kept. While it is away, or serves only some machines, a
+process that starts learns from others what it needs: it dials the hosts named in
+its settings, and entries keep links among each other.
+"""
+
+import asyncio
+
+import msgspec
+
+from ... import logs
+from ...protocol import messages as m
+from ...state.members import Member
+from ...transport import links
+from ...transport.addresses import Address
+from ..agent_links import exchange_hellos
+from ..backoff import Backoff
+
+CONNECT_TIMEOUT_S = 0.5
+FIRST_REDIAL_MS = 200
+MAX_REDIAL_MS = 1_500
+# An agent without links introduces itself again this often.
+INTRODUCE_MS = 700
+
+log = logs.get_logger("peers")
+
+
+class Peers:
+    """An entry's links to other entries, and to agents that introduce themselves.
+
+    ``decode_routes(document)`` returns a ``RouteTable`` or raises ValueError.
+    """
+
+    def __init__(self, clock, own, hello, membership, routes, decode_routes):
+        self._clock = clock
+        self._own = own
+        self._hello = hello
+        self._membership = membership
+        self._routes = routes
+        self._decode_routes = decode_routes
+        self._links = set()
+        self._dialled = set()
+        self._tasks = set()
+
+    @property
+    def count(self):
+        """How many links are open."""
+        return len(self._links)
+
+    def dial(self, address):
+        """Keep a link to the entry at an address, given as ``IP:port``."""
+        if address in self._dialled or address == self._own.link:
+            return
+        self._dialled.add(address)
+        task = asyncio.create_task(self._keep_link(Address.from_text(address)))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    def tell_members(self):
+        """Tell the peers which members are known; dial the entries among them."""
+        for member in self._membership.entries(self._own.region):
+            self.dial(member.link)
+        self._send(self._introduction())
+
+    def tell_routes(self, table):
+        """Tell the peers of a newer configuration."""
+        self._send(m.Configuration(table.version, table.document))
+
+    async def serve_link(self, link):
+        """Serve a link that another process has opened, until it ends."""
+        hello = await exchange_hellos(link, self._hello())
+        if hello is None:
+            link.close("no hello")
+            return
+        await self._serve(link, hello)
+
+    def close(self):
+        """End all links."""
+        for task in self._tasks:
+            task.cancel()
+        for link in list(self._links):
+            link.close("the entry ends")
+
+    async def _keep_link(self, address):
+        backoff = Backoff(first_ms=FIRST_REDIAL_MS, limit_ms=MAX_REDIAL_MS)
+        while True:
+            link, hello = await _connect(address, self._clock, self._hello())
+            if hello is not None and hello.incarnation == self._own.incarnation:
+                link.close("our own address")
+                return
+            if hello is not None:
+                backoff.reset()
+                await self._serve(link, hello)
+            await self._clock.sleep_ms(backoff.next_ms())
+
+    async def _serve(self, link, hello):
+        self._links.add(link)
+        link.send(self._introduction())
+        table = self._routes.table
+        if table is not None and table.version > hello.configuration_version:
+            link.send(m.Configuration(table.version, table.document))
+        try:
+            closed = await link.run(self._receive)
+            log.info("peer link ended", peer=hello.name, why=closed.detail)
+        finally:
+            self._links.discard(link)
+
+    def _receive(self, envelope):
+        match envelope.message:
+            case m.Introduction(members):
+                self._learn(members)
+            case m.Configuration(version, document):
+                self._take_routes(version, document)
+
+    def _learn(self, members):
+        for data in members:
+            try:
+                member = Member.from_json(data)
+            except (msgspec.DecodeError, ValueError, TypeError) as error:
+                log.warning("unreadable member from a peer", why=str(error))
+                continue
+            if member.incarnation != self._own.incarnation:
+                self._membership.learn(member)
+
+    def _take_routes(self, version, document):
+        try:
+            table = self._decode_routes(document)
+        except (msgspec.DecodeError, ValueError) as error:
+            log.warning("unreadable configuration", version=version, why=str(error))
+            return
+        self._routes.take(table)
+
+    def _introduction(self):
+        known = {member.incarnation: member for member in self._membership.known()}
+        known[self._own.incarnation] = self._own
+        return m.Introduction([member.to_json() for member in known.values()])
+
+    def _send(self, message):
+        for link in self._links:
+            link.send(message)
+
+
+async def introduce(member, hello, clock, addresses):
+    """Tell the entries at ``addresses``, as far as they answer, of an agent."""
+    for address in addresses:
+        link, answer = await _connect(address, clock, hello)
+        if answer is None:
+            continue
+        link.send(m.Introduction([member.to_json()]))
+        await clock.sleep_ms(FIRST_REDIAL_MS)
+        link.close("introduced")
+
+
+async def _connect(address, clock, hello):
+    """Return a link and the other side's hello; both None where none answers."""
+    try:
+        async with asyncio.timeout(CONNECT_TIMEOUT_S):
+            link = await links.connect(address, clock)
+            answer = await exchange_hellos(link, hello)
+    except (OSError, TimeoutError) as error:
+        log.debug("no link", address=str(address), why=str(error))
+        return None, None
+    if answer is None:
+        link.close("no hello")
+        return None, None
+    return link, answer
--- a/plantainhitch/coordination/jobs/placement.py
+++ b/plantainhitch/coordination/jobs/placement.py
@@ -95,11 +95,18 @@
 
         Empty where a job that has not begun finds too little room for its tasks.
         """
+        left_ms = self.due_ms(job) - self._clock.now_ms()
+        return self._place(job, agents, self.rank(job), left_ms)
+
+    def place_late(self, job, agents):
+        """Return places where the job can begin, though it won't end in time."""
+        return self._place(job, agents, self._demand.ranks.rank(job.route.name), None)
+
+    def _place(self, job, agents, rank, left_ms):
         tasks = job.ready_tasks()
-        rank, due_ms = self.rank(job), self.due_ms(job)
         taken, places = {}, []
         for task in tasks:
-            place = self._choose(task, agents, rank, due_ms, taken)
+            place = self._choose(task, agents, rank, left_ms, taken)
             if place is None:
                 break
             agent = place.agent
@@ -112,23 +119,26 @@
     def _waited_ms(self, job):
         return self._clock.now_ms() - job.arrived_ms
 
-    def _choose(self, task, agents, rank, due_ms, taken):
-        """Return the place where the task ends first; None where it should wait."""
+    def _choose(self, task, agents, rank, left_ms, taken):
+        """Return the place where the task ends first; None where it should wait.
+
+        ``left_ms`` is how long the job still has; where None, only room that is free
+        now counts, whatever the time.
+        """
         queue, step = task.job.route.name, task.spec
         size_ms = self.size_ms(task)
-        left_ms = due_ms - self._clock.now_ms()
+        longest_wait_ms = AGENT_WAIT_MS if left_ms is not None else 0
         best, could_be_in_time = None, False
-        for agent in agents:
-            if not agent.fits(step):
+        for agent in self._allowed(task, agents):
+            if agent.is_on_trial and (agent.tasks or agent in taken):
                 continue
             run_ms = size_ms * self._fleet.slowness(agent)
-            could_be_in_time = could_be_in_time or run_ms <= left_ms
-            kept = self._demand.ranks.reserved(
-                queue, agent.status.capacity.cpu_millis, {}
-            )
-            ahead = taken.get(agent, 0) + kept
-            wait_ms = agent.wait_ms(step.room, rank, ahead)
-            if wait_ms is None or wait_ms > AGENT_WAIT_MS:
+            if left_ms is not None and run_ms <= left_ms:
+                could_be_in_time = True
+            millis = agent.status.capacity.cpu_millis
+            kept = self._demand.ranks.reserved(queue, millis, {})
+            wait_ms = agent.wait_ms(step.room, rank, taken.get(agent, 0) + kept)
+            if wait_ms is None or wait_ms > longest_wait_ms:
                 continue
             place = Place(agent, wait_ms, run_ms)
             if best is None or place.ends_in_ms < best.ends_in_ms:
@@ -136,3 +146,11 @@
         if best is not None and could_be_in_time and best.ends_in_ms > left_ms:
             return None  # a faster endpoint may have room in time
         return best
+
+    def _allowed(self, task, agents):
+        """Return the agents that may run a task, without those that it avoids."""
+        fitting = [agent for agent in agents if agent.fits(task.spec)]
+        if not task.avoided:
+            return fitting
+        others = [a for a in fitting if a.incarnation not in task.avoided]
+        return others or fitting
--- a/plantainhitch/coordination/jobs/scheduler.py
+++ b/plantainhitch/coordination/jobs/scheduler.py
@@ -6,16 +6,22 @@
 """
 
 import enum
+from collections import OrderedDict
 from dataclasses import dataclass, field
 
 from ... import logs
 from ...protocol import messages as m
-from ...state.endpoints import End
+from ...state.endpoints import End, Rejection
+from ..runs.run_book import STALLED
 from .demand import Demand
 from .fleet import Fleet
 from .job import Job, TaskPhase
 from .placement import AGENT_WAIT_MS, Placement
 
+# Answers kept for callers that submit again because theirs was lost; at the sites'
+# load this is half a minute at each entry.
+MAX_REMEMBERED_JOBS = 2_000
+
 log = logs.get_logger("jobs")
 
 
@@ -65,7 +71,8 @@
         self._clock = clock
         self._fleet = Fleet(clock, lease_ms)
         self._jobs = {}
-        self._done = {}
+        self._waiters = {}
+        self._ended = OrderedDict()
         self._orders = {}
         self._demand = Demand(clock)
         self._placement = Placement(clock, self._fleet, self._demand)
@@ -88,7 +95,20 @@
         )
 
     def submit(self, spec, route, patience_ms, on_end):
-        """Take in a job; ``on_end(JobOutcome)`` is called once, perhaps at once."""
+        """Take in a job; ``on_end(JobOutcome)`` is called once, perhaps at once.
+
+        A job that is here already, or has just ended, is not run again: this caller
+        gets the same answer.
+        """
+        ended = self._ended.get(spec.job_id)
+        if ended is not None:
+            log.info("job submitted again", job=spec.job_id, state="ended")
+            on_end(ended)
+            return
+        if spec.job_id in self._jobs:
+            log.info("job submitted again", job=spec.job_id, state="here")
+            self._waiters[spec.job_id].append(on_end)
+            return
         now_ms = self._clock.now_ms()
         job = Job.from_spec(spec, route, now_ms, patience_ms)
         slack_ms = self._placement.slack_ms(job)
@@ -99,12 +119,15 @@
             on_end(NeverRan(reason))
             return
         self._jobs[job.job_id] = job
-        self._done[job.job_id] = on_end
+        self._waiters[job.job_id] = [on_end]
 
-    def abandon(self, job_id, reason):
-        """Stop a job whose caller has left or given up."""
+    def abandon(self, job_id, on_end, reason):
+        """Note that a caller has left; stop the job where nobody else waits for it."""
         job = self._jobs.get(job_id)
-        if job is not None:
+        waiters = self._waiters.get(job_id, ())
+        if on_end in waiters:
+            waiters.remove(on_end)
+        if job is not None and not waiters:
             self._give_up(job, reason)
 
     # What agents say
@@ -184,8 +207,6 @@
 
     def _refusal(self, job):
         """Return why a job can't be taken, or nothing."""
-        if job.job_id in self._jobs:
-            return "the job is already here"
         agents = self._fleet.usable(job.route.pool)
         if not agents:
             return "no endpoint is ready"
@@ -232,16 +253,22 @@
         match end.end:
             case End.DONE:
                 self._observe(agent, task, end)
+                self._fleet.note_success(agent)
                 job.finish(task)
                 if job.is_done:
                     self._end(job, Ended(JobState.COMPLETED))
                 return
             case End.FAILED:
                 task.failures += 1
+                task.avoided = (*task.avoided, agent.incarnation)
+                self._fleet.note_failure(agent)
                 if task.failures >= job.route.max_attempts:
                     self._stop_runs(job)
                     self._end(job, Ended(JobState.FAILED))
                     return
+        if end.reason in (STALLED, Rejection.UNHEALTHY.value):
+            task.avoided = (*task.avoided, agent.incarnation)
+            self._fleet.note_failure(agent)
         task.agent = b""
         task.phase = TaskPhase.READY
 
@@ -284,7 +311,12 @@
             took_ms=took_ms,
             objective_ms=round(self._placement.objective_ms(job)),
         )
-        self._done.pop(job.job_id)(outcome)
+        if isinstance(outcome, Ended):
+            self._ended[job.job_id] = outcome
+            while len(self._ended) > MAX_REMEMBERED_JOBS:
+                self._ended.popitem(last=False)
+        for on_end in self._waiters.pop(job.job_id):
+            on_end(outcome)
 
     def _place(self):
         """Begin what finds room, in the order of the ranks."""
@@ -306,10 +338,12 @@
             is_late = placement.is_demoted(job)
             for task, place in placement.place_all(job, usable[pool]):
                 self._start(task, place, due_ms, is_late)
-            if not job.has_started:
-                if placement.is_hopeless(job, ahead[pool]):
+            if not job.has_started and placement.is_hopeless(job, ahead[pool]):
+                for task, place in placement.place_late(job, usable[pool]):
+                    self._start(task, place, due_ms, is_late=True)
+                if not job.has_started:
                     self._give_up(job, "too much is waiting")
-                    continue
+            elif not job.has_started:
                 ahead[pool] += job.work_ms
 
     def _start(self, task, place, due_ms, is_late):
--- a/plantainhitch/coordination/membership.py
+++ b/plantainhitch/coordination/membership.py
@@ -114,6 +114,28 @@
             return True
         return incarnation in self._proved_dead
 
+    def known(self):
+        """Return all members that have not left, this process among them."""
+        known = [member for member in self._members.values() if not member.left]
+        if self._own is not None and self._own.incarnation not in self._members:
+            known.append(self._own)
+        return known
+
+    def learn(self, member):
+        """Take in a member from elsewhere than the table; return whether it is new.
+
+        What the table says later goes before it.
+        """
+        is_known = member.incarnation in self._members
+        if is_known or member.left or not self._is_of_interest(member):
+            return False
+        self._members[member.incarnation] = member
+        self._row_revisions[member.incarnation] = ABSENT
+        self._learned_ms[member.incarnation] = self._clock.now_ms()
+        if self._on_change is not None:
+            self._on_change()
+        return True
+
     def seen_at(self, address, incarnation, dialled_ms=None):
         """Note that ``incarnation`` answered at ``address``, an ``IP:port``.
 
--- a/plantainhitch/coordination/runs/agent_node.py
+++ b/plantainhitch/coordination/runs/agent_node.py
@@ -115,6 +115,11 @@
         self._last_free = None
         self._room_reported_ms = 0
 
+    @property
+    def has_links(self):
+        """Whether an entry has a link to this agent."""
+        return bool(self._links)
+
     @property
     def book(self):
         """The decisions, for reading only."""
@@ -174,6 +179,8 @@
                 self._handle(event)
             for order in self._book.round():
                 self._spawn(self._give(order))
+            if self._book.take_list_wish():
+                self._spawn(self._list_now())
             self._report()
 
     def _handle(self, event):
@@ -253,6 +260,15 @@
                     wait_ms = 0
                     await self._clock.sleep_ms(INVENTORY_RETRY_MS)
 
+    async def _list_now(self):
+        """Ask for an inventory beside the one that waits for an end."""
+        book = self._book
+        endpoint = book.endpoint
+        if endpoint is None or self._orders is None:
+            return
+        result = await self._orders.inventory(book.fence, book.seen, None, 0)
+        self._inbox.post(Listed((endpoint.endpoint_id, endpoint.born_ms), result))
+
     async def _give(self, order):
         book = self._book
         match order:
--- a/plantainhitch/coordination/runs/run_book.py
+++ b/plantainhitch/coordination/runs/run_book.py
@@ -35,10 +35,20 @@
 FENCE_STEP = 60_000
 # An order to stop is given again after this long without its effect.
 STOP_RETRY_MS = 200
+# From this progress on, the time so far says more than the estimate.
+TELLING_PERCENT = 20
+# The run time that it takes to judge the pace of an endpoint.
+PACE_MIN_MS = 400
 # A run that is being stopped is expected to be gone after this.
 STOP_MS = 50
 # A run that has outlasted its estimate is expected to take this share of it longer.
 OVERRUN_SHARE = 0.15
+# A run whose progress has not risen for this long stands still: a sound one moves
+# with each list, and lists come at least every 300 ms.
+STALLED_MS = 700
+STALLED = "stalled"
+# A list that is older than this says nothing of progress now.
+STALL_CHECK_MS = 100
 # An endpoint that has not answered for this long gets no new runs: longer than an
 # inventory with a wait, and one that was lost.
 SUSPECT_AFTER_MS = 600
@@ -58,7 +68,11 @@
 
 @dataclass(slots=True)
 class Run:
-    """A run of an owner; ``stopped_clock_ms`` is the endpoint's time of its stop."""
+    """A run of an owner.
+
+    ``stopped_clock_ms`` is the endpoint's time of its stop, ``progressed_ms`` is when
+    ``percent`` was last seen to rise.
+    """
 
     owner: bytes
     start: m.RunStart
@@ -69,6 +83,8 @@
     stop_sent_ms: int = 0
     stopped_clock_ms: int | None = None
     reason: str = ""
+    percent: float = 0.0
+    progressed_ms: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -101,6 +117,8 @@
         self._clock_offset_ms = None
         self._heard_ms = clock.now_ms()
         self._renewed_ms = None
+        self._listed_ms = 0
+        self._wants_list = False
         self._is_stopping = False
         self._strays = frozenset()
         self._ranks = QueueRanks()
@@ -178,6 +196,18 @@
                         soon[number] += run.start.room.cpu_millis
         return tuple(soon)
 
+    def pace(self):
+        """Return how fast runs get on, as a part of what was expected of them.
+
+        1 where too few have run long enough to tell.
+        """
+        expected_ms = spent_ms = 0.0
+        for run in self._runs.values():
+            if run.phase is Phase.RUNNING and run.progressed_ms > run.started_ms:
+                expected_ms += run.percent / 100 * run.start.estimate_ms
+                spent_ms += run.progressed_ms - run.started_ms
+        return expected_ms / spent_ms if spent_ms >= PACE_MIN_MS else 1.0
+
     def waiting(self):
         """Return the processor that waiting starts need, by rank."""
         by_rank = {}
@@ -209,7 +239,13 @@
         owner = self._owners.of(incarnation)
         number, ends = self._owners.take_ends(owner)
         return m.RunReports(
-            number, owner.orders_seen, ends, self.free, self.outlook(), self.waiting()
+            number,
+            owner.orders_seen,
+            ends,
+            self.free,
+            self.outlook(),
+            self.waiting(),
+            self.pace(),
         )
 
     # Events
@@ -313,6 +349,7 @@
         match result:
             case Accepted(clock_ms):
                 run.stopped_clock_ms = clock_ms
+                self._wants_list = self._wants_list or run.phase is Phase.DOUBTFUL
             case Rejected(Rejection.GONE):
                 self.endpoint_gone("nothing listens at the endpoint")
             case Rejected(Rejection.FENCE):
@@ -330,10 +367,12 @@
     def inventory(self, found: Inventory):
         """Take in what runs and what has ended."""
         self._note_clock(found.clock_ms)
+        self._listed_ms = self._clock.now_ms()
         for ended in found.ended:
             if ended.number > self._seen:
                 self._seen = ended.number
                 self._take_end(ended)
+        self._note_progress(found.running)
         at_work = {task.key for task in found.running}
         for key, run in list(self._runs.items()):
             if key not in at_work:
@@ -345,12 +384,18 @@
             self._is_reconciled = True
             log.info("endpoint reconciled", seen=self._seen)
 
+    def take_list_wish(self):
+        """Return whether an inventory at once would settle a doubt."""
+        wish, self._wants_list = self._wants_list, False
+        return wish
+
     def round(self):
         """Return the orders to give now, after all events at hand."""
         now_ms = self._clock.now_ms()
         self._expire_lease(now_ms)
         self._expire_runs(now_ms)
         self._repeat_stops(now_ms)
+        self._stop_stalled(now_ms)
         if self.is_ready:
             self._start_waiting(now_ms)
         orders, self._orders = self._orders, []
@@ -406,6 +451,17 @@
             if is_leaving and now_ms - run.stop_sent_ms >= STOP_RETRY_MS:
                 self._send_stop(run)
 
+    def _stop_stalled(self, now_ms):
+        """Give back runs that stand still, so that they can go on elsewhere."""
+        if now_ms - self._listed_ms > STALL_CHECK_MS:
+            return
+        for run in self._runs.values():
+            if run.phase is not Phase.RUNNING:
+                continue
+            since_ms = max(run.progressed_ms, run.started_ms)
+            if self._listed_ms - since_ms > STALLED_MS:
+                self._stop(run, STALLED)
+
     def _repeat_end(self, incarnation, key):
         end = self._ended.get(key) or m.RunEnd(key, End.LOST, "unknown run")
         self._owners.of(incarnation).new_ends.append(end)
@@ -417,6 +473,14 @@
             return
         self._finish(ended.key, ended.end, run.reason, ended.checkpoint)
 
+    def _note_progress(self, running):
+        now_ms = self._clock.now_ms()
+        for task in running:
+            run = self._runs.get(task.key)
+            if run is not None and task.percent > run.percent:
+                run.percent = task.percent
+                run.progressed_ms = now_ms
+
     def _consider_absent(self, key, run, clock_ms):
         """Judge a run that the endpoint does not list as at work."""
         match run.phase:
@@ -492,8 +556,11 @@
         if run.phase in (Phase.STOPPING, Phase.DOUBTFUL):
             return STOP_MS
         estimate_ms = run.start.estimate_ms
-        left_ms = estimate_ms - (now_ms - run.started_ms)
-        return max(left_ms, estimate_ms * OVERRUN_SHARE)
+        spent_ms = now_ms - run.started_ms
+        if run.percent >= TELLING_PERCENT:
+            whole_ms = (run.progressed_ms - run.started_ms) * 100 / run.percent
+            return max(whole_ms - spent_ms, 0)
+        return max(estimate_ms - spent_ms, estimate_ms * OVERRUN_SHARE)
 
     def _refuse_waiting(self, reason):
         for key, run in list(self._runs.items()):
--- a/plantainhitch/deployment.py
+++ b/plantainhitch/deployment.py
@@ -44,3 +44,9 @@
     store: Address
     seeds: tuple[str, ...]
     bounds: Bounds
+
+    @property
+    def seed_links(self):
+        """Where the seeds take links: at the same port as this process."""
+        own = self.link
+        return [Address(host, own.port) for host in self.seeds if host != own.host]
--- a/plantainhitch/platform/configuration.py
+++ b/plantainhitch/platform/configuration.py
@@ -49,6 +49,7 @@
         self_checking_pools=frozenset(
             service.name for service in model.services if service.admission_check
         ),
+        document=bytes(value),
     )
 
 
--- a/plantainhitch/platform/endpoint.py
+++ b/plantainhitch/platform/endpoint.py
@@ -18,11 +18,11 @@
 
 # An order is answered within a few ms on the same machine; a later answer is taken
 # for lost, and the run is stopped before it is placed anywhere else.
-ORDER_TIMEOUT_MS = 150
+ORDER_TIMEOUT_MS = 60
 # Beyond the time that the endpoint was asked to wait for an end.
 INVENTORY_SLACK_MS = 200
 # Orders in parallel; each channel to an endpoint costs its operator something.
-MAX_CONNECTIONS = 6
+MAX_CONNECTIONS = 4
 IDLE_LIMIT_MS = 600_000
 # Connecting within one machine takes well under a millisecond.
 CONNECT_TIMEOUT_S = 0.3
--- a/plantainhitch/platform/store.py
+++ b/plantainhitch/platform/store.py
@@ -15,7 +15,10 @@
     Row,
 )
 
-CALL_TIMEOUT_MS = 1_500
+# Well above the few ms of a sound store, and of one that answers slowly for a while;
+# short, because a call into an outage is lost and its end goes unnoticed meanwhile.
+CALL_TIMEOUT_MS = 800
+CONNECT_TIMEOUT_S = 0.4
 # An own table prefix keeps the product's tables apart from other writers.
 TABLE_PREFIX = "plantainhitch-"
 OPERATOR_TABLE = "op"
@@ -53,7 +56,8 @@
     @classmethod
     def from_deployment(cls, deployment, clock):
         """Return a client for the store of a ``Deployment``."""
-        return cls(HttpClient(deployment.store, clock))
+        http = HttpClient(deployment.store, clock, connect_timeout_s=CONNECT_TIMEOUT_S)
+        return cls(http)
 
     async def read(self, table, key):
         """See ``Platform.read``."""
--- a/plantainhitch/protocol/messages.py
+++ b/plantainhitch/protocol/messages.py
@@ -216,7 +216,8 @@
     ``orders_seen`` is the number of the receiver's last ``RunOrders`` that the rest
     takes into account. ``free`` is the room beside what runs, ``soon`` the processor
     in thousandths of a core expected to be free at each of ``HORIZONS_MS``, and
-    ``waiting`` the processor that starts of each rank wait for.
+    ``waiting`` the processor that starts of each rank wait for, and ``pace`` how fast
+    runs get on as a part of what was expected.
     """
 
     number: int
@@ -225,6 +226,14 @@
     free: Room = Room()
     soon: tuple[int, ...] = ()
     waiting: tuple[tuple[float, int], ...] = ()
+    pace: float = 1.0
+
+
+@dataclass(slots=True)
+class Introduction:
+    """Members that the sender knows, each as the JSON of its row."""
+
+    members: list[bytes]
 
 
 @dataclass(frozen=True, slots=True)
@@ -281,6 +290,7 @@
     | RunReports
     | EndpointStatus
     | QueueLoads
+    | Introduction
 )
 
 
--- a/plantainhitch/protocol/run_codec.py
+++ b/plantainhitch/protocol/run_codec.py
@@ -20,6 +20,8 @@
                 item.queue = load.queue
                 item.share = load.share
                 item.slackMs = load.slack_ms
+        case m.Introduction(members):
+            frame.introduction = members
         case _:
             raise TypeError(f"no frame for {message!r}")
 
@@ -33,6 +35,8 @@
             return _read_reports(frame.runReports)
         case "endpoint":
             return _read_status(frame.endpoint)
+        case "introduction":
+            return m.Introduction([bytes(member) for member in frame.introduction])
         case "queueLoads":
             return m.QueueLoads(
                 [
@@ -68,6 +72,7 @@
     target.number = reports.number
     target.ordersSeen = reports.orders_seen
     target.soon = list(reports.soon)
+    target.pace = reports.pace
     _write_room(target.free, reports.free)
     if reports.waiting:
         items = target.init("waiting", len(reports.waiting))
@@ -103,6 +108,7 @@
         _read_room(source.free),
         tuple(source.soon),
         tuple((item.rank, item.cpuMillis) for item in source.waiting),
+        source.pace,
     )
 
 
--- a/plantainhitch/protocol/wire.capnp
+++ b/plantainhitch/protocol/wire.capnp
@@ -22,6 +22,7 @@
     runReports @15 :RunReports;
     endpoint @16 :EndpointStatus;
     queueLoads @17 :List(QueueLoad);
+    introduction @18 :List(Data);   # members, as JSON
   }
 }
 
@@ -152,6 +153,7 @@
   free @3 :Room;          # capacity less all that runs; starts may wait for it
   soon @4 :List(Int32);   # processor expected free at each of HORIZONS_MS
   waiting @5 :List(WaitingRoom);
+  pace @6 :Float32;
 }
 
 struct WaitingRoom {
--- a/plantainhitch/state/routes.py
+++ b/plantainhitch/state/routes.py
@@ -32,6 +32,8 @@
     max_body_bytes: int
     # Pools whose endpoints check themselves whether a task fits.
     self_checking_pools: frozenset[str] = frozenset()
+    # The configuration as it was written, for other processes.
+    document: bytes = field(default=b"", repr=False, compare=False)
     _by_host: dict[str, list[Route]] = field(default_factory=dict, compare=False)
 
     def __post_init__(self):
--- a/plantainhitch/transport/http_client.py
+++ b/plantainhitch/transport/http_client.py
@@ -17,6 +17,8 @@
 IDLE_LIMIT_MS = 4_000
 CONNECT_TIMEOUT_S = 2.0
 DEFAULT_TIMEOUT_MS = 2_000
+# Time for one more round of reads when a timeout has come.
+LAST_READ_S = 0.002
 
 
 @dataclass(frozen=True, slots=True)
@@ -139,6 +141,12 @@
         self._finish(answer, reuse=self._parser.should_keep_alive())
 
     def _time_out(self):
+        # Timers run before reads, so an answer that came while the process was busy
+        # has not been read yet.
+        loop = asyncio.get_running_loop()
+        self._timer = loop.call_later(LAST_READ_S, self._finish_late)
+
+    def _finish_late(self):
         self._finish(TimedOut(), reuse=False)
 
     def _finish(self, result, *, reuse):
--- a/tests/fleet_sim.py
+++ b/tests/fleet_sim.py
@@ -138,7 +138,10 @@
     def list_runs(self):
         """Give the book an inventory, as a hold would."""
         now_ms = self.sim.clock.now_ms()
-        running = tuple(RunningTask(key, "", 50.0) for key in self.running)
+        running = tuple(
+            RunningTask(key, "", int(100 * (now_ms - began_ms) / whole_ms))
+            for key, (_, began_ms, whole_ms) in self.running.items()
+        )
         ended = tuple(e for e in self.ended if e.number > self.book.seen)
         self.book.inventory(Inventory(now_ms + 1, 1, running, ended))
         self.ended = [e for e in self.ended if e.number > self.book.seen]
@@ -158,8 +161,8 @@
 
     def _start(self, start):
         work_ms = self.sim.true_work(start) * self.slowness
-        self.running[start.key] = start
-        used = sum(s.room.cpu_millis for s in self.running.values())
+        self.running[start.key] = (start, self.sim.clock.now_ms(), work_ms)
+        used = sum(s.room.cpu_millis for s, _, _ in self.running.values())
         self.peak_millis = max(self.peak_millis, used)
         self.book.start_answered(start.key, Accepted(self.sim.clock.now_ms()))
         self.sim.later(work_ms, lambda: self.end(start.key, End.DONE))
--- /dev/null
+++ b/tests/test_job_scheduler.py
@@ -0,0 +1,279 @@
+"""The entry's decisions about jobs, without sockets."""
+
+import unittest
+
+from plantainhitch.clock import ManualClock
+from plantainhitch.coordination.jobs.fleet import HOLD_MS, SUSPECT_AFTER_MS
+from plantainhitch.coordination.jobs.scheduler import (
+    Ended,
+    GaveUp,
+    JobState,
+    NeverRan,
+    Scheduler,
+)
+from plantainhitch.coordination.runs.owners import OWNER_LEASE_MS
+from plantainhitch.protocol import messages as m
+from plantainhitch.state.endpoints import End
+from plantainhitch.state.jobs import JobSpec, Room, StepSpec
+from plantainhitch.state.routes import Route
+
+LEASE_MS = 1_000
+CAPACITY = Room(4_000, 1_000, 0)
+ROUTE = Route("queue", "host", "/q/", "pool", 0, 2, stretch=2.0, target_ms=100)
+
+
+class FakeLink:
+    """Keeps what is sent; ``last_heard_ms`` is set by the test."""
+
+    def __init__(self, clock):
+        self._clock = clock
+        self.sent = []
+        self.closed = ""
+        self.last_heard_ms = clock.now_ms()
+
+    def send(self, message):
+        """Keep a message."""
+        self.sent.append(message)
+        return True
+
+    def close(self, why=""):
+        """Note why the link was closed."""
+        self.closed = why
+
+
+class SchedulerCase(unittest.TestCase):
+    """A scheduler with two agents of equal room."""
+
+    def setUp(self):
+        self.clock = ManualClock(50_000)
+        self.scheduler = Scheduler(self.clock, LEASE_MS)
+        self.links = {}
+        self.outcomes = {}
+        self.callers = []
+        for name in (b"one", b"two"):
+            self.join(name)
+
+    def join(self, incarnation, name=None, labels=(), capacity=CAPACITY):
+        link = self.links[incarnation] = FakeLink(self.clock)
+        text = name or incarnation.decode()
+        hello = m.Hello(m.ROLE_AGENT, incarnation, text)
+        self.scheduler.agent_linked(hello, link)
+        status = m.EndpointStatus(
+            f"e-{text}", 1, "pool", True, capacity=capacity, labels=labels
+        )
+        self.scheduler.agent_said(incarnation, status)
+        self.tell(incarnation, capacity)
+
+    def tell(self, incarnation, free=CAPACITY, ends=(), orders_seen=99):
+        report = m.RunReports(1, orders_seen, list(ends), free, (free.cpu_millis,) * 6)
+        self.links[incarnation].last_heard_ms = self.clock.now_ms()
+        self.scheduler.agent_said(incarnation, report)
+
+    def submit(self, job_id="00000000000000aa", steps=None, patience_ms=60_000):
+        steps = steps or (StepSpec(1, Room(1_000, 10, 0), 200),)
+        spec = JobSpec(job_id, "payload", tuple(steps))
+        self.callers.append(lambda end: self.outcomes.update({job_id: end}))
+        self.scheduler.submit(spec, ROUTE, patience_ms, self.callers[-1])
+        return self.starts()
+
+    def starts(self):
+        return [
+            (agent.incarnation, start)
+            for agent, message in self.scheduler.round()
+            if isinstance(message, m.RunOrders)
+            for start in message.starts
+        ]
+
+    def end(self, agent, start, how=End.DONE, reason="", run_ms=200):
+        self.tell(agent, ends=[m.RunEnd(start.key, how, reason, "", run_ms)])
+        return self.starts()
+
+    def keep_hearing(self, *agents):
+        for agent in agents:
+            self.links[agent].last_heard_ms = self.clock.now_ms()
+
+
+class OutcomeTests(SchedulerCase):
+    """How jobs end."""
+
+    def test_a_job_is_complete_when_all_of_its_tasks_are_done(self):
+        starts = self.submit(steps=[StepSpec(2, Room(1_000, 10, 0), 200)])
+        self.assertEqual(2, len(starts))
+        self.end(*starts[0])
+        self.assertEqual({}, self.outcomes)
+        self.end(*starts[1])
+        outcome = self.outcomes["00000000000000aa"]
+        self.assertEqual(Ended(JobState.COMPLETED), outcome)
+
+    def test_a_step_waits_for_the_steps_before_it(self):
+        room = Room(1_000, 10, 0)
+        steps = [StepSpec(2, room, 200), StepSpec(1, room, 200, after=(0,))]
+        first, second = self.submit(steps=steps)
+        self.assertEqual([], self.end(*first))
+        ((_, start),) = self.end(*second)
+        self.assertEqual("00000000000000aa.0.1.0", start.key.task)
+
+    def test_a_failed_task_is_tried_elsewhere_until_its_attempts_are_used(self):
+        ((agent, start),) = self.submit()
+        ((other, again),) = self.end(agent, start, End.FAILED)
+        self.assertNotEqual(agent, other)
+        self.assertGreater(again.key.run, start.key.run)
+        self.end(other, again, End.FAILED)
+        outcome = self.outcomes["00000000000000aa"]
+        self.assertEqual(Ended(JobState.FAILED), outcome)
+
+    def test_a_run_that_never_began_costs_no_attempt(self):
+        ((agent, start),) = self.submit()
+        for _ in range(5):
+            ((agent, start),) = self.end(agent, start, End.NOT_STARTED, "room")
+        self.assertEqual({}, self.outcomes)
+
+    def test_without_an_endpoint_a_job_is_refused_at_once(self):
+        self.clock.advance(SUSPECT_AFTER_MS + 1)
+        self.submit()
+        self.assertIsInstance(self.outcomes["00000000000000aa"], NeverRan)
+
+    def test_a_task_that_fits_nowhere_is_refused_at_once(self):
+        self.submit(steps=[StepSpec(1, Room(9_000, 10, 0), 200)])
+        self.assertIsInstance(self.outcomes["00000000000000aa"], NeverRan)
+
+    def test_a_job_that_has_run_is_never_said_not_to_have_run(self):
+        ((agent, start),) = self.submit(patience_ms=500)
+        self.clock.advance(501)
+        self.keep_hearing(b"one", b"two")
+        self.scheduler.round()
+        self.assertIsInstance(self.outcomes["00000000000000aa"], GaveUp)
+
+    def test_one_whose_only_run_never_began_may_be(self):
+        ((agent, start),) = self.submit(patience_ms=500)
+        for name in (b"one", b"two"):
+            self.tell(name, free=Room())
+        full = [m.RunEnd(start.key, End.NOT_STARTED, "no room in time")]
+        self.tell(agent, free=Room(), ends=full)
+        self.clock.advance(501)
+        self.keep_hearing(b"one", b"two")
+        self.scheduler.round()
+        self.assertIsInstance(self.outcomes["00000000000000aa"], NeverRan)
+
+    def test_runs_are_stopped_when_the_caller_leaves(self):
+        ((agent, start),) = self.submit()
+        self.scheduler.abandon("00000000000000aa", self.callers[0], "left")
+        ((told, orders),) = self.scheduler.round()
+        self.assertEqual([start.key], orders.stops)
+        self.assertEqual(agent, told.incarnation)
+
+    def test_a_job_that_is_here_is_not_run_again(self):
+        ((agent, start),) = self.submit()
+        self.assertEqual([], self.submit())
+        self.scheduler.abandon("00000000000000aa", self.callers[0], "left")
+        self.end(agent, start)
+        outcome = self.outcomes["00000000000000aa"]
+        self.assertEqual(Ended(JobState.COMPLETED), outcome)
+
+    def test_a_job_that_has_just_ended_is_not_run_again(self):
+        self.end(*self.submit()[0])
+        self.outcomes.clear()
+        self.assertEqual([], self.submit())
+        outcome = self.outcomes["00000000000000aa"]
+        self.assertEqual(Ended(JobState.COMPLETED), outcome)
+
+
+class LossTests(SchedulerCase):
+    """Agents that are silent, gone or replaced: one run of a task at a time."""
+
+    def test_a_silent_agent_keeps_its_runs_until_both_leases_are_over(self):
+        ((agent, start),) = self.submit()
+        other = b"two" if agent == b"one" else b"one"
+        self.clock.advance(OWNER_LEASE_MS + LEASE_MS)
+        self.tell(other)
+        self.assertEqual([], self.starts())
+        self.clock.advance(200)
+        self.tell(other)
+        ((taker, again),) = self.starts()
+        self.assertEqual(other, taker)
+        self.assertGreater(again.key.run, start.key.run)
+
+    def test_its_link_is_closed_then(self):
+        ((agent, _),) = self.submit()
+        self.clock.advance(OWNER_LEASE_MS + LEASE_MS + 200)
+        self.scheduler.round()
+        self.assertTrue(self.links[agent].closed)
+
+    def test_a_gone_agent_keeps_them_for_the_endpoints_lease(self):
+        ((agent, _),) = self.submit()
+        other = b"two" if agent == b"one" else b"one"
+        self.scheduler.agent_unlinked(agent, self.links[agent])
+        self.scheduler.agent_gone(agent)
+        self.clock.advance(LEASE_MS)
+        self.tell(other)
+        self.assertEqual([], self.starts())
+        self.clock.advance(200)
+        self.tell(other)
+        self.assertEqual(1, len(self.starts()))
+
+    def test_a_new_agent_with_a_reconciled_endpoint_frees_them_at_once(self):
+        ((agent, _),) = self.submit()
+        self.scheduler.agent_unlinked(agent, self.links[agent])
+        self.join(b"new", name=agent.decode())
+        self.assertEqual(1, len(self.starts()))
+
+    def test_runs_are_named_again_on_a_new_link_to_the_same_agent(self):
+        ((agent, start),) = self.submit()
+        self.scheduler.agent_unlinked(agent, self.links[agent])
+        link = FakeLink(self.clock)
+        self.scheduler.agent_linked(m.Hello(m.ROLE_AGENT, agent, "x"), link)
+        ((_, orders),) = self.scheduler.round()
+        self.assertEqual([start.key], orders.known)
+
+    def test_an_end_of_an_older_run_changes_nothing(self):
+        ((agent, start),) = self.submit()
+        ((_, again),) = self.end(agent, start, End.NOT_STARTED, "room")
+        self.assertEqual([], self.end(agent, start, End.DONE))
+        self.assertEqual({}, self.outcomes)
+
+
+class TrustTests(SchedulerCase):
+    """Endpoints that fail all they start, or on which tasks stand still."""
+
+    def fail_twice(self):
+        for number in range(2):
+            starts = self.submit(f"{number:016x}")
+            self.end(starts[0][0], starts[0][1], End.FAILED)
+
+    def test_an_endpoint_that_failed_twice_gets_single_runs_only(self):
+        agent = self.scheduler.fleet.of(b"one")
+        for _ in range(2):
+            self.scheduler.fleet.note_failure(agent)
+        takers = {taker for taker, _ in self.submit()}
+        self.assertEqual({b"two"}, takers)
+        self.clock.advance(HOLD_MS)
+        self.tell(b"one")
+        self.tell(b"two", free=Room(0, 0, 0))
+        starts = self.submit(
+            "00000000000000bb", steps=[StepSpec(3, Room(1_000, 10, 0), 200)]
+        )
+        self.assertLessEqual(len(starts), 1)
+
+    def test_one_success_restores_the_trust(self):
+        fleet = self.scheduler.fleet
+        agent = fleet.of(b"one")
+        for _ in range(3):
+            fleet.note_failure(agent)
+        fleet.note_success(agent)
+        self.assertIn(agent, fleet.usable("pool"))
+
+    def test_a_stalled_run_goes_on_elsewhere(self):
+        ((agent, start),) = self.submit()
+        ((other, _),) = self.end(agent, start, End.STOPPED, "stalled")
+        self.assertNotEqual(agent, other)
+
+    def test_an_endpoint_whose_runs_crawl_is_taken_for_slower(self):
+        fleet = self.scheduler.fleet
+        agent = fleet.of(b"one")
+        usual = fleet.slowness(agent)
+        agent.pace = 0.25
+        self.assertAlmostEqual(usual * 4, fleet.slowness(agent))
+
+
+if __name__ == "__main__":
+    unittest.main()
