--- a/plantainhitch/commands/deployed.py
+++ b/plantainhitch/commands/deployed.py
@@ -107,9 +107,9 @@
 async def _introduce(deployment, member, hello, clock, node):
     """Introduce an agent to the seeds whenever no entry has a link to it."""
     while True:
-        await clock.sleep_ms(INTRODUCE_MS)
         if not node.has_links:
             await introduce(member, hello, clock, deployment.seed_links)
+        await clock.sleep_ms(INTRODUCE_MS)
 
 
 async def run_agent(deployment, clock, install_signals):
--- a/plantainhitch/coordination/jobs/fleet.py
+++ b/plantainhitch/coordination/jobs/fleet.py
@@ -44,7 +44,8 @@
     failures: int = 0
     held_until_ms: int = 0
     heard_ms: int = 0
-    is_gone: bool = False
+    # When the agent's process was proved to have ended, None while it wasn't.
+    gone_ms: int | None = None
     # Names of tasks with a run here.
     tasks: dict = field(default_factory=dict)
 
@@ -179,8 +180,10 @@
         The agent stops our runs when it has not heard of us for the owner's lease;
         if it can't, the endpoint's lease lapses.
         """
-        silent_ms = self._clock.now_ms() - self._last_heard_ms(agent)
-        return silent_ms > (self._lapse_ms if agent.is_gone else self._silence_ms)
+        now_ms = self._clock.now_ms()
+        if agent.gone_ms is not None and now_ms - agent.gone_ms > self._lapse_ms:
+            return True
+        return now_ms - self._last_heard_ms(agent) > self._silence_ms
 
     def _may_try(self, agent):
         """Return whether an agent is trusted, or due for a single run as a trial."""
--- a/plantainhitch/coordination/jobs/scheduler.py
+++ b/plantainhitch/coordination/jobs/scheduler.py
@@ -151,8 +151,8 @@
     def agent_gone(self, incarnation):
         """Take in that the agent's process has certainly ended."""
         agent = self._fleet.of(incarnation)
-        if agent is not None and not agent.is_gone:
-            agent.is_gone = True
+        if agent is not None and agent.gone_ms is None:
+            agent.gone_ms = self._clock.now_ms()
             log.warning("agent gone", agent=agent.name, runs=len(agent.tasks))
 
     def agent_said(self, incarnation, message):
--- a/tests/test_job_scheduler.py
+++ b/tests/test_job_scheduler.py
@@ -203,6 +203,8 @@
         ((agent, _),) = self.submit()
         other = b"two" if agent == b"one" else b"one"
         self.scheduler.agent_unlinked(agent, self.links[agent])
+        # It may have renewed the lease until just before the proof came.
+        self.clock.advance(300)
         self.scheduler.agent_gone(agent)
         self.clock.advance(LEASE_MS)
         self.tell(other)
