Stand-ins that speak the platform's protocol, a deployment on loopback, metrics

The deployment runs real entries and agents through the adapter: late orders, crashed endpoints, killed and stopped entries, a silent store, lost history, bad input. Found by it: a process that ends left its listeners open; free ports found by probing were taken again by others (each process has a loopback host now).

--- a/plantainhitch/commands/deployed.py
+++ b/plantainhitch/commands/deployed.py
@@ -3,6 +3,7 @@
 Settings come from the file that the platform places, see ``platform.settings``.
 """
 
+import contextlib
 import gc
 import sys
 from dataclasses import fields
@@ -18,6 +19,7 @@
 from ..coordination.membership import Membership
 from ..coordination.runs.agent_node import LINK_TIMING, RunAgentNode
 from ..coordination.runs.run_book import RunBook
+from ..job_metrics import JobMetrics, agent_metrics_text
 from ..platform import settings as platform_settings
 from ..platform.configuration import RouteSource, decode as decode_routes
 from ..platform.endpoint import EndpointOrders
@@ -27,6 +29,7 @@
 from ..protocol import messages as m
 from ..settings import SettingsError
 from ..transport import links
+from ..transport.asgi import MetricsApp
 from ..transport.http_server import serve
 from . import lifecycle
 from .exit_codes import ExitCode
@@ -75,6 +78,24 @@
         known = found
 
 
+class _Resources(contextlib.AsyncExitStack):
+    """What a process has open, closed in reverse order however it ends."""
+
+    async def serve(self, app, address, *, within_ms=0):
+        """Serve an ASGI application; at the end, give it ``within_ms`` to finish."""
+        server = await serve(app, address)
+        self.push_async_callback(server.aclose, within_ms)
+
+    async def listen(self, address, clock, on_link, timing):
+        """Take links."""
+        server = await links.listen(address, clock, on_link, timing)
+        self.callback(server.close)
+
+    def spawn(self, coroutine):
+        """Run a task until the end."""
+        self.callback(lifecycle.spawn(coroutine).cancel)
+
+
 async def run_entry(deployment, clock, install_signals):
     """Serve as an entry until the signals ask to stop."""
     signals = install_signals()
@@ -86,32 +107,29 @@
     membership = Membership(
         store, clock, region=deployment.region, on_change=lambda: node.members_changed()
     )
-    scheduler = Scheduler(clock, deployment.bounds.lease_ms)
+    metrics = JobMetrics(clock)
+    scheduler = Scheduler(clock, deployment.bounds.lease_ms, metrics.ended)
     node = JobEntryNode(
         deployment, member, clock, scheduler, routes, membership, decode_routes
     )
-    link_server = await links.listen(deployment.link, clock, node.serve_link)
-    front = await serve(FrontApp(node), deployment.front)
-    await serve(ReadinessApp(node), deployment.readiness)
-    log.notice("started", name=deployment.name, incarnation=member.incarnation.hex())
-    reloading = lifecycle.spawn(_reload(signals, deployment))
-    await lifecycle.run_until_stopped(node, signals, deployment.bounds.shutdown_ms)
-    reloading.cancel()
-    await front.aclose(within_ms=deployment.bounds.stop_ms)
-    link_server.close()
-    await node.aclose()
+    async with _Resources() as resources:
+        resources.push_async_callback(store.aclose)
+        resources.push_async_callback(node.aclose)
+        await resources.listen(
+            deployment.link, clock, node.serve_link, links.LinkTiming()
+        )
+        await resources.serve(
+            FrontApp(node), deployment.front, within_ms=deployment.bounds.stop_ms
+        )
+        await resources.serve(ReadinessApp(node), deployment.readiness)
+        await resources.serve(
+            MetricsApp(lambda: metrics.render(node)), deployment.metrics
+        )
+        await _serve_until_stopped(resources, deployment, member, node, signals)
     log.notice("stopped", name=deployment.name)
     return ExitCode.OK
 
 
-async def _introduce(deployment, member, hello, clock, node):
-    """Introduce an agent to the seeds whenever no entry has a link to it."""
-    while True:
-        if not node.has_links:
-            await introduce(member, hello, clock, deployment.seed_links)
-        await clock.sleep_ms(INTRODUCE_MS)
-
-
 async def run_agent(deployment, clock, install_signals):
     """Serve as an agent until the signals ask to stop."""
     signals = install_signals()
@@ -126,22 +144,30 @@
         lambda endpoint_id: EndpointOrders(deployment.endpoint, clock, endpoint_id),
     )
     heartbeats = HeartbeatApp(deployment.pool, node.on_report, node.on_leave)
-    await serve(heartbeats, deployment.heartbeats)
-    link_server = await links.listen(
-        deployment.link, clock, node.serve_link, LINK_TIMING
-    )
-    membership = Membership(store, clock)
-    joining = (
-        lifecycle.spawn(membership.register(member)),
-        lifecycle.spawn(_introduce(deployment, member, hello, clock, node)),
-    )
-    log.notice("started", name=deployment.name, incarnation=member.incarnation.hex())
-    reloading = lifecycle.spawn(_reload(signals, deployment))
-    await lifecycle.run_until_stopped(node, signals, deployment.bounds.shutdown_ms)
-    reloading.cancel()
-    link_server.close()
-    for task in joining:
-        task.cancel()
-    await node.aclose()
+    async with _Resources() as resources:
+        resources.push_async_callback(store.aclose)
+        resources.push_async_callback(node.aclose)
+        await resources.serve(heartbeats, deployment.heartbeats)
+        await resources.serve(
+            MetricsApp(lambda: agent_metrics_text(node)), deployment.metrics
+        )
+        await resources.listen(deployment.link, clock, node.serve_link, LINK_TIMING)
+        resources.spawn(Membership(store, clock).register(member))
+        resources.spawn(_introduce(deployment, member, hello, clock, node))
+        await _serve_until_stopped(resources, deployment, member, node, signals)
     log.notice("stopped", name=deployment.name)
     return ExitCode.OK
+
+
+async def _serve_until_stopped(resources, deployment, member, node, signals):
+    resources.spawn(_reload(signals, deployment))
+    log.notice("started", name=deployment.name, incarnation=member.incarnation.hex())
+    await lifecycle.run_until_stopped(node, signals, deployment.bounds.shutdown_ms)
+
+
+async def _introduce(deployment, member, hello, clock, node):
+    """Introduce an agent to the seeds whenever no entry has a link to it."""
+    while True:
+        if not node.has_links:
+            await introduce(member, hello, clock, deployment.seed_links)
+        await clock.sleep_ms(INTRODUCE_MS)
--- a/plantainhitch/commands/lifecycle.py
+++ b/plantainhitch/commands/lifecycle.py
@@ -120,18 +120,21 @@
     """
     running = asyncio.create_task(node.run(signals.drain))
     ended = asyncio.create_task(signals.end.wait())
-    await asyncio.wait(
-        (running, ended, asyncio.create_task(signals.drain.wait())),
-        return_when=asyncio.FIRST_COMPLETED,
-    )
-    timeout_s = drain_ms / 1000
-    await asyncio.wait(
-        (running, ended), timeout=timeout_s, return_when=asyncio.FIRST_COMPLETED
-    )
-    ended.cancel()
-    if running.done():
-        running.result()
-        return False
-    running.cancel()
+    draining = asyncio.create_task(signals.drain.wait())
+    try:
+        await asyncio.wait(
+            (running, ended, draining), return_when=asyncio.FIRST_COMPLETED
+        )
+        await asyncio.wait(
+            (running, ended),
+            timeout=drain_ms / 1000,
+            return_when=asyncio.FIRST_COMPLETED,
+        )
+        if running.done():
+            running.result()
+            return False
+    finally:
+        for task in (running, ended, draining):
+            task.cancel()
     log.warning("drain was cut short", status=node.status())
     return True
--- a/plantainhitch/coordination/jobs/entry_node.py
+++ b/plantainhitch/coordination/jobs/entry_node.py
@@ -65,6 +65,11 @@
         """The decisions, for reading only."""
         return self._scheduler
 
+    @property
+    def peer_count(self):
+        """How many links to other entries are open."""
+        return self._peers.count
+
     @property
     def is_closing(self):
         """Whether answers should close their connections."""
--- a/plantainhitch/coordination/jobs/scheduler.py
+++ b/plantainhitch/coordination/jobs/scheduler.py
@@ -67,8 +67,10 @@
 class Scheduler:
     """The jobs that an entry owns, and where their tasks run."""
 
-    def __init__(self, clock, lease_ms):
+    def __init__(self, clock, lease_ms, on_outcome=None):
         self._clock = clock
+        # ``on_outcome(queue, JobOutcome, took_ms)`` is called for each job.
+        self._on_outcome = on_outcome or (lambda queue, outcome, took_ms: None)
         self._fleet = Fleet(clock, lease_ms)
         self._jobs = {}
         self._waiters = {}
@@ -116,6 +118,7 @@
         reason = self._refusal(job)
         if reason:
             log.info("job refused", job=spec.job_id, route=route.name, why=reason)
+            self._on_outcome(route.name, NeverRan(reason), 0)
             on_end(NeverRan(reason))
             return
         self._jobs[job.job_id] = job
@@ -311,6 +314,7 @@
             took_ms=took_ms,
             objective_ms=round(self._placement.objective_ms(job)),
         )
+        self._on_outcome(job.route.name, outcome, took_ms)
         if isinstance(outcome, Ended):
             self._ended[job.job_id] = outcome
             while len(self._ended) > MAX_REMEMBERED_JOBS:
--- a/plantainhitch/coordination/runs/run_book.py
+++ b/plantainhitch/coordination/runs/run_book.py
@@ -7,7 +7,7 @@
 """
 
 import enum
-from collections import OrderedDict
+from collections import Counter, OrderedDict
 from dataclasses import dataclass
 
 from ... import logs
@@ -111,6 +111,7 @@
         self._owners = Owners(clock)
         self._runs = {}
         self._ended = OrderedDict()
+        self._end_counts = Counter()
         self._endpoint = None
         self._is_reconciled = False
         self._seen = 0
@@ -134,6 +135,11 @@
         """All runs by key, for reading only."""
         return self._runs
 
+    @property
+    def end_counts(self):
+        """How many runs have ended in each way, by name."""
+        return self._end_counts
+
     @property
     def endpoint(self):
         """The newest ``EndpointReport``, or None."""
@@ -571,6 +577,7 @@
         run = self._runs.pop(key)
         run_ms = self._clock.now_ms() - run.started_ms if run.started_ms else 0
         report = m.RunEnd(key, end, reason, checkpoint, run_ms)
+        self._end_counts[end.name.lower()] += 1
         self._ended[key] = report
         while len(self._ended) > MAX_REMEMBERED_ENDS:
             self._ended.popitem(last=False)
--- /dev/null
+++ b/plantainhitch/job_metrics.py
@@ -0,0 +1,75 @@
+"""The metrics of a deployment's entries and agents, in the Prometheus text format."""
+
+import collections
+
+from .coordination.jobs.scheduler import Ended
+from .latencies import LatencyWindow
+from .text_metrics import TextMetrics
+
+# Queues beyond this many share one label, so that a page stays small.
+MAX_QUEUES = 100
+OTHER_QUEUE = "other"
+
+
+class JobMetrics:
+    """Counters and latencies of the jobs of one entry."""
+
+    def __init__(self, clock):
+        self._clock = clock
+        self._outcomes = collections.Counter()
+        self._refusals = collections.Counter()
+        self._took = {}
+
+    def ended(self, queue, outcome, took_ms):
+        """Count the outcome of a job, and how long the caller waited."""
+        if isinstance(outcome, Ended):
+            self._outcomes[outcome.state.value] += 1
+            self._window(queue).record(took_ms)
+        else:
+            self._outcomes[type(outcome).__name__] += 1
+            self._refusals[outcome.reason] += 1
+
+    def render(self, node):
+        """Return the text; ``node`` is the ``JobEntryNode``."""
+        scheduler, table = node.scheduler, node.routes
+        fleet = scheduler.fleet
+        agents = fleet.agents.values()
+        text = TextMetrics("plantainhitch_")
+        text.counters("jobs_total", "outcome", self._outcomes)
+        text.counters("jobs_not_ended_total", "reason", self._refusals)
+        text.latencies("job_ms", "queue", self._took)
+        text.gauge("jobs", len(scheduler.jobs))
+        text.gauge("ready", int(node.ready))
+        text.gauge("configuration_version", table.version if table else 0)
+        text.gauge("agents", len(agents))
+        text.gauge("agents_linked", sum(agent.link is not None for agent in agents))
+        text.gauge("agents_ready", sum(agent.is_ready for agent in agents))
+        text.gauge("agents_held_back", sum(agent.is_on_trial for agent in agents))
+        text.gauge("peers", node.peer_count)
+        text.gauges(
+            "slowness", "agent", {a.name: fleet.slowness(a) for a in agents if a.status}
+        )
+        text.gauges("runs", "agent", {a.name: len(a.tasks) for a in agents})
+        return text.render()
+
+    def _window(self, queue):
+        if queue not in self._took and len(self._took) >= MAX_QUEUES:
+            queue = OTHER_QUEUE
+        return self._took.setdefault(queue, LatencyWindow(self._clock))
+
+
+def agent_metrics_text(node):
+    """Return the metrics of a ``RunAgentNode`` as text."""
+    book = node.book
+    phases = collections.Counter(run.phase.value for run in book.runs.values())
+    text = TextMetrics("plantainhitch_agent_")
+    text.gauges("runs", "phase", phases)
+    text.counters("run_ends_total", "end", book.end_counts)
+    text.gauge("ready", int(book.is_ready))
+    text.gauge("endpoint_silent", int(book.is_suspect))
+    text.gauge("used_cpu_millis", book.used.cpu_millis)
+    text.gauge("free_cpu_millis", book.free.cpu_millis)
+    text.gauge("pace", round(book.pace(), 3))
+    text.gauge("links", len(book.owners.linked))
+    text.gauge("fence", book.fence)
+    return text.render()
--- a/plantainhitch/metrics.py
+++ b/plantainhitch/metrics.py
@@ -10,7 +10,6 @@
 from collections import defaultdict
 from dataclasses import fields
 
-from hdrh.histogram import HdrHistogram
 from prometheus_client.core import (
     CounterMetricFamily,
     GaugeMetricFamily,
@@ -18,17 +17,13 @@
 )
 from prometheus_client.exposition import generate_latest
 
+from .latencies import LatencyWindow
 from .outcomes import Failed, NotRun, Succeeded, Unknown
 from .protocol.errors import ErrorCode
 
 PREFIX = "plantainhitch_"
 MAX_CLASSES = 200
 OTHER_CLASS = "other"
-WINDOW_MS = 60_000
-MAX_LATENCY_MS = 60 * 60 * 1_000
-SIGNIFICANT_DIGITS = 2
-# Recording in a histogram is slow, so equal latencies are counted first.
-MAX_PENDING_VALUES = 2_000
 # Fields of a status that only grow.
 SINCE_BOOT = frozenset(
     {
@@ -40,7 +35,6 @@
         "bytes_sent",
     }
 )
-QUANTILES = (0.5, 0.9, 0.99, 0.999)
 
 
 class Counter(enum.Enum):
@@ -60,68 +54,6 @@
     RUN = ("run_ms", "Run time at the endpoint, in ms.")
 
 
-class LatencyWindow:
-    """Latencies of the last one to two windows, and their count and sum in all."""
-
-    def __init__(self, clock):
-        self._clock = clock
-        self._newest = _new_histogram()
-        self._older = None
-        self._turned_ms = clock.now_ms()
-        self._count = 0
-        self._sum_ms = 0
-        # Latencies not yet in the histogram, with how often each one came.
-        self._pending = {}
-
-    @property
-    def count(self):
-        """How many latencies were recorded since the process began."""
-        return self._count
-
-    @property
-    def sum_ms(self):
-        """Their sum."""
-        return self._sum_ms
-
-    def record(self, latency_ms):
-        """Record one latency in ms."""
-        self._turn()
-        self._count += 1
-        self._sum_ms += latency_ms
-        value = min(max(1, round(latency_ms)), MAX_LATENCY_MS)
-        self._pending[value] = self._pending.get(value, 0) + 1
-        if len(self._pending) > MAX_PENDING_VALUES:
-            self._flush()
-
-    def quantiles(self):
-        """Return the latency in ms at each of ``QUANTILES``, by quantile."""
-        self._turn()
-        self._flush()
-        merged = _new_histogram()
-        for histogram in (self._older, self._newest):
-            if histogram is not None and histogram.get_total_count():
-                merged.add(histogram)
-        return {
-            quantile: merged.get_value_at_percentile(quantile * 100)
-            for quantile in QUANTILES
-        }
-
-    def _flush(self):
-        """Put the pending latencies into the histogram, equal ones in one step."""
-        for value, count in self._pending.items():
-            self._newest.record_value(value, count)
-        self._pending.clear()
-
-    def _turn(self):
-        age_ms = self._clock.now_ms() - self._turned_ms
-        if age_ms < WINDOW_MS:
-            return
-        self._flush()
-        self._older = self._newest if age_ms < 2 * WINDOW_MS else None
-        self._newest = _new_histogram()
-        self._turned_ms += age_ms - age_ms % WINDOW_MS
-
-
 class _Collection:
     """Families of metrics as the Prometheus library takes them."""
 
@@ -221,10 +153,6 @@
         metrics.record(Latency.RUN, class_name, run_ms)
 
 
-def _new_histogram():
-    return HdrHistogram(1, MAX_LATENCY_MS, SIGNIFICANT_DIGITS)
-
-
 def _counter_family(counter, counts):
     name, text, label_name = counter.value
     family = CounterMetricFamily(PREFIX + name, text, labels=("class", label_name))
--- a/plantainhitch/platform/settings.py
+++ b/plantainhitch/platform/settings.py
@@ -2,6 +2,7 @@
 
 import os
 import tomllib
+from dataclasses import replace
 from pathlib import Path
 
 import msgspec
@@ -58,11 +59,14 @@
 def load(path=None):
     """Return the ``Deployment`` in the settings file; raise SettingsError if bad."""
     path = path or os.environ.get(SETTINGS_VARIABLE, "")
+    if not path:
+        allowed = "not set; give the path of the settings file"
+        raise SettingsError((Problem(SETTINGS_VARIABLE, "", allowed),))
     try:
         tables = tomllib.loads(Path(path).read_text(encoding="utf-8"))
     except (OSError, UnicodeDecodeError, tomllib.TOMLDecodeError) as error:
-        raise SettingsError((Problem("file", path, str(error)),)) from error
-    problems = list(_missing(_Settings, tables))
+        raise SettingsError((Problem("file", "", str(error), path),)) from error
+    problems = [replace(problem, file=path) for problem in _missing(_Settings, tables)]
     if problems:
         raise SettingsError(tuple(problems))
     try:
--- /dev/null
+++ b/plantainhitch/standins/run_endpoint.py
@@ -0,0 +1,167 @@
+"""A stand-in for an endpoint of the users' platform: runs, leases, inventories.
+
+It runs nothing: a task takes the time that its job's payload names in ms. Faults:
+``fail_all`` ends each run as failed, ``late_orders`` carries that many orders out
+without an answer, ``crash`` forgets everything and begins a new lifetime.
+"""
+
+import asyncio
+import time
+
+import msgspec
+
+from ..transport.asgi import MAX_SMALL_BODY_BYTES, Reply, answer, read_body
+
+MAX_LEASE_MS = 1_000
+DEFAULT_RUN_MS = 50
+LATE_S = 0.3
+_POLL_S = 0.002
+
+
+class RunEndpointStandIn:
+    """One endpoint, as an ASGI application."""
+
+    def __init__(self, name, pool, cpu_millis=4_000):
+        self.name = name
+        self.pool = pool
+        self.cpu_millis = cpu_millis
+        self.fail_all = False
+        self.late_orders = 0
+        self.draining = False
+        # Every start that was carried out, as (task, run), oldest first.
+        self.ledger = []
+        # Most processor in use at any time, in thousandths of a core.
+        self.peak_millis = 0
+        self._cpu_of_task = lambda task: 1_000
+        self._sequence = 0
+        self._begin_lifetime()
+
+    def crash(self):
+        """End what runs and begin a new lifetime."""
+        for handle in self._timers.values():
+            handle.cancel()
+        self._begin_lifetime()
+
+    def set_cpu(self, cpu_of_task):
+        """Set the function from a task's name to the processor that it takes."""
+        self._cpu_of_task = cpu_of_task
+
+    def heartbeat(self):
+        """Return the path and the body of the next heartbeat."""
+        self._sequence += 1
+        body = {
+            "service": self.pool,
+            "addr": "",
+            "zone": "",
+            "version": "v1",
+            "slots": 8,
+            "state": "draining" if self.draining else "ready",
+            "cold_left_ms": 0,
+            "capacity": {"cpu": self.cpu_millis, "mem_mb": 4_096, "gpu": 0},
+            "labels": ["a", "r1-1"],
+            "clock_ms": self._clock_ms(),
+            "seq": self._sequence,
+            "born": self._born,
+        }
+        return f"/instances/{self.name}", msgspec.json.encode(body)
+
+    async def __call__(self, scope, receive, send):
+        """Serve one request."""
+        body = await read_body(receive, MAX_SMALL_BODY_BYTES)
+        headers = dict(scope["headers"])
+        if headers.get(b"x-target-instance", b"").decode() != self.name:
+            await answer(send, Reply(421, b"{}"))
+            return
+        call = msgspec.json.decode(body)
+        if self.late_orders and scope["path"] == "/run-start":
+            self.late_orders -= 1
+            await asyncio.sleep(LATE_S)
+            self._order(scope["path"], call)
+            await asyncio.Event().wait()
+        if scope["path"] == "/hold":
+            status, result = await self._hold(call)
+        else:
+            status, result = self._order(scope["path"], call)
+        result |= {"clock_ms": self._clock_ms(), "born": self._born}
+        await answer(send, Reply(status, msgspec.json.encode(result)))
+
+    def _begin_lifetime(self):
+        self._born = int(time.time() * 1_000)
+        self._began = time.monotonic()
+        self._fence = 0
+        self._lease_ms = 0
+        self._running = {}
+        self._timers = {}
+        self._ended = []
+        self._count = 0
+        self._highest = {}
+
+    def _clock_ms(self):
+        return int((time.monotonic() - self._began) * 1_000) + 1
+
+    def _order(self, path, call):
+        if call["fence"] < self._fence:
+            return 409, {"reason": "fence"}
+        self._fence = call["fence"]
+        if path == "/run-stop":
+            return self._stop(call)
+        self._renew(call["deadline_ms"])
+        if self._lease_ms <= self._clock_ms():
+            return 409, {"reason": "late"}
+        task, run = call["task"], call["run"]
+        if self._running.get(task) == run:
+            return 200, {}
+        if run <= self._highest.get(task, 0):
+            return 409, {"reason": "old"}
+        self._start(task, run, call["spec"])
+        return 200, {}
+
+    def _start(self, task, run, payload):
+        self.ledger.append((task, run))
+        self._running[task] = run
+        self._highest[task] = run
+        used = sum(self._cpu_of_task(name) for name in self._running)
+        self.peak_millis = max(self.peak_millis, used)
+        run_ms = int(payload) if payload.isdigit() else DEFAULT_RUN_MS
+        loop = asyncio.get_running_loop()
+        how = "failed" if self.fail_all else "done"
+        self._timers[task] = loop.call_later(run_ms / 1_000, self._end, task, how)
+
+    def _stop(self, call):
+        task, run = call["task"], call["run"]
+        if self._running.get(task) == run:
+            self._end(task, "stopped")
+        self._highest[task] = max(run, self._highest.get(task, 0))
+        return 200, {}
+
+    def _end(self, task, how):
+        run = self._running.pop(task, None)
+        if run is None:
+            return
+        self._timers.pop(task).cancel()
+        self._count += 1
+        self._ended.append([self._count, task, run, how, ""])
+
+    def _renew(self, until_ms):
+        latest_ms = self._clock_ms() + MAX_LEASE_MS
+        self._lease_ms = max(self._lease_ms, min(until_ms, latest_ms))
+
+    def _expire(self):
+        if self._running and self._clock_ms() > self._lease_ms:
+            for task in list(self._running):
+                self._end(task, "lapsed")
+
+    async def _hold(self, call):
+        if call["fence"] < self._fence:
+            return 409, {"reason": "fence"}
+        self._fence = call["fence"]
+        if "deadline_ms" in call:
+            self._renew(call["deadline_ms"])
+        self._ended = [row for row in self._ended if row[0] > call["last_seen"]]
+        until = time.monotonic() + call.get("wait_ms", 0) / 1_000
+        while not self._ended and time.monotonic() < until:
+            await asyncio.sleep(_POLL_S)
+            self._expire()
+        self._expire()
+        running = [[task, run, "", 50] for task, run in self._running.items()]
+        return 200, {"running": running, "finished": list(self._ended)}
--- /dev/null
+++ b/plantainhitch/standins/store_rows.py
@@ -0,0 +1,130 @@
+"""A stand-in for the store of the users' platform: rows, transactions, feeds.
+
+It speaks the protocol of the platform, which ``platform.store`` is the client of.
+Faults: ``silent`` answers nothing, ``busy`` refuses all, ``lose_answers`` applies
+that many writes without an answer.
+"""
+
+import asyncio
+from urllib.parse import parse_qs
+
+import msgspec
+
+from ..transport.asgi import MAX_SMALL_BODY_BYTES, Reply, answer, read_body
+
+_WAIT_STEP_S = 0.005
+
+
+class RowsStandIn:
+    """The store, as an ASGI application."""
+
+    def __init__(self):
+        self.silent = False
+        self.busy = False
+        self.lose_answers = 0
+        self._ver = 0
+        self._rows = {}
+        self._history = []
+        self._dropped = 0
+
+    def put(self, table, key, value):
+        """Write a row as another writer would."""
+        self._apply(puts=[{"table": table, "part": "", "key": key, "value": value}])
+
+    def get(self, table, key):
+        """Return a row's value, or None."""
+        row = self._rows.get((table, "", key))
+        return row["value"] if row else None
+
+    def forget_history(self):
+        """Drop the history, so that feeds have to begin anew."""
+        self._history.clear()
+        self._dropped = self._ver
+
+    async def __call__(self, scope, receive, send):
+        """Serve one request."""
+        body = await read_body(receive, MAX_SMALL_BODY_BYTES)
+        if self.silent:
+            await _never(receive)
+            return
+        if self.busy:
+            await answer(send, Reply(503, b"{}"))
+            return
+        query = {k: v[0] for k, v in parse_qs(scope["query_string"].decode()).items()}
+        match scope["method"], scope["path"]:
+            case "POST", "/rows-tx":
+                status, result = self._transaction(msgspec.json.decode(body))
+                if status == 200 and self.lose_answers:
+                    self.lose_answers -= 1
+                    await _never(receive)
+                    return
+            case "GET", "/rows-get":
+                status, result = 200, self._select(query)
+            case "GET", "/rows-feed":
+                status, result = await self._feed(query)
+            case _:
+                status, result = 404, {}
+        result |= {"ver": self._ver, "now_ms": 0}
+        await answer(send, Reply(status, msgspec.json.encode(result)))
+
+    def _transaction(self, call):
+        expected = call.get("expected_rev", [])
+        for item in expected:
+            row = self._rows.get(_place(item))
+            if (row["ver"] if row else 0) != item["ver"]:
+                places = [_place(other) for other in expected]
+                found = [self._rows[p] for p in places if p in self._rows]
+                return 412, {"rows": found}
+        self._apply(call.get("puts", []), call.get("remove", []))
+        return 200, {}
+
+    def _apply(self, puts=(), remove=()):
+        self._ver += 1
+        for item in puts:
+            value = item["value"]
+            if isinstance(value, bytes):
+                value = msgspec.json.decode(msgspec.json.encode(value))
+            row = {**item, "value": value, "ver": self._ver}
+            self._rows[_place(item)] = row
+            self._history.append(row)
+        for item in remove:
+            if self._rows.pop(_place(item), None) is not None:
+                gone = {**item, "value": None, "ver": self._ver, "tombstone": True}
+                self._history.append(gone)
+
+    def _select(self, query):
+        place = query["table"], query.get("part", "")
+        low, high = query.get("from", ""), query.get("to")
+        rows = [
+            row
+            for (table, part, key), row in sorted(self._rows.items())
+            if (table, part) == place and key >= low and (high is None or key < high)
+        ]
+        limit = int(query.get("limit", 500))
+        return {"rows": rows[:limit], "truncated": len(rows) > limit}
+
+    async def _feed(self, query):
+        after, waits_s = int(query["after"]), int(query.get("wait_ms", 0)) / 1_000
+        loop = asyncio.get_running_loop()
+        until = loop.time() + waits_s
+        while True:
+            if after < self._dropped:
+                return 410, {}
+            rows = [
+                row
+                for row in self._history
+                if row["table"] == query["table"] and row["ver"] > after
+            ]
+            if rows or loop.time() >= until:
+                return 200, {"rows": rows}
+            await asyncio.sleep(_WAIT_STEP_S)
+
+
+async def _never(receive):
+    """Answer nothing until the caller has gone."""
+    while (await receive())["type"] != "http.disconnect":
+        pass
+
+
+def _place(item):
+    return item["table"], item.get("part", ""), item["key"]
--- a/plantainhitch/transport/asgi.py
+++ b/plantainhitch/transport/asgi.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass
 
 JSON_TYPE = b"application/json"
+METRICS_TYPE = b"text/plain; version=0.0.4"
 MAX_SMALL_BODY_BYTES = 1024 * 1024
 
 
@@ -33,6 +34,21 @@
             return b"".join(chunks)
 
 
+class MetricsApp:
+    """Serves the text that ``render()`` returns at ``/metrics``."""
+
+    def __init__(self, render):
+        self._render = render
+
+    async def __call__(self, scope, receive, send):
+        """Serve one request."""
+        if scope["path"] != "/metrics":
+            await answer(send, Reply(404, b'{"error":"no such page"}'))
+            return
+        body = self._render().encode()
+        await answer(send, Reply(200, body, content_type=METRICS_TYPE))
+
+
 async def answer(send, reply):
     """Send a ``Reply``."""
     headers = [
--- /dev/null
+++ b/tests/deployment.py
@@ -0,0 +1,191 @@
+"""A whole deployment on loopback: real entries and agents through the adapter."""
+
+import asyncio
+import contextlib
+import itertools
+import os
+
+import msgspec
+
+from plantainhitch.clock import Clock
+from plantainhitch.commands import deployed
+from plantainhitch.commands.lifecycle import StopSignals
+from plantainhitch.deployment import Bounds, Deployment
+from plantainhitch.platform.store import OPERATOR_TABLE
+from plantainhitch.standins.run_endpoint import RunEndpointStandIn
+from plantainhitch.standins.store_rows import RowsStandIn
+from plantainhitch.transport.addresses import Address
+from plantainhitch.transport.http_client import HttpClient
+from plantainhitch.transport.http_server import serve
+
+POOL = "pool-1"
+HOST = b"jobs.example"
+PREFIX = "/queue/"
+HEARTBEAT_S = 0.2
+READY_LIMIT_S = 10.0
+LINK_PORT = 7_700
+BOUNDS = Bounds(2_000, 1_000, 50, 1_300, 6_000, 2_000)
+
+
+def configuration(version=1, prefixes=(PREFIX,), attempts=2):
+    """Return the operator's configuration with a route for each prefix."""
+    return {
+        "version": version,
+        "routes": [
+            {
+                "name": f"r{number}",
+                "host": HOST.decode(),
+                "path_prefix": prefix,
+                "kind": "non_idempotent",
+                "timeout_ms": 1_500,
+                "target_latency_ms": 60,
+                "priority": number,
+                "service": POOL,
+                "max_attempts": attempts,
+                "stretch": 1.6,
+            }
+            for number, prefix in enumerate(prefixes)
+        ],
+        "services": [{"name": POOL, "admission_check": False}],
+        "limits": {"max_body_bytes": 10_000},
+    }
+
+
+_hosts = itertools.count()
+
+
+def _new_host():
+    """Return a loopback host of its own for each process, so that ports are free."""
+    number = next(_hosts)
+    return f"127.{100 + os.getpid() % 100}.{number // 250}.{1 + number % 250}"
+
+
+class Process:
+    """One entry or agent as a task, with its own stop signals."""
+
+    def __init__(self, role, settings):
+        self.settings = settings
+        self.signals = StopSignals()
+        self.task = asyncio.create_task(role(settings, Clock(), lambda: self.signals))
+
+    async def kill(self):
+        """End the process without any of its orderly steps."""
+        self.task.cancel()
+        with contextlib.suppress(asyncio.CancelledError):
+            await self.task
+
+
+class LoopbackDeployment:
+    """A store, endpoints with agents, and entries, each on addresses of its own."""
+
+    def __init__(self, entries=2, agents=2):
+        self.store = RowsStandIn()
+        self.endpoints = [
+            RunEndpointStandIn(f"i-{number}", POOL) for number in range(agents)
+        ]
+        self.entries = []
+        self.agents = []
+        self._entry_count = entries
+        self._servers = []
+        self._beats = []
+        self._clock = Clock()
+        self._store_address = None
+
+    async def start(self):
+        """Start everything and wait until the entries are ready and linked."""
+        self.configure(configuration())
+        store = self._store_address = await self._serve(self.store)
+        for number in range(self._entry_count):
+            settings = self._settings(f"entry-{number}", store, front=True)
+            self.entries.append(Process(deployed.run_entry, settings))
+        for number, endpoint in enumerate(self.endpoints):
+            address = await self._serve(endpoint)
+            settings = self._settings(f"agent-{number}", store, endpoint=address)
+            self.agents.append(Process(deployed.run_agent, settings))
+            beat = self._beat(endpoint, settings.heartbeats)
+            self._beats.append(asyncio.create_task(beat))
+        async with asyncio.timeout(READY_LIMIT_S):
+            for entry in self.entries:
+                while await self.ready_agents(entry) < len(self.agents):
+                    await asyncio.sleep(0.05)
+
+    async def aclose(self):
+        """End everything."""
+        for task in self._beats:
+            task.cancel()
+        for process in (*self.entries, *self.agents):
+            await process.kill()
+        for server in self._servers:
+            await server.aclose(within_ms=0)
+
+    def configure(self, document):
+        """Write the operator's configuration."""
+        self.store.put(OPERATOR_TABLE, "config", msgspec.json.encode(document))
+
+    async def ready_agents(self, entry):
+        """Return how many agents take starts from an entry, by its metrics."""
+        for line in (await self.metrics(entry)).splitlines():
+            if line.startswith("plantainhitch_agents_ready "):
+                return int(line.split()[1])
+        return 0
+
+    async def metrics(self, process):
+        """Return the metrics page of a process, empty where it has none yet."""
+        client = HttpClient(process.settings.metrics, self._clock)
+        answer = await client.request(b"GET", b"/metrics")
+        client.close()
+        return answer.body.decode() if hasattr(answer, "body") else ""
+
+    async def call(self, method, path, body=b"", entry=0, headers=()):
+        """Send one request to an entry's front address; return the answer."""
+        client = HttpClient(self.entries[entry].settings.front, self._clock)
+        client._host = HOST
+        answer = await client.request(
+            method.encode(), path.encode(), body, headers, timeout_ms=10_000
+        )
+        client.close()
+        return answer
+
+    async def submit(self, job_id, run_ms=50, tasks=1, entry=0, **fields):
+        """Submit a job and return the answer at its end."""
+        step = {"count": tasks, "cpu": 1_000, "mem_mb": 10, "est_runtime_ms": run_ms}
+        job = {"spec": str(run_ms), "steps": [step | fields], "best_effort": True}
+        return await self.call("POST", PREFIX + job_id, msgspec.json.encode(job), entry)
+
+    def _settings(self, name, store, front=False, endpoint=None):
+        host = _new_host()
+        return Deployment(
+            name=name,
+            zone="z1",
+            region="r1",
+            pool=POOL if endpoint else "",
+            link=Address(host, LINK_PORT),
+            metrics=Address(host, LINK_PORT + 1),
+            front=Address(host, LINK_PORT + 2) if front else None,
+            readiness=Address(host, LINK_PORT + 3) if front else None,
+            heartbeats=Address(host, LINK_PORT + 4) if endpoint else None,
+            endpoint=endpoint,
+            store=store,
+            seeds=tuple(entry.settings.link.host for entry in self.entries),
+            bounds=BOUNDS,
+        )
+
+    async def add_entry(self):
+        """Start one more entry, which knows the others as seeds."""
+        settings = self._settings("entry-new", self._store_address, front=True)
+        self.entries.append(Process(deployed.run_entry, settings))
+        async with asyncio.timeout(READY_LIMIT_S):
+            while await self.ready_agents(self.entries[-1]) < len(self.agents):
+                await asyncio.sleep(0.05)
+
+    async def _serve(self, app):
+        server = await serve(app, Address("127.0.0.1", 0))
+        self._servers.append(server)
+        return server.address
+
+    async def _beat(self, endpoint, address):
+        client = HttpClient(address, self._clock)
+        while True:
+            path, body = endpoint.heartbeat()
+            await client.request(b"PUT", path.encode(), body)
+            await asyncio.sleep(HEARTBEAT_S)
