--- a/plantainhitch/commands/main.py
+++ b/plantainhitch/commands/main.py
@@ -7,27 +7,42 @@
 import importlib
 import re
 import sys
+from typing import NamedTuple
 
+from .. import __version__
 from ..settings import SettingsError
 from .exit_codes import ExitCode
 from .usage import UsageError
 
-# Command name -> (module, function) below this package.
+
+class Command(NamedTuple):
+    """Where a command is found below this package, and what it does."""
+
+    module: str
+    attribute: str
+    summary: str
+
+
 COMMANDS = {
-    "agent": ("agent", "agent"),
-    "cancel": ("cancel", "cancel"),
-    "check": ("check", "check"),
-    "classes": ("classes", "Classes"),
-    "demo": ("demo", "demo"),
-    "deployed-agent": ("deployed", "deployed_agent"),
-    "deployed-entry": ("deployed", "deployed_entry"),
-    "endpoints": ("endpoints", "Endpoints"),
-    "entry": ("entry", "entry"),
-    "load": ("load", "load"),
-    "standin": ("standin", "StandIn"),
-    "status": ("status", "status"),
-    "submit": ("submit", "submit"),
+    "agent": Command("agent", "agent", "run an agent"),
+    "cancel": Command("cancel", "cancel", "cancel what has not ended of a submission"),
+    "check": Command("check", "check", "check a settings or class file"),
+    "classes": Command("classes", "Classes", "show, apply or list versions of classes"),
+    "demo": Command("demo", "demo", "run the whole system in one process"),
+    "deployed-agent": Command(
+        "deployed", "deployed_agent", "run an agent on the users' platform"
+    ),
+    "deployed-entry": Command(
+        "deployed", "deployed_entry", "run an entry on the users' platform"
+    ),
+    "endpoints": Command("endpoints", "Endpoints", "show, drain or resume endpoints"),
+    "entry": Command("entry", "entry", "run an entry"),
+    "load": Command("load", "load", "send open-loop load and compare with the ideal"),
+    "standin": Command("standin", "StandIn", "run a stand-in for tests and trials"),
+    "status": Command("status", "status", "show what an entry is doing"),
+    "submit": Command("submit", "submit", "run a job"),
 }
+HELP_WORDS = frozenset({"--help", "-h", "help"})
 # Commands without arguments, which have to stay small.
 DEPLOYED = frozenset({"deployed-agent", "deployed-entry"})
 # ``class`` can't be the name of a function's argument.
@@ -37,14 +52,39 @@
 
 
 def _load(name):
-    module_name, attribute = COMMANDS[name]
-    module = importlib.import_module(f".{module_name}", __package__)
-    return getattr(module, attribute)
+    command = COMMANDS[name]
+    module = importlib.import_module(f".{command.module}", __package__)
+    return getattr(module, command.attribute)
+
+
+def help_text():
+    """Return what ``--help`` prints."""
+    width = max(map(len, COMMANDS))
+    lines = [f"  {name:{width}}  {item.summary}" for name, item in COMMANDS.items()]
+    return "\n".join(
+        (
+            "usage: plantainhitch COMMAND [ARGUMENTS] [--OPTION VALUE]",
+            "",
+            "A dispatcher of sub-second tasks for fleets of unequal instances.",
+            "",
+            "commands:",
+            *lines,
+            "",
+            "plantainhitch COMMAND --help describes a command; --version prints the",
+            "version.",
+        )
+    )
 
 
 def main(arguments=None):
     """Run the command named first in ``arguments``; return the exit code."""
     words = sys.argv[1:] if arguments is None else list(arguments)
+    if words and words[0] in HELP_WORDS:
+        print(help_text())
+        return ExitCode.OK
+    if words and words[0] == "--version":
+        print(f"plantainhitch {__version__}")
+        return ExitCode.OK
     if not words or words[0] not in COMMANDS:
         names = ", ".join(sorted(COMMANDS))
         print(f"usage: plantainhitch COMMAND ...; commands: {names}", file=sys.stderr)
