Bound the log: a budget of lines by event, and no waiting for a reader

A line for each placement, each run that came to nothing and each job's outcome, with the beliefs that decided it. What is left out is counted and said.

--- a/plantainhitch/commands/deployed.py
+++ b/plantainhitch/commands/deployed.py
@@ -48,7 +48,7 @@
 
 
 def _run(role):
-    logs.configure("info", sys.stdout)
+    logs.configure("info", logs.DroppingStream(sys.stdout.fileno()))
     deployment = platform_settings.load()
     gc.freeze()
     return uvloop.run(role(deployment, Clock(), lifecycle.StopSignals.install))
--- a/plantainhitch/coordination/jobs/scheduler.py
+++ b/plantainhitch/coordination/jobs/scheduler.py
@@ -69,6 +69,7 @@
 
     def __init__(self, clock, lease_ms, on_outcome=None):
         self._clock = clock
+        self._events = logs.EventLog(log, clock)
         # ``on_outcome(queue, JobOutcome, took_ms)`` is called for each job.
         self._on_outcome = on_outcome or (lambda queue, outcome, took_ms: None)
         self._fleet = Fleet(clock, lease_ms)
@@ -104,11 +105,11 @@
         """
         ended = self._ended.get(spec.job_id)
         if ended is not None:
-            log.info("job submitted again", job=spec.job_id, state="ended")
+            self._events.write("job submitted again", job=spec.job_id, state="ended")
             on_end(ended)
             return
         if spec.job_id in self._jobs:
-            log.info("job submitted again", job=spec.job_id, state="here")
+            self._events.write("job submitted again", job=spec.job_id, state="here")
             self._waiters[spec.job_id].append(on_end)
             return
         now_ms = self._clock.now_ms()
@@ -117,7 +118,13 @@
         self._demand.observe(route.name, job.work_ms, slack_ms)
         reason = self._refusal(job)
         if reason:
-            log.info("job refused", job=spec.job_id, route=route.name, why=reason)
+            self._events.write(
+                "job refused",
+                job=spec.job_id,
+                queue=route.name,
+                why=reason,
+                agents_usable=len(self._fleet.usable(route.pool)),
+            )
             self._on_outcome(route.name, NeverRan(reason), 0)
             on_end(NeverRan(reason))
             return
@@ -252,6 +259,17 @@
             task.checkpoint = end.checkpoint
         job = task.job
         job.has_run = job.has_run or end.end is not End.NOT_STARTED
+        if end.end is not End.DONE:
+            self._events.write(
+                "run came to nothing",
+                task=task.name,
+                run=task.run,
+                agent=agent.name,
+                end=end.end.name,
+                why=end.reason,
+                run_ms=end.run_ms,
+                failures=task.failures,
+            )
         del agent.tasks[task.name]
         match end.end:
             case End.DONE:
@@ -306,13 +324,15 @@
     def _end(self, job, outcome):
         del self._jobs[job.job_id]
         took_ms = self._clock.now_ms() - job.arrived_ms
-        log.info(
-            "job ended",
+        is_complete = outcome == Ended(JobState.COMPLETED)
+        self._events.write(
+            "job completed" if is_complete else "job not completed",
             job=job.job_id,
-            route=job.route.name,
-            outcome=repr(outcome),
+            queue=job.route.name,
+            outcome=_described(outcome),
             took_ms=took_ms,
             objective_ms=round(self._placement.objective_ms(job)),
+            waiting_jobs=len(self._jobs),
         )
         self._on_outcome(job.route.name, outcome, took_ms)
         if isinstance(outcome, Ended):
@@ -359,6 +379,16 @@
         task.expected_ms = place.run_ms
         agent.tasks[task.name] = task
         agent.unseen.append((agent.order_number + 1, task.spec.room))
+        self._events.write(
+            "run placed",
+            task=task.name,
+            run=task.run,
+            agent=agent.name,
+            heard_ms_ago=now_ms - agent.heard_ms,
+            expected_wait_ms=place.wait_ms,
+            expected_run_ms=round(place.run_ms),
+            due_in_ms=round(due_ms - now_ms),
+        )
         self._order(agent).starts.append(
             m.RunStart(
                 key=task.key,
@@ -372,3 +402,13 @@
                 is_late=is_late,
             )
         )
+
+
+def _described(outcome):
+    match outcome:
+        case Ended(state):
+            return state.value
+        case NeverRan(reason=reason):
+            return f"never ran: {reason}"
+        case GaveUp(reason):
+            return f"given up: {reason}"
--- a/plantainhitch/coordination/runs/run_book.py
+++ b/plantainhitch/coordination/runs/run_book.py
@@ -109,6 +109,7 @@
         self._lease_ms = lease_ms
         self._fence = first_fence
         self._owners = Owners(clock)
+        self._events = logs.EventLog(log, clock)
         self._runs = {}
         self._ended = OrderedDict()
         self._end_counts = Counter()
@@ -475,7 +476,9 @@
     def _take_end(self, ended):
         run = self._runs.get(ended.key)
         if run is None:
-            log.info("end of an unknown run", task=ended.key.task, end=ended.end.name)
+            self._events.write(
+                "end of an unknown run", task=ended.key.task, end=ended.end.name
+            )
             return
         self._finish(ended.key, ended.end, run.reason, ended.checkpoint)
 
@@ -583,7 +586,16 @@
             self._ended.popitem(last=False)
         self._owners.of(run.owner).new_ends.append(report)
         if end is not End.DONE:
-            log.info("run ended", task=key.task, run=key.run, end=end.name, why=reason)
+            self._events.write(
+                "run ended",
+                task=key.task,
+                run=key.run,
+                end=end.name,
+                why=reason,
+                percent=run.percent,
+                run_ms=run_ms,
+                free_millis=self.free.cpu_millis,
+            )
 
 
 def _is_there(run):
--- a/tests/test_logs.py
+++ b/tests/test_logs.py
@@ -3,9 +3,13 @@
 import io
 import json
 import logging
+import os
 import unittest
 
+import logbook
+
 from plantainhitch import logs
+from plantainhitch.clock import ManualClock
 
 
 class LogsTests(unittest.TestCase):
@@ -52,3 +56,38 @@
     def test_unknown_level(self):
         with self.assertRaises(ValueError):
             logs.configure("loud")
+
+
+class BoundTests(unittest.TestCase):
+    """A flood of events, and a reader that stops reading."""
+
+    def test_events_beyond_the_budget_are_counted_and_said(self):
+        clock = ManualClock(5_000)
+        with logbook.TestHandler().applicationbound() as handler:
+            events = logs.EventLog(logs.get_logger("x"), clock, per_second=2)
+            for number in range(5):
+                events.write("flood", number=number)
+            events.write("other")
+            clock.advance(1_000)
+            events.write("flood", number=9)
+        seen = [(r.message, r.kwargs) for r in handler.records]
+        self.assertEqual(["flood", "flood", "other", "flood"], [m for m, _ in seen])
+        self.assertEqual({"number": 9, "left_out": 3}, seen[-1][1])
+
+    def test_a_stopped_reader_is_not_waited_for(self):
+        reader, writer = os.pipe()
+        self.addCleanup(os.close, reader)
+        self.addCleanup(os.close, writer)
+        stream = logs.DroppingStream(writer)
+        line = "x" * 999 + "\n"
+        for _ in range(200):
+            stream.write(line)
+        self.assertGreater(stream.dropped, 0)
+        first = os.read(reader, 1 << 20)
+        stream.write("last\n")
+        rest = os.read(reader, 1 << 20)
+        whole = (first + rest).decode()
+        self.assertIn("lines dropped", whole)
+        self.assertTrue(whole.endswith("last\n"))
+        lines = whole.splitlines()
+        self.assertEqual({999}, {len(text) for text in lines[:-2]})
