--- a/plantainhitch/commands/main.py
+++ b/plantainhitch/commands/main.py
@@ -92,7 +92,7 @@
     name = words[0]
     if name in DEPLOYED:
         return _run_deployed(name, words[1:])
-    import fire  # not above: a deployed process goes without its 4 MB
+    import fire  # not above: deployed processes save its memory
 
     words = _join_ids([_option(word) for word in words])
     try:
