--- a/plantainhitch/coordination/jobs/entry_node.py
+++ b/plantainhitch/coordination/jobs/entry_node.py
@@ -14,8 +14,8 @@
 from ..agent_links import AgentDialer, DialRules
 from ..inbox import Inbox
 from ..runs.agent_node import LINK_TIMING
+from .outcomes import GaveUp, NeverRan
 from .peers import Peers
-from .scheduler import GaveUp, NeverRan
 
 TICK_MS = 25
 # A dialled agent on the same network answers within a few ms; a frozen one doesn't.
--- a/plantainhitch/coordination/jobs/fleet.py
+++ b/plantainhitch/coordination/jobs/fleet.py
@@ -46,7 +46,7 @@
     heard_ms: int = 0
     # When the agent's process was proved to have ended, None while it wasn't.
     gone_ms: int | None = None
-    # Names of tasks with a run here.
+    # The tasks with a run here, by name.
     tasks: dict = field(default_factory=dict)
 
     @property
--- a/plantainhitch/coordination/jobs/scheduler.py
+++ b/plantainhitch/coordination/jobs/scheduler.py
@@ -5,7 +5,6 @@
 believed to have room; the agent has the last word.
 """
 
-import enum
 from collections import OrderedDict
 from dataclasses import dataclass, field
 
@@ -16,6 +15,7 @@
 from .demand import Demand
 from .fleet import Fleet
 from .job import Job, TaskPhase
+from .outcomes import Ended, GaveUp, JobState, NeverRan, described
 from .placement import AGENT_WAIT_MS, Placement
 
 # Answers kept for callers that submit again because theirs was lost; at the sites'
@@ -25,38 +25,6 @@
 log = logs.get_logger("jobs")
 
 
-class JobState(enum.Enum):
-    """How a job ended."""
-
-    COMPLETED = "completed"
-    FAILED = "failed"
-
-
-@dataclass(frozen=True, slots=True)
-class Ended:
-    """The job has run to its end."""
-
-    state: JobState
-
-
-@dataclass(frozen=True, slots=True)
-class NeverRan:
-    """No task of the job has started, and none will."""
-
-    reason: str
-    retry_after_s: int = 1
-
-
-@dataclass(frozen=True, slots=True)
-class GaveUp:
-    """Some tasks may have run; nothing of the job goes on."""
-
-    reason: str
-
-
-JobOutcome = Ended | NeverRan | GaveUp
-
-
 @dataclass(slots=True)
 class _Order:
     starts: list = field(default_factory=list)
@@ -329,7 +297,7 @@
             "job completed" if is_complete else "job not completed",
             job=job.job_id,
             queue=job.route.name,
-            outcome=_described(outcome),
+            outcome=described(outcome),
             took_ms=took_ms,
             objective_ms=round(self._placement.objective_ms(job)),
             waiting_jobs=len(self._jobs),
@@ -402,13 +370,3 @@
                 is_late=is_late,
             )
         )
-
-
-def _described(outcome):
-    match outcome:
-        case Ended(state):
-            return state.value
-        case NeverRan(reason=reason):
-            return f"never ran: {reason}"
-        case GaveUp(reason):
-            return f"given up: {reason}"
--- a/plantainhitch/coordination/jobs/speeds.py
+++ b/plantainhitch/coordination/jobs/speeds.py
@@ -61,8 +61,3 @@
             own.observe(ratio)
         size_ms = run_ms / self.slowness(endpoint_id)
         self._sizes.setdefault(queue, RunningMean(size_ms)).observe(size_ms)
-
-    def forget(self, endpoint_id):
-        """Drop an endpoint that has left."""
-        self._by_endpoint.pop(endpoint_id, None)
-        self._kinds.pop(endpoint_id, None)
--- a/plantainhitch/coordination/runs/agent_node.py
+++ b/plantainhitch/coordination/runs/agent_node.py
@@ -21,7 +21,7 @@
 from ...transport import links
 from ..agent_links import exchange_hellos
 from ..inbox import Inbox
-from .run_book import StartOrder, StopOrder
+from .run import StartOrder, StopOrder
 
 TICK_MS = 50
 # The wait of an inventory: a third of the shortest lease, so that one lost answer
--- a/plantainhitch/coordination/runs/run_book.py
+++ b/plantainhitch/coordination/runs/run_book.py
@@ -6,9 +6,7 @@
 such a run is stopped first, which makes the endpoint refuse a late start.
 """
 
-import enum
 from collections import Counter, OrderedDict
-from dataclasses import dataclass
 
 from ... import logs
 from ...protocol import messages as m
@@ -21,9 +19,11 @@
     Rejected,
     Rejection,
 )
-from ...state.jobs import Room, RunKey
+from ...state.jobs import Room
 from ...state.queue_ranks import QueueRanks
+from . import outlook
 from .owners import Owners
+from .run import Phase, Run, StartOrder, StopOrder, is_there, total_room
 
 # Ends are kept for owners that ask again, at most this many.
 MAX_REMEMBERED_ENDS = 2_000
@@ -35,14 +35,6 @@
 FENCE_STEP = 60_000
 # An order to stop is given again after this long without its effect.
 STOP_RETRY_MS = 200
-# From this progress on, the time so far says more than the estimate.
-TELLING_PERCENT = 20
-# The run time that it takes to judge the pace of an endpoint.
-PACE_MIN_MS = 400
-# A run that is being stopped is expected to be gone after this.
-STOP_MS = 50
-# A run that has outlasted its estimate is expected to take this share of it longer.
-OVERRUN_SHARE = 0.15
 # A run whose progress has not risen for this long stands still: a sound one moves
 # with each list, and lists come at least every 300 ms.
 STALLED_MS = 700
@@ -56,51 +48,6 @@
 log = logs.get_logger("runs")
 
 
-class Phase(enum.Enum):
-    """Where a run stands; ``DOUBTFUL`` ones may or may not be at the endpoint."""
-
-    WAITING = "waiting"
-    STARTING = "starting"
-    RUNNING = "running"
-    DOUBTFUL = "doubtful"
-    STOPPING = "stopping"
-
-
-@dataclass(slots=True)
-class Run:
-    """A run of an owner.
-
-    ``stopped_clock_ms`` is the endpoint's time of its stop, ``progressed_ms`` is when
-    ``percent`` was last seen to rise.
-    """
-
-    owner: bytes
-    start: m.RunStart
-    waits_until_ms: int
-    due_ms: int = 0
-    phase: Phase = Phase.WAITING
-    started_ms: int = 0
-    stop_sent_ms: int = 0
-    stopped_clock_ms: int | None = None
-    reason: str = ""
-    percent: float = 0.0
-    progressed_ms: int = 0
-
-
-@dataclass(frozen=True, slots=True)
-class StartOrder:
-    """To do: order the start of a run."""
-
-    start: m.RunStart
-
-
-@dataclass(frozen=True, slots=True)
-class StopOrder:
-    """To do: order the stop of a run."""
-
-    key: RunKey
-
-
 class RunBook:
     """The runs at one endpoint, those waiting for its room, and their owners."""
 
@@ -182,7 +129,7 @@
     @property
     def used(self):
         """The room of all runs that are, or may be, at the endpoint."""
-        return _total(run for run in self._runs.values() if _is_there(run))
+        return total_room(run for run in self._runs.values() if is_there(run))
 
     @property
     def free(self):
@@ -191,39 +138,6 @@
             return Room()
         return self._endpoint.capacity - self.used
 
-    def outlook(self):
-        """Return the processor expected to be free at each of ``HORIZONS_MS``."""
-        now_ms = self._clock.now_ms()
-        soon = [self.free.cpu_millis] * len(m.HORIZONS_MS)
-        for run in self._runs.values():
-            if _is_there(run):
-                left_ms = self._left_ms(run, now_ms)
-                for number, horizon_ms in enumerate(m.HORIZONS_MS):
-                    if left_ms <= horizon_ms:
-                        soon[number] += run.start.room.cpu_millis
-        return tuple(soon)
-
-    def pace(self):
-        """Return how fast runs get on, as a part of what was expected of them.
-
-        1 where too few have run long enough to tell.
-        """
-        expected_ms = spent_ms = 0.0
-        for run in self._runs.values():
-            if run.phase is Phase.RUNNING and run.progressed_ms > run.started_ms:
-                expected_ms += run.percent / 100 * run.start.estimate_ms
-                spent_ms += run.progressed_ms - run.started_ms
-        return expected_ms / spent_ms if spent_ms >= PACE_MIN_MS else 1.0
-
-    def waiting(self):
-        """Return the processor that waiting starts need, by rank."""
-        by_rank = {}
-        for run in self._runs.values():
-            if run.phase is Phase.WAITING:
-                rank = self._ranks.rank(run.start.queue, run.start.is_late)
-                by_rank[rank] = by_rank.get(rank, 0) + run.start.room.cpu_millis
-        return tuple(by_rank.items())
-
     def status(self):
         """Return the ``EndpointStatus`` as it is now."""
         endpoint = self._endpoint
@@ -245,14 +159,15 @@
         """Return the next ``RunReports`` for an owner."""
         owner = self._owners.of(incarnation)
         number, ends = self._owners.take_ends(owner)
+        runs = self._runs.values()
         return m.RunReports(
             number,
             owner.orders_seen,
             ends,
             self.free,
-            self.outlook(),
-            self.waiting(),
-            self.pace(),
+            outlook.free_soon(runs, self.free.cpu_millis, self._clock.now_ms()),
+            outlook.waiting_by_rank(runs, self._ranks),
+            outlook.pace(runs),
         )
 
     # Events
@@ -292,7 +207,7 @@
 
     def endpoint_gone(self, why):
         """Note that the endpoint's lifetime is over: nothing of it runs any more."""
-        for key in [key for key, run in self._runs.items() if _is_there(run)]:
+        for key in [key for key, run in self._runs.items() if is_there(run)]:
             self._finish(key, End.LOST, why)
         if self._is_reconciled:
             log.warning("endpoint lost", why=why)
@@ -532,7 +447,7 @@
             return
         capacity = self._endpoint.capacity
         free = capacity - self.used
-        there = {run.start.key.task for run in self._runs.values() if _is_there(run)}
+        there = {run.start.key.task for run in self._runs.values() if is_there(run)}
         used = self._used_by_queue()
         for run in sorted(waiting, key=self._turn):
             start = run.start
@@ -555,22 +470,11 @@
     def _used_by_queue(self):
         used = {}
         for run in self._runs.values():
-            if _is_there(run):
+            if is_there(run):
                 queue = run.start.queue
                 used[queue] = used.get(queue, 0) + run.start.room.cpu_millis
         return used
 
-    def _left_ms(self, run, now_ms):
-        """Return how much longer a run is expected to take."""
-        if run.phase in (Phase.STOPPING, Phase.DOUBTFUL):
-            return STOP_MS
-        estimate_ms = run.start.estimate_ms
-        spent_ms = now_ms - run.started_ms
-        if run.percent >= TELLING_PERCENT:
-            whole_ms = (run.progressed_ms - run.started_ms) * 100 / run.percent
-            return max(whole_ms - spent_ms, 0)
-        return max(estimate_ms - spent_ms, estimate_ms * OVERRUN_SHARE)
-
     def _refuse_waiting(self, reason):
         for key, run in list(self._runs.items()):
             if run.phase is Phase.WAITING:
@@ -596,17 +500,3 @@
                 run_ms=run_ms,
                 free_millis=self.free.cpu_millis,
             )
-
-
-def _is_there(run):
-    return run.phase is not Phase.WAITING
-
-
-def _total(runs):
-    cpu_millis = memory_mb = gpus = 0
-    for run in runs:
-        room = run.start.room
-        cpu_millis += room.cpu_millis
-        memory_mb += room.memory_mb
-        gpus += room.gpus
-    return Room(cpu_millis, memory_mb, gpus)
--- a/plantainhitch/job_metrics.py
+++ b/plantainhitch/job_metrics.py
@@ -2,7 +2,8 @@
 
 import collections
 
-from .coordination.jobs.scheduler import Ended
+from .coordination.jobs.outcomes import Ended
+from .coordination.runs.outlook import pace
 from .latencies import LatencyWindow
 from .text_metrics import TextMetrics
 
@@ -69,7 +70,7 @@
     text.gauge("endpoint_silent", int(book.is_suspect))
     text.gauge("used_cpu_millis", book.used.cpu_millis)
     text.gauge("free_cpu_millis", book.free.cpu_millis)
-    text.gauge("pace", round(book.pace(), 3))
+    text.gauge("pace", round(pace(book.runs.values()), 3))
     text.gauge("links", len(book.owners.linked))
     text.gauge("fence", book.fence)
     return text.render()
--- a/plantainhitch/platform/front.py
+++ b/plantainhitch/platform/front.py
@@ -6,7 +6,7 @@
 import msgspec
 
 from .. import logs
-from ..coordination.jobs.scheduler import Ended, GaveUp, NeverRan
+from ..coordination.jobs.outcomes import Ended, GaveUp, NeverRan
 from ..transport.asgi import Reply, answer, read_body
 from . import jobs
 
--- a/plantainhitch/transport/links.py
+++ b/plantainhitch/transport/links.py
@@ -27,6 +27,9 @@
     dead_after_ms: int = SILENCE_LIMIT_MS
 
 
+DEFAULT_TIMING = LinkTiming()
+
+
 @dataclass(frozen=True, slots=True)
 class LinkClosed:
     """Why a link ended; ``bad_frame`` when the peer sent an unreadable frame."""
@@ -38,7 +41,7 @@
 class Link:
     """One framed connection; use ``run`` in the task that owns it."""
 
-    def __init__(self, reader, writer, clock, timing=LinkTiming()):  # noqa: B008
+    def __init__(self, reader, writer, clock, timing=DEFAULT_TIMING):
         self._reader = reader
         self._writer = writer
         self._clock = clock
@@ -173,13 +176,13 @@
                 self.send(m.Heartbeat())
 
 
-async def connect(address, clock, timing=LinkTiming()):  # noqa: B008
+async def connect(address, clock, timing=DEFAULT_TIMING):
     """Return a ``Link`` to ``address``; raise OSError where none can be had."""
     reader, writer = await asyncio.open_connection(address.host, address.port)
     return Link(reader, writer, clock, timing)
 
 
-async def listen(address, clock, on_link, timing=LinkTiming()):  # noqa: B008
+async def listen(address, clock, on_link, timing=DEFAULT_TIMING):
     """Serve links at ``address``: run ``await on_link(link)`` for each one."""
 
     async def accept(reader, writer):
--- a/tests/fleet_sim.py
+++ b/tests/fleet_sim.py
@@ -10,8 +10,10 @@
 from dataclasses import dataclass, field
 
 from plantainhitch.clock import ManualClock
-from plantainhitch.coordination.jobs.scheduler import Ended, JobState, Scheduler
-from plantainhitch.coordination.runs.run_book import RunBook, StartOrder, StopOrder
+from plantainhitch.coordination.jobs.outcomes import Ended, JobState
+from plantainhitch.coordination.jobs.scheduler import Scheduler
+from plantainhitch.coordination.runs.run import StartOrder, StopOrder
+from plantainhitch.coordination.runs.run_book import RunBook
 from plantainhitch.protocol import messages as m
 from plantainhitch.state.endpoints import (
     Accepted,
--- a/tests/test_job_scheduler.py
+++ b/tests/test_job_scheduler.py
@@ -4,13 +4,8 @@
 
 from plantainhitch.clock import ManualClock
 from plantainhitch.coordination.jobs.fleet import HOLD_MS, SUSPECT_AFTER_MS
-from plantainhitch.coordination.jobs.scheduler import (
-    Ended,
-    GaveUp,
-    JobState,
-    NeverRan,
-    Scheduler,
-)
+from plantainhitch.coordination.jobs.outcomes import Ended, GaveUp, JobState, NeverRan
+from plantainhitch.coordination.jobs.scheduler import Scheduler
 from plantainhitch.coordination.runs.owners import OWNER_LEASE_MS
 from plantainhitch.protocol import messages as m
 from plantainhitch.state.endpoints import End
--- a/tests/test_run_book.py
+++ b/tests/test_run_book.py
@@ -4,12 +4,11 @@
 
 from plantainhitch.clock import ManualClock
 from plantainhitch.coordination.runs.owners import OWNER_LEASE_MS
+from plantainhitch.coordination.runs.run import StartOrder, StopOrder
 from plantainhitch.coordination.runs.run_book import (
     STOP_RETRY_MS,
     SUSPECT_AFTER_MS,
     RunBook,
-    StartOrder,
-    StopOrder,
 )
 from plantainhitch.protocol import messages as m
 from plantainhitch.state.endpoints import (
