--- a/plantainhitch/coordination/runs/agent_node.py
+++ b/plantainhitch/coordination/runs/agent_node.py
@@ -29,8 +29,9 @@
 INVENTORY_WAIT_MS = 300
 # Between tries while no endpoint answers.
 INVENTORY_RETRY_MS = 50
-# Owners without news of their own learn the free room this often.
-ROOM_REPORT_MS = 25
+# Owners without news of their own learn the free room this often for each link, so
+# that the cost of reports does not grow with the square of the entries.
+ROOM_REPORT_MS_PER_LINK = 6
 LINK_TIMING = links.LinkTiming(heartbeat_ms=150, dead_after_ms=1_500)
 DRAIN_POLL_MS = 20
 
@@ -120,6 +121,10 @@
         """Whether an entry has a link to this agent."""
         return bool(self._links)
 
+    @property
+    def _room_interval_ms(self):
+        return ROOM_REPORT_MS_PER_LINK * len(self._links)
+
     @property
     def book(self):
         """The decisions, for reading only."""
@@ -296,7 +301,7 @@
         free = self._book.free
         is_due = (
             free != self._last_free
-            and now_ms - self._room_reported_ms >= ROOM_REPORT_MS
+            and now_ms - self._room_reported_ms >= self._room_interval_ms
         )
         if is_due:
             self._last_free = free
