Name all runs on a new link; stop those that the owner gave up meanwhile

Cause, found by reading: a job given up while its agent had no link left its runs there, since orders for an agent without a link are dropped and the owner stayed alive. They could run beside a second submission at another entry. An agent that was taken for gone and answered again stayed marked as gone.

--- a/plantainhitch/coordination/jobs/fleet.py
+++ b/plantainhitch/coordination/jobs/fleet.py
@@ -116,6 +116,7 @@
             self._agents[hello.incarnation] = agent
         agent.link = link
         agent.heard_ms = self._clock.now_ms()
+        agent.gone_ms = None
         agent.unseen.clear()
         return agent
 
--- a/plantainhitch/coordination/jobs/scheduler.py
+++ b/plantainhitch/coordination/jobs/scheduler.py
@@ -30,6 +30,7 @@
     starts: list = field(default_factory=list)
     stops: list = field(default_factory=list)
     known: list = field(default_factory=list)
+    is_resync: bool = False
 
 
 class Scheduler:
@@ -114,9 +115,9 @@
         """Take in a new link to an agent."""
         agent = self._fleet.linked(hello, link)
         log.info("agent linked", agent=agent.name, runs=len(agent.tasks))
-        known = [task.key for task in agent.tasks.values()]
-        if known:
-            self._order(agent).known.extend(known)
+        order = self._order(agent)
+        order.is_resync = True
+        order.known.extend(task.key for task in agent.tasks.values())
 
     def agent_unlinked(self, incarnation, link):
         """Take in the end of a link."""
@@ -161,7 +162,11 @@
                 (
                     agent,
                     m.RunOrders(
-                        agent.order_number, order.starts, order.stops, order.known
+                        agent.order_number,
+                        order.starts,
+                        order.stops,
+                        order.known,
+                        order.is_resync,
                     ),
                 )
             )
--- a/plantainhitch/coordination/runs/run_book.py
+++ b/plantainhitch/coordination/runs/run_book.py
@@ -221,7 +221,9 @@
     def orders(self, incarnation, orders: m.RunOrders, echo_ms):
         """Take in an owner's orders from a frame that echoes ``echo_ms``."""
         owner = self._owners.of(incarnation)
-        owner.orders_seen = max(owner.orders_seen, orders.number)
+        owner.orders_seen = orders.number
+        if orders.is_resync:
+            self._stop_unnamed(incarnation, orders)
         for key in orders.known:
             if key not in self._runs:
                 self._repeat_end(incarnation, key)
@@ -347,6 +349,13 @@
                 if other.start.key.task == key.task and other is not run:
                     self._stop(other, "a newer run of the task")
 
+    def _stop_unnamed(self, incarnation, orders):
+        """Stop the runs of an owner that has given them up while it had no link."""
+        named = {*orders.known, *(start.key for start in orders.starts)}
+        for key, run in list(self._runs.items()):
+            if run.owner == incarnation and key not in named:
+                self._stop(run, "not named by the owner")
+
     def _stop_for_owner(self, incarnation, key):
         run = self._runs.get(key)
         if run is None:
--- a/plantainhitch/protocol/messages.py
+++ b/plantainhitch/protocol/messages.py
@@ -189,13 +189,15 @@
     """Orders of one round for one agent, numbered per sender.
 
     ``known`` names runs sent on an earlier link that should be at the agent; it
-    reports those that are not.
+    reports those that are not. The first orders on a link are a resync: the sender's
+    runs that are not named are stopped.
     """
 
     number: int
     starts: list[RunStart] = field(default_factory=list)
     stops: list[RunKey] = field(default_factory=list)
     known: list[RunKey] = field(default_factory=list)
+    is_resync: bool = False
 
 
 @dataclass(slots=True)
--- a/plantainhitch/protocol/run_codec.py
+++ b/plantainhitch/protocol/run_codec.py
@@ -49,6 +49,7 @@
 
 def _write_orders(target, orders):
     target.number = orders.number
+    target.resync = orders.is_resync
     if orders.starts:
         items = target.init("starts", len(orders.starts))
         for item, start in zip(items, orders.starts, strict=True):
@@ -65,6 +66,7 @@
         [_read_start(item) for item in source.starts],
         _read_keys(source.stops),
         _read_keys(source.known),
+        source.resync,
     )
 
 
--- a/plantainhitch/protocol/wire.capnp
+++ b/plantainhitch/protocol/wire.capnp
@@ -135,6 +135,7 @@
   starts @1 :List(RunStart);
   stops @2 :List(RunStop);
   known @3 :List(RunStop); # runs that the sender believes to be here
+  resync @4 :Bool;         # the sender's other runs are to be stopped
 }
 
 struct RunEnd {
--- a/tests/test_job_scheduler.py
+++ b/tests/test_job_scheduler.py
@@ -222,6 +222,28 @@
         ((_, orders),) = self.scheduler.round()
         self.assertEqual([start.key], orders.known)
 
+    def test_an_agent_that_answers_again_is_not_gone(self):
+        ((agent, _),) = self.submit()
+        self.scheduler.agent_unlinked(agent, self.links[agent])
+        self.scheduler.agent_gone(agent)
+        self.links[agent] = FakeLink(self.clock)
+        hello = m.Hello(m.ROLE_AGENT, agent, agent.decode())
+        self.scheduler.agent_linked(hello, self.links[agent])
+        self.clock.advance(LEASE_MS + 300)
+        self.tell(agent)
+        self.assertEqual([], self.starts())
+
+    def test_a_job_given_up_without_a_link_is_not_named_any_more(self):
+        ((agent, _),) = self.submit()
+        self.scheduler.agent_unlinked(agent, self.links[agent])
+        self.scheduler.abandon("00000000000000aa", self.callers[0], "left")
+        self.scheduler.round()
+        link = FakeLink(self.clock)
+        self.scheduler.agent_linked(m.Hello(m.ROLE_AGENT, agent, "x"), link)
+        ((_, orders),) = self.scheduler.round()
+        self.assertTrue(orders.is_resync)
+        self.assertEqual([], orders.known)
+
     def test_an_end_of_an_older_run_changes_nothing(self):
         ((agent, start),) = self.submit()
         ((_, again),) = self.end(agent, start, End.NOT_STARTED, "room")
--- a/tests/test_run_book.py
+++ b/tests/test_run_book.py
@@ -315,6 +315,17 @@
         self.order(known=[unknown])
         self.assertEqual({unknown: End.LOST}, self.ends())
 
+    def test_runs_that_the_owner_no_longer_names_are_stopped(self):
+        kept, dropped = start("a.0.0.0"), start("b.0.0.0")
+        self.begin(kept, dropped)
+        self.meet(OTHER)
+        others = start("c.0.0.0")
+        self.begin(others, owner=OTHER)
+        orders = m.RunOrders(1, known=[kept.key], is_resync=True)
+        self.book.orders(OWNER, orders, self.clock.now_ms())
+        self.assertEqual([StopOrder(dropped.key)], self.book.round())
+        self.assertEqual(1, self.book.report_for(OWNER).orders_seen)
+
     def test_a_low_fence_is_raised(self):
         before = self.book.fence
         first = start()
