Make the test of a returned agent fail without its mend

As committed it passed either way: the other agent was silent too, so nothing could be placed. Now it fails with the mend taken out and passes with it.

--- a/tests/test_job_scheduler.py
+++ b/tests/test_job_scheduler.py
@@ -230,7 +230,8 @@
         hello = m.Hello(m.ROLE_AGENT, agent, agent.decode())
         self.scheduler.agent_linked(hello, self.links[agent])
         self.clock.advance(LEASE_MS + 300)
-        self.tell(agent)
+        for name in (b"one", b"two"):
+            self.tell(name)
         self.assertEqual([], self.starts())
 
     def test_a_job_given_up_without_a_link_is_not_named_any_more(self):
