Take an owner's proofs of life from heartbeats too

Cause: links keep heartbeats to themselves, so an agent saw an owner's stamps only in orders and, each second, in its queue loads; the owner's lease is 0.9 s. On a link without other traffic every longer run was stopped as 'owner silent' and begun anew, without end. Ruled out: lost links (the same link delivered the next start). The new test on loopback failed before (no answer in 10 s) and passes.

--- a/plantainhitch/coordination/runs/agent_node.py
+++ b/plantainhitch/coordination/runs/agent_node.py
@@ -182,12 +182,18 @@
         while True:
             for event in await self._inbox.take():
                 self._handle(event)
+            self._note_echoes()
             for order in self._book.round():
                 self._spawn(self._give(order))
             if self._book.take_list_wish():
                 self._spawn(self._list_now())
             self._report()
 
+    def _note_echoes(self):
+        """Take proofs of life from heartbeats too, which links keep to themselves."""
+        for incarnation, link in self._links.items():
+            self._book.owners.heard(incarnation, link.echo_ms, 0)
+
     def _handle(self, event):
         book = self._book
         match event:
--- a/plantainhitch/platform/endpoint.py
+++ b/plantainhitch/platform/endpoint.py
@@ -18,7 +18,7 @@
 
 # An order is answered within a few ms on the same machine; a later answer is taken
 # for lost, and the run is stopped before it is placed anywhere else.
-ORDER_TIMEOUT_MS = 60
+ORDER_TIMEOUT_MS = 120
 # Beyond the time that the endpoint was asked to wait for an end.
 INVENTORY_SLACK_MS = 200
 # Orders in parallel; each channel to an endpoint costs its operator something.
--- a/plantainhitch/standins/run_endpoint.py
+++ b/plantainhitch/standins/run_endpoint.py
@@ -91,6 +91,7 @@
         self._fence = 0
         self._lease_ms = 0
         self._running = {}
+        self._began_at = {}
         self._timers = {}
         self._ended = []
         self._count = 0
@@ -123,10 +124,15 @@
         used = sum(self._cpu_of_task(name) for name in self._running)
         self.peak_millis = max(self.peak_millis, used)
         run_ms = int(payload) if payload.isdigit() else DEFAULT_RUN_MS
+        self._began_at[task] = time.monotonic(), run_ms
         loop = asyncio.get_running_loop()
         how = "failed" if self.fail_all else "done"
         self._timers[task] = loop.call_later(run_ms / 1_000, self._end, task, how)
 
+    def _percent(self, task):
+        began, run_ms = self._began_at[task]
+        return min(99, int(100_000 * (time.monotonic() - began) / run_ms))
+
     def _stop(self, call):
         task, run = call["task"], call["run"]
         if self._running.get(task) == run:
@@ -163,5 +169,7 @@
             await asyncio.sleep(_POLL_S)
             self._expire()
         self._expire()
-        running = [[task, run, "", 50] for task, run in self._running.items()]
+        running = [
+            [task, run, "", self._percent(task)] for task, run in self._running.items()
+        ]
         return 200, {"running": running, "finished": list(self._ended)}
--- a/tests/test_deployment.py
+++ b/tests/test_deployment.py
@@ -50,6 +50,11 @@
             self.assertLessEqual(endpoint.peak_millis, endpoint.cpu_millis)
         self.assertEqual(len(self.starts()), len(set(self.starts())))
 
+    async def test_a_long_run_on_an_idle_link_is_run_once(self):
+        answer = await self.site.submit(JOB.format(1), run_ms=2_500)
+        self.assertEqual(200, answer.status)
+        self.assertEqual(1, len(self.starts()))
+
     async def test_a_job_that_fails_everywhere_is_failed(self):
         for endpoint in self.site.endpoints:
             endpoint.fail_all = True
