Use one copy of the ASGI pieces and of the loop that runs a node's tasks

The agent's HTTP server had its own reply, body reader and answer; three nodes had the same lines to run until the first task ends.

--- a/plantainhitch/coordination/agent.py
+++ b/plantainhitch/coordination/agent.py
@@ -15,6 +15,7 @@
 from ..transport.endpoint_http import HttpEndpointClient
 from . import agent_events as e
 from .agent_core import AgentCore
+from .background import run_until_first
 from .inbox import Inbox
 from .membership import Membership
 
@@ -114,18 +115,13 @@
 
     async def run(self, stop):
         """Serve until the event ``stop`` is set and what runs has been answered."""
-        owned = (self._run_core(), self._tick(), self._watch_endpoint())
-        background = [asyncio.create_task(coroutine) for coroutine in owned]
-        stopping = asyncio.create_task(self._drain_after(stop))
-        try:
-            done, _ = await asyncio.wait(
-                (*background, stopping), return_when=asyncio.FIRST_COMPLETED
-            )
-            for task in done:
-                task.result()
-        finally:
-            for task in (*background, stopping):
-                task.cancel()
+        owned = (
+            self._run_core(),
+            self._tick(),
+            self._watch_endpoint(),
+            self._drain_after(stop),
+        )
+        await run_until_first(owned)
 
     async def aclose(self):
         """Cut what is left and release the connections."""
--- a/plantainhitch/coordination/jobs/entry_node.py
+++ b/plantainhitch/coordination/jobs/entry_node.py
@@ -12,6 +12,7 @@
 from ...state.members import Member
 from .. import events as e
 from ..agent_links import AgentDialer, DialRules
+from ..background import run_until_first
 from ..inbox import Inbox
 from ..runs.agent_node import LINK_TIMING
 from .outcomes import GaveUp, NeverRan
@@ -121,20 +122,11 @@
             self._tick(),
             self._routes.run(),
             self._join(),
+            self._drain_after(stop),
         )
-        background = [asyncio.create_task(coroutine) for coroutine in owned]
         for address in self._deployment.seed_links:
             self._peers.dial(str(address))
-        stopping = asyncio.create_task(self._drain_after(stop))
-        try:
-            done, _ = await asyncio.wait(
-                (*background, stopping), return_when=asyncio.FIRST_COMPLETED
-            )
-            for task in done:
-                task.result()
-        finally:
-            for task in (*background, stopping, *self._tasks):
-                task.cancel()
+        await run_until_first(owned, self._tasks)
 
     async def aclose(self):
         """Close the links."""
--- a/plantainhitch/coordination/jobs/job.py
+++ b/plantainhitch/coordination/jobs/job.py
@@ -28,8 +28,6 @@
     run: int = 0
     failures: int = 0
     agent: bytes = b""
-    placed_ms: int = 0
-    expected_ms: float = 0.0
     checkpoint: str = ""
     # Agents where a run failed or came to nothing, the newest last.
     avoided: tuple[bytes, ...] = ()
--- a/plantainhitch/coordination/jobs/scheduler.py
+++ b/plantainhitch/coordination/jobs/scheduler.py
@@ -348,8 +348,6 @@
         task.run += 1
         task.phase = TaskPhase.PLACED
         task.agent = agent.incarnation
-        task.placed_ms = now_ms
-        task.expected_ms = place.run_ms
         agent.tasks[task.name] = task
         agent.unseen.append((agent.order_number + 1, task.spec.room))
         self._events.write(
--- a/plantainhitch/coordination/runs/agent_node.py
+++ b/plantainhitch/coordination/runs/agent_node.py
@@ -20,6 +20,7 @@
 from ...state.jobs import RunKey
 from ...transport import links
 from ..agent_links import exchange_hellos
+from ..background import run_until_first
 from ..inbox import Inbox
 from .run import StartOrder, StopOrder
 
@@ -154,18 +155,8 @@
 
     async def run(self, stop):
         """Serve until ``stop`` is set and what runs has ended."""
-        owned = (self._run_book(), self._tick())
-        background = [asyncio.create_task(coroutine) for coroutine in owned]
-        stopping = asyncio.create_task(self._drain_after(stop))
-        try:
-            done, _ = await asyncio.wait(
-                (*background, stopping), return_when=asyncio.FIRST_COMPLETED
-            )
-            for task in done:
-                task.result()
-        finally:
-            for task in (*background, stopping, *self._tasks):
-                task.cancel()
+        owned = (self._run_book(), self._tick(), self._drain_after(stop))
+        await run_until_first(owned, self._tasks)
 
     async def aclose(self):
         """Close what is open."""
--- a/plantainhitch/transport/agent_http.py
+++ b/plantainhitch/transport/agent_http.py
@@ -4,17 +4,14 @@
 would take a sixth of the memory that an agent may use.
 """
 
-from dataclasses import dataclass
-
 import msgspec
 
 from ..coordination.agent_events import Announced, EndpointInfo, EndpointLeft
 from .addresses import Address
+from .asgi import METRICS_TYPE, Reply, answer, read_body
 
 MAX_SLOTS = 10_000
 MAX_BODY_BYTES = 64 * 1024
-JSON_TYPE = b"application/json"
-METRICS_TYPE = b"text/plain; version=0.0.4; charset=utf-8"
 
 
 class AnnouncementModel(msgspec.Struct):
@@ -46,15 +43,6 @@
         )
 
 
-@dataclass(frozen=True, slots=True)
-class Reply:
-    """One HTTP answer."""
-
-    status: int
-    body: bytes = b""
-    content_type: bytes = JSON_TYPE
-
-
 class AgentApp:
     """The ASGI application of an ``AgentNode``.
 
@@ -67,18 +55,12 @@
 
     async def __call__(self, scope, receive, send):
         """Serve one request."""
-        body = await _read_body(receive)
+        body = await read_body(receive, MAX_BODY_BYTES)
         if body is None:
             reply = _error(413, f"the body is larger than {MAX_BODY_BYTES} bytes")
         else:
             reply = self._answer(scope["method"], scope["path"], body)
-        headers = [
-            (b"content-type", reply.content_type),
-            (b"content-length", b"%d" % len(reply.body)),
-        ]
-        start = {"type": "http.response.start", "status": reply.status}
-        await send(start | {"headers": headers if reply.body else []})
-        await send({"type": "http.response.body", "body": reply.body})
+        await answer(send, reply)
 
     def _answer(self, method, path, body):
         match method, path:
@@ -110,17 +92,5 @@
         return Reply(503, b'{"ready":false}')
 
 
-async def _read_body(receive):
-    """Return the request's body, or None where it is too large."""
-    body = b""
-    while True:
-        message = await receive()
-        body += message.get("body", b"")
-        if len(body) > MAX_BODY_BYTES:
-            return None
-        if not message.get("more_body"):
-            return body
-
-
 def _error(status, message):
     return Reply(status, msgspec.json.encode({"error": message}))
--- a/plantainhitch/transport/asgi.py
+++ b/plantainhitch/transport/asgi.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass
 
 JSON_TYPE = b"application/json"
-METRICS_TYPE = b"text/plain; version=0.0.4"
+METRICS_TYPE = b"text/plain; version=0.0.4; charset=utf-8"
 MAX_SMALL_BODY_BYTES = 1024 * 1024
 
 
@@ -51,10 +51,10 @@
 
 async def answer(send, reply):
     """Send a ``Reply``."""
-    headers = [
-        (b"content-type", reply.content_type),
-        (b"content-length", b"%d" % len(reply.body)),
-    ]
+    headers = []
+    if reply.body:
+        headers.append((b"content-type", reply.content_type))
+        headers.append((b"content-length", b"%d" % len(reply.body)))
     if reply.retry_after_s:
         headers.append((b"retry-after", b"%d" % reply.retry_after_s))
     if reply.close:
