Choose places for a whole step at once, from a view of the pool

All entries also preferred the same endpoint, so their starts met there and came back.

Now a view of a pool is kept for 20 ms, candidates of a step are judged once and kept on a heap, ends that differ by less than a tenth of the task's size count as equal, and each entry prefers another endpoint. A room that was found nowhere is not looked for again in the same round. Sizes and objective of a job are set when it comes.

The simulation renewed no lease of an idle endpoint, so a lone long run was lost again and again there; real agents renew with each inventory.

--- /dev/null
+++ b/plantainhitch/coordination/jobs/candidates.py
@@ -0,0 +1,123 @@
+"""The agents that may run the tasks of one step, the one that ends first on top."""
+
+import heapq
+import math
+from dataclasses import dataclass
+
+from .fleet import AgentView
+
+
+@dataclass(frozen=True, slots=True)
+class Place:
+    """Where a task would run; times in ms from now."""
+
+    agent: AgentView
+    wait_ms: int
+    run_ms: float
+
+    @property
+    def ends_in_ms(self):
+        """When the task is expected to end."""
+        return self.wait_ms + self.run_ms
+
+
+@dataclass(frozen=True, slots=True)
+class Need:
+    """What a task of a step needs of a place.
+
+    A start of ``rank`` leaves ``kept_share`` of each endpoint's processor free for
+    more urgent work, and waits ``longest_wait_ms`` for room at most.
+    """
+
+    step: object
+    size_ms: float
+    rank: float
+    kept_share: float
+    longest_wait_ms: int
+
+
+# Ends that differ by less than this share of a task's size count as equal, since
+# sizes and speeds are known no better. Each entry then prefers another endpoint.
+EQUAL_SHARE = 0.1
+
+
+class Candidates:
+    """Hands out places for the tasks of a step, the one that ends first each time.
+
+    ``taken`` is the processor given out at each agent in the same round and not
+    ordered yet, for all steps of the job.
+    """
+
+    def __init__(self, agents, need, taken):
+        self._need = need
+        self._taken = taken
+        self._fitting = [agent for agent in agents if agent.fits(need.step)]
+        self._grain_ms = max(EQUAL_SHARE * need.size_ms, 1.0)
+        # Entries are (end in grains, number, Place); numbers keep the order of equals.
+        self._heap = []
+        self._number = 0
+        for agent in self._fitting:
+            self._offer(agent)
+        heapq.heapify(self._heap)
+
+    @property
+    def has_room(self):
+        """Whether a task finds room anywhere."""
+        return bool(self._heap)
+
+    def take(self, avoided, left_ms):
+        """Return a ``Place`` outside ``avoided`` where any agent outside fits, or None.
+
+        None also where the task would end after ``left_ms`` though a faster endpoint
+        could have it in time, once it has room; ``left_ms`` None ignores that.
+        """
+        allowed = self._fitting
+        if avoided:
+            others = [a for a in allowed if a.incarnation not in avoided]
+            allowed = others or allowed
+        entry = self._first(allowed if avoided else None)
+        if entry is None:
+            return None
+        place = entry[2]
+        is_late = left_ms is not None and place.ends_in_ms > left_ms
+        if is_late and any(self._run_ms(agent) <= left_ms for agent in allowed):
+            heapq.heappush(self._heap, entry)
+            return None
+        agent = place.agent
+        millis = self._need.step.room.cpu_millis
+        self._taken[agent] = self._taken.get(agent, 0) + millis
+        if self._offer(agent):
+            heapq.heapify(self._heap)
+        return place
+
+    def _first(self, allowed):
+        """Take the first entry whose agent is in ``allowed``, any where it is None."""
+        passed, found = [], None
+        while self._heap and found is None:
+            entry = heapq.heappop(self._heap)
+            if allowed is None or entry[2].agent in allowed:
+                found = entry
+            else:
+                passed.append(entry)
+        for entry in passed:
+            heapq.heappush(self._heap, entry)
+        return found
+
+    def _offer(self, agent):
+        """Append an agent to the heap where it has room soon; return whether so."""
+        if agent.is_on_trial and (agent.tasks or agent in self._taken):
+            return False
+        need = self._need
+        kept = need.kept_share * agent.status.capacity.cpu_millis
+        ahead_millis = self._taken.get(agent, 0) + kept
+        wait_ms = agent.wait_ms(need.step.room, need.rank, ahead_millis)
+        if wait_ms is None or wait_ms > need.longest_wait_ms:
+            return False
+        place = Place(agent, wait_ms, self._run_ms(agent))
+        self._number += 1
+        grains = math.floor(place.ends_in_ms / self._grain_ms)
+        self._heap.append((grains, self._number, place))
+        return True
+
+    def _run_ms(self, agent):
+        return self._need.size_ms * agent.slowness
--- a/plantainhitch/coordination/jobs/fleet.py
+++ b/plantainhitch/coordination/jobs/fleet.py
@@ -22,6 +22,8 @@
 MAX_DOUBLINGS = 3
 # Added to the leases of owner and endpoint before a run is taken for ended.
 LOST_MARGIN_MS = 150
+# How long a view of a pool is kept: well below the age of what agents report.
+VIEW_MS = 20
 
 log = logs.get_logger("fleet")
 
@@ -44,6 +46,8 @@
     failures: int = 0
     held_until_ms: int = 0
     heard_ms: int = 0
+    # The multiple of a task's size that a run takes now, see ``Fleet.slowness``.
+    slowness: float = 1.0
     # When the agent's process was proved to have ended, None while it wasn't.
     gone_ms: int | None = None
     # The tasks with a run here, by name.
@@ -73,15 +77,18 @@
         that has been promised since, or is kept free.
         """
         free = self.free
-        ahead = sum(cpu for other, cpu in self.waiting if other <= rank * SAME_RANK)
-        ahead += ahead_millis
+        need = ahead_millis + room.cpu_millis
+        for other, cpu_millis in self.waiting:
+            if other <= rank * SAME_RANK:
+                need += cpu_millis
+        memory_mb, gpus = free.memory_mb, free.gpus
         for _, ordered in self.unseen:
-            free -= ordered
-            ahead += ordered.cpu_millis
-        need = ahead + room.cpu_millis
-        if free.memory_mb < room.memory_mb or free.gpus < room.gpus:
+            need += ordered.cpu_millis
+            memory_mb -= ordered.memory_mb
+            gpus -= ordered.gpus
+        if memory_mb < room.memory_mb or gpus < room.gpus:
             return None
-        if self.free.cpu_millis >= need:
+        if free.cpu_millis >= need:
             return 0
         for horizon_ms, cpu_millis in zip(m.HORIZONS_MS, self.soon, strict=False):
             if cpu_millis >= need:
@@ -89,14 +96,28 @@
         return None
 
 
+@dataclass(frozen=True, slots=True)
+class PoolView:
+    """The agents of a pool that take starts, and their processor in all.
+
+    ``processor_millis`` counts slow endpoints for less.
+    """
+
+    made_ms: int
+    agents: list[AgentView]
+    processor_millis: float
+
+
 class Fleet:
     """All agents that an entry knows."""
 
-    def __init__(self, clock, lease_ms):
+    def __init__(self, clock, lease_ms, rng):
         self._clock = clock
+        self._rng = rng
         self._silence_ms = OWNER_LEASE_MS + lease_ms * 1.02 + LOST_MARGIN_MS
         self._lapse_ms = lease_ms * 1.02 + LOST_MARGIN_MS
         self._agents = {}
+        self._views = {}
         self.speeds = Speeds()
 
     @property
@@ -118,8 +139,15 @@
         agent.heard_ms = self._clock.now_ms()
         agent.gone_ms = None
         agent.unseen.clear()
+        self._views.clear()
         return agent
 
+    def unlinked(self, agent):
+        """Note that the link to an agent has ended."""
+        agent.heard_ms = self._last_heard_ms(agent)
+        agent.link = None
+        self._views.clear()
+
     def heard(self, agent, message):
         """Take in a message of an agent."""
         agent.heard_ms = self._clock.now_ms()
@@ -127,6 +155,7 @@
             case m.EndpointStatus():
                 agent.status = message
                 self.speeds.introduce(message)
+                self._views.clear()
             case m.RunReports(orders_seen=orders_seen):
                 agent.free = message.free
                 agent.soon = message.soon
@@ -134,17 +163,17 @@
                 agent.pace = message.pace
                 agent.unseen = [item for item in agent.unseen if item[0] > orders_seen]
 
+    def view(self, pool):
+        """Return the ``PoolView`` of a pool, at most ``VIEW_MS`` old."""
+        now_ms = self._clock.now_ms()
+        view = self._views.get(pool)
+        if view is None or now_ms - view.made_ms >= VIEW_MS:
+            view = self._views[pool] = self._make_view(pool, now_ms)
+        return view
+
     def usable(self, pool):
         """Return the agents of a pool that take starts and were heard lately."""
-        newest_ms = self._clock.now_ms() - SUSPECT_AFTER_MS
-        return [
-            agent
-            for agent in self._agents.values()
-            if agent.is_ready
-            and agent.status.pool == pool
-            and self._may_try(agent)
-            and self._last_heard_ms(agent) >= newest_ms
-        ]
+        return self.view(pool).agents
 
     def slowness(self, agent):
         """Return the slowness of an agent's endpoint, as it gets on now."""
@@ -159,22 +188,17 @@
         if agent.failures >= HELD_AFTER_FAILURES:
             doublings = min(agent.failures - HELD_AFTER_FAILURES, MAX_DOUBLINGS)
             agent.held_until_ms = self._clock.now_ms() + HOLD_MS * 2**doublings
+            self._views.clear()
             log.warning("agent held back", agent=agent.name, failures=agent.failures)
 
     def note_success(self, agent):
         """Note that a run was done there."""
         if agent.failures >= HELD_AFTER_FAILURES:
             log.info("agent trusted again", agent=agent.name)
+            self._views.clear()
         agent.failures = 0
         agent.held_until_ms = 0
 
-    def processor_millis(self, pool):
-        """Return the processor of a pool, slow endpoints counting for less."""
-        return sum(
-            agent.status.capacity.cpu_millis / self.slowness(agent)
-            for agent in self.usable(pool)
-        )
-
     def is_lost(self, agent):
         """Return whether no run that we own can be at work there any more.
 
@@ -195,6 +219,22 @@
     def forget(self, agent):
         """Drop an agent that has no runs of ours."""
         self._agents.pop(agent.incarnation, None)
+        self._views.clear()
+
+    def _make_view(self, pool, now_ms):
+        newest_ms = now_ms - SUSPECT_AFTER_MS
+        agents, processor_millis = [], 0.0
+        for agent in self._agents.values():
+            if not agent.is_ready or agent.status.pool != pool:
+                continue
+            if not self._may_try(agent) or self._last_heard_ms(agent) < newest_ms:
+                continue
+            agent.slowness = self.slowness(agent)
+            agents.append(agent)
+            processor_millis += agent.status.capacity.cpu_millis / agent.slowness
+        # Entries that see the same fleet are not to choose the same endpoints.
+        self._rng.shuffle(agents)
+        return PoolView(now_ms, agents, processor_millis)
 
     def _last_heard_ms(self, agent):
         if agent.link is not None:
--- a/plantainhitch/coordination/jobs/job.py
+++ b/plantainhitch/coordination/jobs/job.py
@@ -47,7 +47,9 @@
 class Job:
     """A job; times are on this process's clock.
 
-    ``leaves_ms`` is the time at which the caller gives up.
+    ``leaves_ms`` is the time at which the caller gives up. ``step_ms`` are the
+    expected sizes of a task of each step, ``objective_ms`` is within what time the
+    job should end, both as expected when it came.
     """
 
     spec: JobSpec
@@ -56,6 +58,10 @@
     leaves_ms: int
     tasks: list[list[Task]] = field(default_factory=list)
     has_run: bool = False
+    step_ms: tuple[float, ...] = ()
+    objective_ms: float = 0.0
+    _ready: dict = field(default_factory=dict)
+    _placed: dict = field(default_factory=dict)
     _left: list[int] = field(default_factory=list)
 
     @classmethod
@@ -79,9 +85,28 @@
     @property
     def has_started(self):
         """Whether a task has run, or may be running."""
-        return self.has_run or any(
-            task.phase is TaskPhase.PLACED for step in self.tasks for task in step
-        )
+        return self.has_run or bool(self._placed)
+
+    @property
+    def is_waiting(self):
+        """Whether a task waits for a place."""
+        return bool(self._ready)
+
+    @property
+    def due_ms(self):
+        """When the job should end."""
+        return self.arrived_ms + self.objective_ms
+
+    @property
+    def longest_ms(self):
+        """The expected size of the longest task that waits, in ms."""
+        steps = {task.step for task in self._ready}
+        return max((self.step_ms[step] for step in steps), default=0)
+
+    @property
+    def slack_ms(self):
+        """How long the job can wait in all and still end in time."""
+        return self.objective_ms - self.longest_ms
 
     @property
     def is_done(self):
@@ -96,39 +121,51 @@
             for step in self.spec.steps
         )
 
-    def chain_ms(self, size_ms):
-        """Return the work of the longest chain of steps; ``size_ms(step)`` each."""
+    def chain_ms(self):
+        """Return the expected work of the longest chain of steps."""
         ends = []
-        for step in self.spec.steps:
+        for step, size_ms in zip(self.spec.steps, self.step_ms, strict=True):
             begins_ms = max((ends[earlier] for earlier in step.after), default=0)
-            ends.append(begins_ms + size_ms(step))
+            ends.append(begins_ms + size_ms)
         return max(ends)
 
     def unblock(self):
-        """Make the tasks ready whose earlier steps are done; return them."""
-        ready = []
+        """Make the tasks ready whose earlier steps are done."""
         for number, step in enumerate(self.spec.steps):
             if any(self._left[earlier] for earlier in step.after):
                 continue
             for task in self.tasks[number]:
                 if task.phase is TaskPhase.BLOCKED:
                     task.phase = TaskPhase.READY
-                    ready.append(task)
-        return ready
+                    self._ready[task] = None
 
     def ready_tasks(self):
         """Return the tasks that wait for a place."""
-        return self._in_phase(TaskPhase.READY)
+        return list(self._ready)
 
     def placed_tasks(self):
         """Return the tasks that have a run at an agent."""
-        return self._in_phase(TaskPhase.PLACED)
+        return list(self._placed)
+
+    def place(self, task, agent):
+        """Note that a new run of a task is ordered at an agent, by incarnation."""
+        task.run += 1
+        task.phase = TaskPhase.PLACED
+        task.agent = agent
+        self._ready.pop(task)
+        self._placed[task] = None
+
+    def put_back(self, task):
+        """Note that a task's run came to nothing, so that it waits for a place."""
+        task.agent = b""
+        task.phase = TaskPhase.READY
+        self._placed.pop(task)
+        self._ready[task] = None
 
     def finish(self, task):
-        """Note that a task has ended as done; return the tasks that are ready now."""
+        """Note that a task has ended as done."""
         task.phase = TaskPhase.DONE
+        self._placed.pop(task)
         self._left[task.step] -= 1
-        return self.unblock() if not self._left[task.step] else []
-
-    def _in_phase(self, phase):
-        return [task for step in self.tasks for task in step if task.phase is phase]
+        if not self._left[task.step]:
+            self.unblock()
--- a/plantainhitch/coordination/jobs/placement.py
+++ b/plantainhitch/coordination/jobs/placement.py
@@ -5,7 +5,7 @@
 half done has used room for nothing.
 """
 
-from dataclasses import dataclass
+from .candidates import Candidates, Need
 
 # How long a start may wait at an agent for room: long enough to bridge the hop, and
 # for the agents to choose between the starts of several entries.
@@ -23,50 +23,20 @@
 DECIDED_FACTOR = 0.8
 
 
-@dataclass(frozen=True, slots=True)
-class Place:
-    """Where a task would run; times in ms from now."""
-
-    agent: object
-    wait_ms: int
-    run_ms: float
-
-    @property
-    def ends_in_ms(self):
-        """When the task is expected to end."""
-        return self.wait_ms + self.run_ms
-
-
 class Placement:
-    """Ranks jobs and chooses places, from what is believed of the fleet."""
+    """Judges jobs by their time, and begins rounds that choose places."""
 
     def __init__(self, clock, fleet, demand):
         self._clock = clock
         self._fleet = fleet
         self._demand = demand
 
-    def size_ms(self, task):
-        """Return the expected run time of a task at slowness 1."""
-        speeds = self._fleet.speeds
-        return speeds.size_ms(task.job.route.name, task.spec.estimate_ms)
-
-    def longest_ms(self, job):
-        """Return the expected size of the longest task that waits, in ms."""
-        return max((self.size_ms(task) for task in job.ready_tasks()), default=0)
-
-    def objective_ms(self, job):
-        """Return within what time the job should end, as far as can be told."""
-        size_ms = self._fleet.speeds.size_ms
-        chain_ms = job.chain_ms(lambda step: size_ms(job.route.name, step.estimate_ms))
-        return job.route.stretch * chain_ms + job.route.target_ms
-
-    def due_ms(self, job):
-        """Return when the job should end."""
-        return job.arrived_ms + self.objective_ms(job)
-
-    def slack_ms(self, job):
-        """Return how long the job can wait in all and still end in time."""
-        return self.objective_ms(job) - self.longest_ms(job)
+    def size_up(self, job):
+        """Set what is expected of a job: the sizes of its tasks and its objective."""
+        size_ms, queue = self._fleet.speeds.size_ms, job.route.name
+        steps = job.spec.steps
+        job.step_ms = tuple(size_ms(queue, step.estimate_ms) for step in steps)
+        job.objective_ms = job.route.stretch * job.chain_ms() + job.route.target_ms
 
     def rank(self, job):
         """Return the rank of a job with tasks that wait; a lower one goes first."""
@@ -74,83 +44,92 @@
 
     def is_demoted(self, job):
         """Return whether the job comes after all that can still end in time."""
-        return not job.has_started and self._waited_ms(job) > self.slack_ms(job)
+        return not job.has_started and self._waited_ms(job) > job.slack_ms
 
     def is_worthless(self, job):
         """Return whether the answer would come too late to be of any use."""
-        limit_ms = WORTHLESS_FACTOR * self.objective_ms(job)
-        return self._waited_ms(job) + self.longest_ms(job) > limit_ms
-
-    def is_hopeless(self, job, ahead):
-        """Return whether the work ahead, in core-ms, leaves a job no chance."""
-        fleet_millis = self._fleet.processor_millis(job.route.pool)
-        rate = self._demand.rate_for(job.route.name, fleet_millis)
-        waited_ms = self._waited_ms(job)
-        is_early = waited_ms < DECIDED_SHARE * self.objective_ms(job)
+        limit_ms = WORTHLESS_FACTOR * job.objective_ms
+        return self._waited_ms(job) + job.longest_ms > limit_ms
+
+    def begin_round(self, pool):
+        """Return a ``PlacementRound`` for the jobs of a pool."""
+        view = self._fleet.view(pool)
+        return PlacementRound(self._clock.now_ms(), view, self._demand)
+
+    def _waited_ms(self, job):
+        return self._clock.now_ms() - job.arrived_ms
+
+
+class PlacementRound:
+    """Chooses places at one moment, for jobs given in the order of their ranks.
+
+    ``ahead`` is the work, in core-ms, of the jobs given before that have to wait.
+    """
+
+    def __init__(self, now_ms, view, demand):
+        self._now_ms = now_ms
+        self._view = view
+        self._demand = demand
+        # By queue, rank, longest wait and label: the room that was found nowhere. It
+        # only shrinks in a round, so a task that needs as much finds none either.
+        self._not_found = {}
+        self.ahead = 0.0
+
+    def is_hopeless(self, job):
+        """Return whether the work ahead leaves a job no chance."""
+        rate = self._demand.rate_for(job.route.name, self._view.processor_millis)
+        waited_ms = self._now_ms - job.arrived_ms
+        is_early = waited_ms < DECIDED_SHARE * job.objective_ms
         factor = HOPELESS_FACTOR if is_early else DECIDED_FACTOR
-        return waited_ms + 1_000 * ahead / max(rate, 1.0) > factor * self.slack_ms(job)
+        expected_ms = waited_ms + 1_000 * self.ahead / max(rate, 1.0)
+        return expected_ms > factor * job.slack_ms
 
-    def place_all(self, job, agents):
+    def place_all(self, job, rank):
         """Return pairs of a task and its ``Place`` for what can begin now.
 
         Empty where a job that has not begun finds too little room for its tasks.
         """
-        left_ms = self.due_ms(job) - self._clock.now_ms()
-        return self._place(job, agents, self.rank(job), left_ms)
+        return self._place(job, rank, job.due_ms - self._now_ms)
 
-    def place_late(self, job, agents):
+    def place_late(self, job):
         """Return places where the job can begin, though it won't end in time."""
-        return self._place(job, agents, self._demand.ranks.rank(job.route.name), None)
+        return self._place(job, self._demand.ranks.rank(job.route.name), None)
+
+    def _place(self, job, rank, left_ms):
+        """Return places; ``left_ms`` is how long the job still has.
 
-    def _place(self, job, agents, rank, left_ms):
+        Where it is None, only room that is free now counts, whatever the time.
+        """
         tasks = job.ready_tasks()
-        taken, places = {}, []
+        taken, candidates, places = {}, {}, []
         for task in tasks:
-            place = self._choose(task, agents, rank, left_ms, taken)
+            if task.step not in candidates:
+                need = self._need(task, rank, left_ms)
+                candidates[task.step] = self._candidates(task, need, taken)
+            place = candidates[task.step].take(task.avoided, left_ms)
             if place is None:
                 break
-            agent = place.agent
-            taken[agent] = taken.get(agent, 0) + task.spec.room.cpu_millis
             places.append((task, place))
         if not job.has_started and len(places) < BEGIN_SHARE * len(tasks):
             return []
         return places
 
-    def _waited_ms(self, job):
-        return self._clock.now_ms() - job.arrived_ms
-
-    def _choose(self, task, agents, rank, left_ms, taken):
-        """Return the place where the task ends first; None where it should wait.
-
-        ``left_ms`` is how long the job still has; where None, only room that is free
-        now counts, whatever the time.
-        """
-        queue, step = task.job.route.name, task.spec
-        size_ms = self.size_ms(task)
-        longest_wait_ms = AGENT_WAIT_MS if left_ms is not None else 0
-        best, could_be_in_time = None, False
-        for agent in self._allowed(task, agents):
-            if agent.is_on_trial and (agent.tasks or agent in taken):
-                continue
-            run_ms = size_ms * self._fleet.slowness(agent)
-            if left_ms is not None and run_ms <= left_ms:
-                could_be_in_time = True
-            millis = agent.status.capacity.cpu_millis
-            kept = self._demand.ranks.reserved(queue, millis, {})
-            wait_ms = agent.wait_ms(step.room, rank, taken.get(agent, 0) + kept)
-            if wait_ms is None or wait_ms > longest_wait_ms:
-                continue
-            place = Place(agent, wait_ms, run_ms)
-            if best is None or place.ends_in_ms < best.ends_in_ms:
-                best = place
-        if best is not None and could_be_in_time and best.ends_in_ms > left_ms:
-            return None  # a faster endpoint may have room in time
-        return best
-
-    def _allowed(self, task, agents):
-        """Return the agents that may run a task, without those that it avoids."""
-        fitting = [agent for agent in agents if agent.fits(task.spec)]
-        if not task.avoided:
-            return fitting
-        others = [a for a in fitting if a.incarnation not in task.avoided]
-        return others or fitting
+    def _need(self, task, rank, left_ms):
+        job = task.job
+        return Need(
+            step=task.spec,
+            size_ms=job.step_ms[task.step],
+            rank=rank,
+            kept_share=self._demand.ranks.reserved_share(job.route.name),
+            longest_wait_ms=AGENT_WAIT_MS if left_ms is not None else 0,
+        )
+
+    def _candidates(self, task, need, taken):
+        key = task.job.route.name, need.rank, need.longest_wait_ms, task.spec.label
+        missing = self._not_found.get(key)
+        if missing is not None and task.spec.room.holds(missing):
+            return Candidates((), need, taken)
+        found = Candidates(self._view.agents, need, taken)
+        if not found.has_room:
+            self._not_found[key] = task.spec.room
+        return found
--- a/plantainhitch/coordination/jobs/scheduler.py
+++ b/plantainhitch/coordination/jobs/scheduler.py
@@ -5,6 +5,7 @@
 believed to have room; the agent has the last word.
 """
 
+import random
 from collections import OrderedDict
 from dataclasses import dataclass, field
 
@@ -14,7 +15,7 @@
 from ..runs.run_book import STALLED
 from .demand import Demand
 from .fleet import Fleet
-from .job import Job, TaskPhase
+from .job import Job
 from .outcomes import Ended, GaveUp, JobState, NeverRan, described
 from .placement import AGENT_WAIT_MS, Placement
 
@@ -36,12 +37,12 @@
 class Scheduler:
     """The jobs that an entry owns, and where their tasks run."""
 
-    def __init__(self, clock, lease_ms, on_outcome=None):
+    def __init__(self, clock, lease_ms, on_outcome=None, rng=None):
         self._clock = clock
         self._events = logs.EventLog(log, clock)
         # ``on_outcome(queue, JobOutcome, took_ms)`` is called for each job.
         self._on_outcome = on_outcome or (lambda queue, outcome, took_ms: None)
-        self._fleet = Fleet(clock, lease_ms)
+        self._fleet = Fleet(clock, lease_ms, rng or random.Random())
         self._jobs = {}
         self._waiters = {}
         self._ended = OrderedDict()
@@ -83,8 +84,8 @@
             return
         now_ms = self._clock.now_ms()
         job = Job.from_spec(spec, route, now_ms, patience_ms)
-        slack_ms = self._placement.slack_ms(job)
-        self._demand.observe(route.name, job.work_ms, slack_ms)
+        self._placement.size_up(job)
+        self._demand.observe(route.name, job.work_ms, job.slack_ms)
         reason = self._refusal(job)
         if reason:
             self._events.write(
@@ -123,8 +124,7 @@
         """Take in the end of a link."""
         agent = self._fleet.of(incarnation)
         if agent is not None and agent.link is link:
-            agent.heard_ms = max(agent.heard_ms, link.last_heard_ms)
-            agent.link = None
+            self._fleet.unlinked(agent)
             log.warning("agent unlinked", agent=agent.name, runs=len(agent.tasks))
 
     def agent_gone(self, incarnation):
@@ -184,8 +184,8 @@
         for agent in linked:
             pool = agent.status.pool
             if pool not in by_pool:
-                millis = self._fleet.processor_millis(pool)
-                by_pool[pool] = self._demand.loads(millis)
+                view = self._fleet.view(pool)
+                by_pool[pool] = self._demand.loads(view.processor_millis)
             yield agent, by_pool[pool]
 
     def _refusal(self, job):
@@ -221,8 +221,7 @@
     def _requeue(self, task, agent):
         agent.tasks.pop(task.name, None)
         task.job.has_run = True  # as far as can be told
-        task.agent = b""
-        task.phase = TaskPhase.READY
+        task.job.put_back(task)
 
     def _run_ended(self, agent, end):
         task = agent.tasks.get(end.key.task)
@@ -263,8 +262,7 @@
         if end.reason in (STALLED, Rejection.UNHEALTHY.value):
             task.avoided = (*task.avoided, agent.incarnation)
             self._fleet.note_failure(agent)
-        task.agent = b""
-        task.phase = TaskPhase.READY
+        job.put_back(task)
 
     def _observe(self, agent, task, end):
         estimate_ms = task.spec.estimate_ms
@@ -304,7 +302,7 @@
             queue=job.route.name,
             outcome=described(outcome),
             took_ms=took_ms,
-            objective_ms=round(self._placement.objective_ms(job)),
+            objective_ms=round(job.objective_ms),
             waiting_jobs=len(self._jobs),
         )
         self._on_outcome(job.route.name, outcome, took_ms)
@@ -317,37 +315,39 @@
 
     def _place(self):
         """Begin what finds room, in the order of the ranks."""
-        waiting = [job for job in self._jobs.values() if job.ready_tasks()]
+        waiting = [job for job in self._jobs.values() if job.is_waiting]
         if not waiting:
             return
         placement = self._placement
-        usable = {}
-        ahead = {}
-        order = [(placement.rank(job), placement.due_ms(job), job) for job in waiting]
-        for _, due_ms, job in sorted(order, key=lambda item: item[:2]):
-            pool = job.route.pool
-            if pool not in usable:
-                usable[pool] = self._fleet.usable(pool)
-                ahead[pool] = 0.0
+        rounds = {}
+        order = [(placement.rank(job), job.due_ms, job) for job in waiting]
+        for rank, _, job in sorted(order, key=lambda item: item[:2]):
             if not job.has_started and placement.is_worthless(job):
                 self._give_up(job, "too late to be of use")
                 continue
-            is_late = placement.is_demoted(job)
-            for task, place in placement.place_all(job, usable[pool]):
-                self._start(task, place, due_ms, is_late)
-            if not job.has_started and placement.is_hopeless(job, ahead[pool]):
-                for task, place in placement.place_late(job, usable[pool]):
-                    self._start(task, place, due_ms, is_late=True)
-                if not job.has_started:
-                    self._give_up(job, "too much is waiting")
-            elif not job.has_started:
-                ahead[pool] += job.work_ms
-
-    def _start(self, task, place, due_ms, is_late):
+            pool = job.route.pool
+            if pool not in rounds:
+                rounds[pool] = placement.begin_round(pool)
+            self._place_job(job, rank, rounds[pool])
+
+    def _place_job(self, job, rank, this_round):
+        is_late = self._placement.is_demoted(job)
+        for task, place in this_round.place_all(job, rank):
+            self._start(task, place, is_late)
+        if job.has_started:
+            return
+        if this_round.is_hopeless(job):
+            for task, place in this_round.place_late(job):
+                self._start(task, place, is_late=True)
+            if not job.has_started:
+                self._give_up(job, "too much is waiting")
+        else:
+            this_round.ahead += job.work_ms
+
+    def _start(self, task, place, is_late):
         agent, now_ms = place.agent, self._clock.now_ms()
-        task.run += 1
-        task.phase = TaskPhase.PLACED
-        task.agent = agent.incarnation
+        due_in_ms = round(task.job.due_ms - now_ms)
+        task.job.place(task, agent.incarnation)
         agent.tasks[task.name] = task
         agent.unseen.append((agent.order_number + 1, task.spec.room))
         self._events.write(
@@ -358,7 +358,7 @@
             heard_ms_ago=now_ms - agent.heard_ms,
             expected_wait_ms=place.wait_ms,
             expected_run_ms=round(place.run_ms),
-            due_in_ms=round(due_ms - now_ms),
+            due_in_ms=due_in_ms,
         )
         self._order(agent).starts.append(
             m.RunStart(
@@ -369,7 +369,7 @@
                 wait_ms=AGENT_WAIT_MS,
                 queue=task.job.route.name,
                 checkpoint=task.checkpoint,
-                slack_ms=round(due_ms - now_ms),
+                slack_ms=due_in_ms,
                 is_late=is_late,
             )
         )
--- a/plantainhitch/job_metrics.py
+++ b/plantainhitch/job_metrics.py
@@ -33,8 +33,7 @@
     def render(self, node):
         """Return the text; ``node`` is the ``JobEntryNode``."""
         scheduler, table = node.scheduler, node.routes
-        fleet = scheduler.fleet
-        agents = fleet.agents.values()
+        agents = scheduler.fleet.agents.values()
         text = TextMetrics("plantainhitch_")
         text.counters("jobs_total", "outcome", self._outcomes)
         text.counters("jobs_not_ended_total", "reason", self._refusals)
@@ -47,9 +46,7 @@
         text.gauge("agents_ready", sum(agent.is_ready for agent in agents))
         text.gauge("agents_held_back", sum(agent.is_on_trial for agent in agents))
         text.gauge("peers", node.peer_count)
-        text.gauges(
-            "slowness", "agent", {a.name: fleet.slowness(a) for a in agents if a.status}
-        )
+        text.gauges("slowness", "agent", {a.name: a.slowness for a in agents})
         text.gauges("runs", "agent", {a.name: len(a.tasks) for a in agents})
         return text.render()
 
--- a/plantainhitch/state/queue_ranks.py
+++ b/plantainhitch/state/queue_ranks.py
@@ -20,6 +20,7 @@
 
     def __init__(self, loads=()):
         self._loads = {load.queue: load for load in loads}
+        self._kept_for = {}
 
     @property
     def loads(self):
@@ -32,18 +33,30 @@
         share = load.share if load else 0.0
         return LATE_RANK + share if is_late else share
 
+    def reserved_share(self, queue):
+        """Return the share of an idle endpoint that starts of a queue leave free."""
+        return HEADROOM * sum(load.share for load in self._before(queue))
+
     def reserved(self, queue, capacity_millis, used_by_queue):
         """Return the processor that starts of a queue have to leave free.
 
         It is kept for queues that bring less work and can wait less long, as far as
         they don't use their share of ``capacity_millis`` already.
         """
-        own = self._loads.get(queue)
-        if own is None:
-            return 0
         reserved = 0.0
-        for load in self._loads.values():
-            if load.share < own.share and load.slack_ms < own.slack_ms:
-                kept = load.share * HEADROOM * capacity_millis
-                reserved += max(0.0, kept - used_by_queue.get(load.queue, 0))
+        for load in self._before(queue):
+            kept = load.share * HEADROOM * capacity_millis
+            reserved += max(0.0, kept - used_by_queue.get(load.queue, 0))
         return round(reserved)
+
+    def _before(self, queue):
+        """Return the loads of the queues that room is kept free for."""
+        before = self._kept_for.get(queue)
+        if before is None:
+            own = self._loads.get(queue)
+            before = self._kept_for[queue] = [
+                load
+                for load in self._loads.values()
+                if own and load.share < own.share and load.slack_ms < own.slack_ms
+            ]
+        return before
--- a/tests/fleet_sim.py
+++ b/tests/fleet_sim.py
@@ -135,6 +135,7 @@
 
     def _renew(self):
         self.sim.later(RENEWAL_MS, self._renew)
+        self.book.lease_sent()
         self._listed()
 
     def list_runs(self):
@@ -215,7 +216,10 @@
             SimAgent(self, number, slowness, cpu)
             for number, (slowness, cpu) in enumerate(self.endpoints)
         ]
-        self.schedulers = [Scheduler(self.clock, LEASE_MS) for _ in range(self.entries)]
+        self.schedulers = [
+            Scheduler(self.clock, LEASE_MS, rng=random.Random(number))
+            for number in range(self.entries)
+        ]
         for number, scheduler in enumerate(self.schedulers):
             for agent in self.agents:
                 self._link(number, scheduler, agent)
