Tell room once for all owners, and more rarely while there is plenty

Cause: each report of room worked out the forecast anew for every owner, each round walked all runs several times, and an entry woke for every report. With 9 entries most of an agent's time went into reports of room.

Now the outlook is made once a round, the used room is kept, owners hear of room a fourth as often while over half of it is free, leases and waits are looked at each 20 ms, and an entry takes reports without ends along with its next event or tick (8 ms while a job waits).

--- a/plantainhitch/coordination/inbox.py
+++ b/plantainhitch/coordination/inbox.py
@@ -19,6 +19,10 @@
         self._events.append(event)
         self._wake.set()
 
+    def post_idle(self, event):
+        """Add an event that is taken with the next one, or with the next tick."""
+        self._events.append(event)
+
     async def take(self):
         """Wait for at least one event and return all of them, oldest first."""
         await self._wake.wait()
--- a/plantainhitch/coordination/jobs/entry_node.py
+++ b/plantainhitch/coordination/jobs/entry_node.py
@@ -19,6 +19,8 @@
 from .peers import Peers
 
 TICK_MS = 25
+# While a job waits, news of room is looked at this often.
+WAITING_TICK_MS = 8
 # A dialled agent on the same network answers within a few ms; a frozen one doesn't.
 DIAL_RULES = DialRules(
     LINK_TIMING, redial_ms=500, connect_timeout_ms=1_000, follows=True
@@ -161,9 +163,18 @@
 
     async def _tick(self):
         while True:
-            await self._clock.sleep_ms(TICK_MS)
+            is_waiting = self._scheduler.has_waiting
+            await self._clock.sleep_ms(WAITING_TICK_MS if is_waiting else TICK_MS)
             self._inbox.post(e.Tick())
 
+    def _post_from_agent(self, event):
+        """Post an event of a link; news of room alone is no reason to wake."""
+        match event:
+            case e.AgentSaid(message=m.RunReports(ends=[])):
+                self._inbox.post_idle(event)
+            case _:
+                self._inbox.post(event)
+
     async def _join(self):
         registering = asyncio.create_task(self._membership.register(self._member))
         try:
@@ -175,7 +186,7 @@
         if member.link in self._dialers:
             return
         dialer = AgentDialer(
-            member, self._hello, self._clock, self._inbox.post, DIAL_RULES
+            member, self._hello, self._clock, self._post_from_agent, DIAL_RULES
         )
         self._dialers[member.link] = dialer
         task = asyncio.create_task(dialer.run())
--- a/plantainhitch/coordination/jobs/scheduler.py
+++ b/plantainhitch/coordination/jobs/scheduler.py
@@ -22,6 +22,9 @@
 # Answers kept for callers that submit again because theirs was lost; at the sites'
 # load this is half a minute at each entry.
 MAX_REMEMBERED_JOBS = 2_000
+# Leases of agents and the patience of callers are looked at this often; callers wait
+# for hundreds of ms.
+CHECK_MS = 20
 
 log = logs.get_logger("jobs")
 
@@ -43,6 +46,7 @@
         # ``on_outcome(queue, JobOutcome, took_ms)`` is called for each job.
         self._on_outcome = on_outcome or (lambda queue, outcome, took_ms: None)
         self._fleet = Fleet(clock, lease_ms, rng or random.Random())
+        self._checked_ms = 0
         self._jobs = {}
         self._waiters = {}
         self._ended = OrderedDict()
@@ -60,6 +64,11 @@
         """The jobs by id, for reading only."""
         return self._jobs
 
+    @property
+    def has_waiting(self):
+        """Whether a task waits for a place."""
+        return any(job.is_waiting for job in self._jobs.values())
+
     def pending(self, route_name):
         """Return how many jobs of a route have no task that has started."""
         return sum(
@@ -272,6 +281,9 @@
 
     def _expire(self):
         now_ms = self._clock.now_ms()
+        if now_ms - self._checked_ms < CHECK_MS:
+            return
+        self._checked_ms = now_ms
         for agent in list(self._fleet.agents.values()):
             unheard = agent.link is None or agent.tasks
             if unheard and self._fleet.is_lost(agent):
--- a/plantainhitch/coordination/runs/agent_node.py
+++ b/plantainhitch/coordination/runs/agent_node.py
@@ -33,6 +33,10 @@
 # Owners without news of their own learn the free room this often for each link, so
 # that the cost of reports does not grow with the square of the entries.
 ROOM_REPORT_MS_PER_LINK = 6
+# While more than this share of the processor is free, no start has to wait, and the
+# room is told so many times more rarely.
+PLENTY_SHARE = 0.5
+PLENTY_FACTOR = 4
 LINK_TIMING = links.LinkTiming(heartbeat_ms=150, dead_after_ms=1_500)
 DRAIN_POLL_MS = 20
 
@@ -122,10 +126,6 @@
         """Whether an entry has a link to this agent."""
         return bool(self._links)
 
-    @property
-    def _room_interval_ms(self):
-        return ROOM_REPORT_MS_PER_LINK * len(self._links)
-
     @property
     def book(self):
         """The decisions, for reading only."""
@@ -173,7 +173,6 @@
         while True:
             for event in await self._inbox.take():
                 self._handle(event)
-            self._note_echoes()
             for order in self._book.round():
                 self._spawn(self._give(order))
             if self._book.take_list_wish():
@@ -210,6 +209,7 @@
                     del self._links[incarnation]
                     book.owners.close(incarnation)
             case Ticked():
+                self._note_echoes()
                 keep = {run.owner for run in book.runs.values()}
                 book.owners.forget_dead(keep)
 
@@ -294,19 +294,31 @@
             self._last_status = status
             for link in self._links.values():
                 link.send(status)
-        now_ms = self._clock.now_ms()
-        free = self._book.free
-        is_due = (
-            free != self._last_free
-            and now_ms - self._room_reported_ms >= self._room_interval_ms
-        )
+        is_due = self._is_room_due()
         if is_due:
-            self._last_free = free
-            self._room_reported_ms = now_ms
+            self._last_free = self._book.free
+            self._room_reported_ms = self._clock.now_ms()
+        outlook = None
         for incarnation, link in self._links.items():
             owner = self._book.owners.of(incarnation)
             if is_due or owner.new_ends:
-                link.send(self._book.report_for(incarnation))
+                outlook = outlook or self._book.outlook()
+                link.send(self._book.report_for(incarnation, outlook))
+
+    def _is_room_due(self):
+        """Return whether all owners are to learn of the free room."""
+        free, last = self._book.free, self._last_free
+        if free == last:
+            return False
+        interval_ms = ROOM_REPORT_MS_PER_LINK * len(self._links)
+        if last is not None and self._is_plenty(free) and self._is_plenty(last):
+            interval_ms *= PLENTY_FACTOR
+        return self._clock.now_ms() - self._room_reported_ms >= interval_ms
+
+    def _is_plenty(self, free):
+        endpoint = self._book.endpoint
+        capacity = endpoint.capacity.cpu_millis if endpoint else 0
+        return free.cpu_millis > PLENTY_SHARE * capacity
 
     async def _tick(self):
         while True:
--- a/plantainhitch/coordination/runs/outlook.py
+++ b/plantainhitch/coordination/runs/outlook.py
@@ -1,6 +1,9 @@
 """What an agent foretells of its endpoint: when room will be free, and its pace."""
 
+from dataclasses import dataclass
+
 from ...protocol import messages as m
+from ...state.jobs import Room
 from .run import Phase, is_there
 
 # A run that is being stopped is expected to be gone after this.
@@ -13,6 +16,26 @@
 PACE_MIN_MS = 400
 
 
+@dataclass(frozen=True, slots=True)
+class Outlook:
+    """What all owners are told alike; the fields are those of ``RunReports``."""
+
+    free: Room
+    soon: tuple[int, ...]
+    waiting: tuple[tuple[float, int], ...]
+    pace: float
+
+    @classmethod
+    def of(cls, runs, free, ranks, now_ms):
+        """Return the outlook of an endpoint with ``free`` room beside its runs."""
+        return cls(
+            free,
+            free_soon(runs, free.cpu_millis, now_ms),
+            waiting_by_rank(runs, ranks),
+            pace(runs),
+        )
+
+
 def free_soon(runs, free_millis, now_ms):
     """Return the processor expected to be free at each of ``HORIZONS_MS``."""
     soon = [free_millis] * len(m.HORIZONS_MS)
--- a/plantainhitch/coordination/runs/run.py
+++ b/plantainhitch/coordination/runs/run.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass
 
 from ...protocol import messages as m
-from ...state.jobs import Room, RunKey
+from ...state.jobs import RunKey
 
 
 class Phase(enum.Enum):
@@ -55,14 +55,3 @@
 def is_there(run):
     """Return whether a run is, or may be, at the endpoint."""
     return run.phase is not Phase.WAITING
-
-
-def total_room(runs):
-    """Return the room that runs take together."""
-    cpu_millis = memory_mb = gpus = 0
-    for run in runs:
-        room = run.start.room
-        cpu_millis += room.cpu_millis
-        memory_mb += room.memory_mb
-        gpus += room.gpus
-    return Room(cpu_millis, memory_mb, gpus)
--- a/plantainhitch/coordination/runs/run_book.py
+++ b/plantainhitch/coordination/runs/run_book.py
@@ -21,9 +21,9 @@
 )
 from ...state.jobs import Room
 from ...state.queue_ranks import QueueRanks
-from . import outlook
+from .outlook import Outlook
 from .owners import Owners
-from .run import Phase, Run, StartOrder, StopOrder, is_there, total_room
+from .run import Phase, Run, StartOrder, StopOrder, is_there
 
 # Ends are kept for owners that ask again, at most this many.
 MAX_REMEMBERED_ENDS = 2_000
@@ -39,6 +39,8 @@
 # with each list, and lists come at least every 300 ms.
 STALLED_MS = 700
 STALLED = "stalled"
+# Leases and waits are looked at this often; the shortest of them is 120 ms.
+CHECK_MS = 20
 # A list that is older than this says nothing of progress now.
 STALL_CHECK_MS = 100
 # An endpoint that has not answered for this long gets no new runs: longer than an
@@ -58,6 +60,8 @@
         self._owners = Owners(clock)
         self._events = logs.EventLog(log, clock)
         self._runs = {}
+        self._used = Room()
+        self._checked_ms = 0
         self._ended = OrderedDict()
         self._end_counts = Counter()
         self._endpoint = None
@@ -129,7 +133,7 @@
     @property
     def used(self):
         """The room of all runs that are, or may be, at the endpoint."""
-        return total_room(run for run in self._runs.values() if is_there(run))
+        return self._used
 
     @property
     def free(self):
@@ -155,21 +159,26 @@
             labels=endpoint.labels,
         )
 
-    def report_for(self, incarnation):
-        """Return the next ``RunReports`` for an owner."""
+    def report_for(self, incarnation, outlook=None):
+        """Return the next ``RunReports`` for an owner, with an ``Outlook`` of now."""
         owner = self._owners.of(incarnation)
         number, ends = self._owners.take_ends(owner)
-        runs = self._runs.values()
+        outlook = outlook or self.outlook()
         return m.RunReports(
             number,
             owner.orders_seen,
             ends,
-            self.free,
-            outlook.free_soon(runs, self.free.cpu_millis, self._clock.now_ms()),
-            outlook.waiting_by_rank(runs, self._ranks),
-            outlook.pace(runs),
+            outlook.free,
+            outlook.soon,
+            outlook.waiting,
+            outlook.pace,
         )
 
+    def outlook(self):
+        """Return what every owner is told of the endpoint now."""
+        runs = self._runs.values()
+        return Outlook.of(runs, self.free, self._ranks, self._clock.now_ms())
+
     # Events
 
     def stop_taking(self):
@@ -316,10 +325,12 @@
     def round(self):
         """Return the orders to give now, after all events at hand."""
         now_ms = self._clock.now_ms()
-        self._expire_lease(now_ms)
-        self._expire_runs(now_ms)
-        self._repeat_stops(now_ms)
-        self._stop_stalled(now_ms)
+        if now_ms - self._checked_ms >= CHECK_MS:
+            self._checked_ms = now_ms
+            self._expire_lease(now_ms)
+            self._expire_runs(now_ms)
+            self._repeat_stops(now_ms)
+            self._stop_stalled(now_ms)
         if self.is_ready:
             self._start_waiting(now_ms)
         orders, self._orders = self._orders, []
@@ -465,6 +476,7 @@
             is_room = free.holds(start.room) and leaves >= reserved
             if is_room and start.key.task not in there:
                 run.phase = Phase.STARTING
+                self._used += start.room
                 run.started_ms = now_ms
                 free -= start.room
                 used[start.queue] = used.get(start.queue, 0) + start.room.cpu_millis
@@ -491,6 +503,8 @@
 
     def _finish(self, key, end, reason="", checkpoint=""):
         run = self._runs.pop(key)
+        if is_there(run):
+            self._used -= run.start.room
         run_ms = self._clock.now_ms() - run.started_ms if run.started_ms else 0
         report = m.RunEnd(key, end, reason, checkpoint, run_ms)
         self._end_counts[end.name.lower()] += 1
--- a/plantainhitch/state/jobs.py
+++ b/plantainhitch/state/jobs.py
@@ -23,6 +23,13 @@
     memory_mb: int = 0
     gpus: int = 0
 
+    def __add__(self, other):
+        return Room(
+            self.cpu_millis + other.cpu_millis,
+            self.memory_mb + other.memory_mb,
+            self.gpus + other.gpus,
+        )
+
     def __sub__(self, other):
         return Room(
             self.cpu_millis - other.cpu_millis,
