Add a soak of the deployed programs under faults from outside

Entries and agents run as separate processes between stand-ins of the store and the endpoints; forwarders cut, hold and delay what goes over links, to the store and to endpoints; signals kill, pause and replace processes. 21 faults, one to three at a time.

--- a/Makefile
+++ b/Makefile
@@ -8,7 +8,7 @@
 SCENARIO ?=
 
 # make capacity measures the slopes of docs/CAPACITY.md anew.
-.PHONY: bench capacity decisions report setup demo test format lint check model-check binary soak
+.PHONY: bench capacity decisions report setup demo test format lint check model-check binary soak deployed-soak
 
 $(READY): requirements-dev.lock
 	$(PYTHON) -m venv $(VENV)
@@ -51,6 +51,12 @@
 soak: $(READY)
 	$(BIN)/python -m tests.soak --seed $(SEED) --minutes $(MINUTES)
 
+# make deployed-soak SEEDS=1-50 plays that many schedules with the deployed programs.
+SEEDS ?= 1-10
+
+deployed-soak: $(READY)
+	$(BIN)/python -m tests.deployed_soak --seeds $(SEEDS)
+
 capacity: $(READY)
 	$(BIN)/python -m benchmarks.capacity
 
--- a/plantainhitch/standins/run_endpoint.py
+++ b/plantainhitch/standins/run_endpoint.py
@@ -46,6 +46,16 @@
         """Set the function from a task's name to the processor that it takes."""
         self._cpu_of_task = cpu_of_task
 
+    def expire(self):
+        """End what runs as lapsed where the lease is over."""
+        if self._running and self._clock_ms() > self._lease_ms:
+            for task in list(self._running):
+                self._end(task, "lapsed")
+
+    def raise_fence(self, fence):
+        """Take orders below ``fence`` no more, as after those of another clock."""
+        self._fence = max(self._fence, fence)
+
     def heartbeat(self):
         """Return the path and the body of the next heartbeat."""
         self._sequence += 1
@@ -152,11 +162,6 @@
         latest_ms = self._clock_ms() + MAX_LEASE_MS
         self._lease_ms = max(self._lease_ms, min(until_ms, latest_ms))
 
-    def _expire(self):
-        if self._running and self._clock_ms() > self._lease_ms:
-            for task in list(self._running):
-                self._end(task, "lapsed")
-
     async def _hold(self, call):
         if call["fence"] < self._fence:
             return 409, {"reason": "fence"}
@@ -167,8 +172,8 @@
         until = time.monotonic() + call.get("wait_ms", 0) / 1_000
         while not self._ended and time.monotonic() < until:
             await asyncio.sleep(_POLL_S)
-            self._expire()
-        self._expire()
+            self.expire()
+        self.expire()
         running = [
             [task, run, "", self._percent(task)] for task, run in self._running.items()
         ]
--- a/tests/harness.py
+++ b/tests/harness.py
@@ -111,10 +111,15 @@
 
 
 class Forwarder:
-    """Forwards connections to a target; can hold, cut and refuse them."""
+    """Forwards connections to a target; can hold, delay, cut and refuse them.
+
+    ``delay_s`` is added to each chunk of bytes on its way.
+    """
 
     def __init__(self):
         self.target = None
+        self.delay_s = 0.0
+        self._answers_held = False
         self._server = None
         self._open = asyncio.Event()
         self._open.set()
@@ -123,11 +128,9 @@
         self._tasks = set()
 
     @classmethod
-    async def start(cls):
+    async def start(cls, host="127.0.0.1", port=0):
         forwarder = cls()
-        forwarder._server = await asyncio.start_server(
-            forwarder._accept, "127.0.0.1", 0
-        )
+        forwarder._server = await asyncio.start_server(forwarder._accept, host, port)
         return forwarder
 
     @property
@@ -139,6 +142,10 @@
         """Pass no bytes on, in either direction, until ``heal``."""
         self._open.clear()
 
+    def hold_answers(self):
+        """Pass no bytes on from the target, until ``heal``."""
+        self._answers_held = True
+
     def cut(self):
         """Reset all connections, drop what is under way, and take no new one."""
         self._refuses = True
@@ -147,6 +154,8 @@
 
     def heal(self):
         self._refuses = False
+        self._answers_held = False
+        self.delay_s = 0.0
         self._open.set()
 
     async def aclose(self):
@@ -177,7 +186,7 @@
         self._writers.add(far_writer)
         pumps = [
             asyncio.create_task(self._pump(reader, far_writer)),
-            asyncio.create_task(self._pump(far_reader, writer)),
+            asyncio.create_task(self._pump(far_reader, writer, is_answer=True)),
         ]
         try:
             await asyncio.wait(pumps, return_when=asyncio.FIRST_COMPLETED)
@@ -188,9 +197,12 @@
             far_writer.transport.abort()
             self._writers.discard(far_writer)
 
-    async def _pump(self, reader, writer):
+    async def _pump(self, reader, writer, is_answer=False):
         while data := await reader.read(65_536):
             await self._open.wait()
+            await asyncio.sleep(self.delay_s)
+            while is_answer and self._answers_held:
+                await asyncio.sleep(0.01)
             writer.write(data)
             await writer.drain()
         writer.write_eof()
