--- a/plantainhitch/coordination/runs/run.py
+++ b/plantainhitch/coordination/runs/run.py
@@ -22,7 +22,8 @@
     """A run of an owner.
 
     ``stopped_clock_ms`` is the endpoint's time of its stop, ``progressed_ms`` is when
-    ``percent`` was last seen to rise.
+    ``percent`` was last seen to rise. ``is_listed`` says that the endpoint's present
+    lifetime has named the run as at work.
     """
 
     owner: bytes
@@ -36,6 +37,7 @@
     reason: str = ""
     percent: float = 0.0
     progressed_ms: int = 0
+    is_listed: bool = False
 
 
 @dataclass(frozen=True, slots=True)
