--- /dev/null
+++ b/plantainhitch/commands/deployed_agent.py
@@ -0,0 +1,59 @@
+"""``plantainhitch deployed-agent``: run an agent on the users' platform."""
+
+from .. import logs
+from ..coordination.introductions import INTRODUCE_MS, introduce
+from ..coordination.membership import Membership
+from ..coordination.runs.agent_node import LINK_TIMING, RunAgentNode
+from ..coordination.runs.run_book import RunBook
+from ..platform.endpoint import EndpointOrders
+from ..platform.heartbeats import HeartbeatApp
+from ..platform.store import RowStore
+from ..protocol import messages as m
+from ..run_metrics import run_metrics_text
+from ..transport.asgi import MetricsApp
+from .deployed import Resources, run, serve_until_stopped
+from .exit_codes import ExitCode
+
+log = logs.get_logger("deployed")
+
+
+def deployed_agent():
+    """Run an agent with the settings that the platform placed, until SIGTERM."""
+    return run(run_agent)
+
+
+async def run_agent(deployment, clock, install_signals):
+    """Serve as an agent until the signals ask to stop."""
+    signals = install_signals()
+    store = RowStore.from_deployment(deployment, clock)
+    member = deployment.new_member(m.ROLE_AGENT)
+    hello = m.Hello(m.ROLE_AGENT, member.incarnation, deployment.name, deployment.zone)
+    book = RunBook(clock, deployment.bounds.lease_ms, first_fence=clock.wall_ms())
+    node = RunAgentNode(
+        hello,
+        clock,
+        book,
+        lambda endpoint_id: EndpointOrders(deployment.endpoint, clock, endpoint_id),
+    )
+    heartbeats = HeartbeatApp(deployment.pool, node.on_report, node.on_leave)
+    async with Resources() as resources:
+        resources.push_async_callback(store.aclose)
+        resources.push_async_callback(node.aclose)
+        await resources.serve(heartbeats, deployment.heartbeats)
+        await resources.serve(
+            MetricsApp(lambda: run_metrics_text(node)), deployment.metrics
+        )
+        await resources.listen(deployment.link, clock, node.serve_link, LINK_TIMING)
+        resources.spawn(Membership(store, clock).register(member))
+        resources.spawn(_introduce(deployment, member, hello, clock, node))
+        await serve_until_stopped(resources, deployment, member, node, signals)
+    log.notice("stopped", name=deployment.name)
+    return ExitCode.OK
+
+
+async def _introduce(deployment, member, hello, clock, node):
+    """Introduce an agent to the seeds whenever no entry has a link to it."""
+    while True:
+        if not node.has_links:
+            await introduce(member, hello, clock, deployment.seed_links)
+        await clock.sleep_ms(INTRODUCE_MS)
--- /dev/null
+++ b/plantainhitch/commands/deployed_entry.py
@@ -0,0 +1,57 @@
+"""``plantainhitch deployed-entry``: run an entry on the users' platform."""
+
+from .. import logs
+from ..coordination.jobs.entry_node import JobEntryNode
+from ..coordination.jobs.route_watch import RouteWatch
+from ..coordination.jobs.scheduler import Scheduler
+from ..coordination.membership import Membership
+from ..job_metrics import JobMetrics
+from ..platform.configuration import RouteSource, decode as decode_routes
+from ..platform.front import FrontApp, ReadinessApp
+from ..platform.store import RowStore
+from ..protocol import messages as m
+from ..transport import links
+from ..transport.asgi import MetricsApp
+from .deployed import Resources, run, serve_until_stopped
+from .exit_codes import ExitCode
+
+log = logs.get_logger("deployed")
+
+
+def deployed_entry():
+    """Run an entry with the settings that the platform placed, until SIGTERM."""
+    return run(run_entry)
+
+
+async def run_entry(deployment, clock, install_signals):
+    """Serve as an entry until the signals ask to stop."""
+    signals = install_signals()
+    store = RowStore.from_deployment(deployment, clock)
+    member = deployment.new_member(m.ROLE_ENTRY)
+    routes = RouteWatch(
+        clock, RouteSource(store), lambda table: node.routes_changed(table)
+    )
+    membership = Membership(
+        store, clock, region=deployment.region, on_change=lambda: node.members_changed()
+    )
+    metrics = JobMetrics(clock)
+    scheduler = Scheduler(clock, deployment.bounds.lease_ms, metrics.ended)
+    node = JobEntryNode(
+        deployment, member, clock, scheduler, routes, membership, decode_routes
+    )
+    async with Resources() as resources:
+        resources.push_async_callback(store.aclose)
+        resources.push_async_callback(node.aclose)
+        await resources.listen(
+            deployment.link, clock, node.serve_link, links.LinkTiming()
+        )
+        await resources.serve(
+            FrontApp(node), deployment.front, within_ms=deployment.bounds.stop_ms
+        )
+        await resources.serve(ReadinessApp(node), deployment.readiness)
+        await resources.serve(
+            MetricsApp(lambda: metrics.render(node)), deployment.metrics
+        )
+        await serve_until_stopped(resources, deployment, member, node, signals)
+    log.notice("stopped", name=deployment.name)
+    return ExitCode.OK
--- a/plantainhitch/commands/main.py
+++ b/plantainhitch/commands/main.py
@@ -30,10 +30,10 @@
     "classes": Command("classes", "Classes", "show, apply or list versions of classes"),
     "demo": Command("demo", "demo", "run the whole system in one process"),
     "deployed-agent": Command(
-        "deployed", "deployed_agent", "run an agent on the users' platform"
+        "deployed_agent", "deployed_agent", "run an agent on the users' platform"
     ),
     "deployed-entry": Command(
-        "deployed", "deployed_entry", "run an entry on the users' platform"
+        "deployed_entry", "deployed_entry", "run an entry on the users' platform"
     ),
     "endpoints": Command("endpoints", "Endpoints", "show, drain or resume endpoints"),
     "entry": Command("entry", "entry", "run an entry"),
--- a/plantainhitch/coordination/jobs/entry_node.py
+++ b/plantainhitch/coordination/jobs/entry_node.py
@@ -8,8 +8,6 @@
 
 from ... import logs
 from ...protocol import messages as m
-from ...state.ids import new_incarnation
-from ...state.members import Member
 from .. import events as e
 from ..agent_links import AgentDialer, DialRules
 from ..background import run_until_first
@@ -216,17 +214,3 @@
         log.notice("stopping", **self.status())
         while not self._is_late() or self._scheduler.jobs:
             await self._clock.sleep_ms(DRAIN_POLL_MS)
-
-
-def new_member(role, deployment):
-    """Return this process as a ``Member`` with a fresh incarnation."""
-    return Member(
-        role=role,
-        incarnation=new_incarnation(),
-        name=deployment.name,
-        zone=deployment.zone,
-        region=deployment.region,
-        rack="",
-        link=str(deployment.link),
-        http=str(deployment.metrics),
-    )
--- a/plantainhitch/coordination/jobs/peers.py
+++ b/plantainhitch/coordination/jobs/peers.py
@@ -12,17 +12,13 @@
 from ... import logs
 from ...protocol import messages as m
 from ...state.members import Member
-from ...transport import links
 from ...transport.addresses import Address
 from ..agent_links import exchange_hellos
 from ..backoff import Backoff
+from ..introductions import connect
 
-CONNECT_TIMEOUT_S = 0.5
 FIRST_REDIAL_MS = 200
 MAX_REDIAL_MS = 1_500
-# An agent without links introduces itself again this often, so that it is known
-# soon after an entry has started.
-INTRODUCE_MS = 300
 
 log = logs.get_logger("peers")
 
@@ -86,7 +82,7 @@
     async def _keep_link(self, address):
         backoff = Backoff(first_ms=FIRST_REDIAL_MS, limit_ms=MAX_REDIAL_MS)
         while True:
-            link, hello = await _connect(address, self._clock, self._hello())
+            link, hello = await connect(address, self._clock, self._hello())
             if hello is not None and hello.incarnation == self._own.incarnation:
                 link.close("our own address")
                 return
@@ -140,34 +136,3 @@
     def _send(self, message):
         for link in self._links:
             link.send(message)
-
-
-async def introduce(member, hello, clock, addresses):
-    """Tell the entries at ``addresses``, as far as they answer, of an agent."""
-    telling = (_introduce_to(member, hello, clock, address) for address in addresses)
-    await asyncio.gather(*telling)
-
-
-async def _introduce_to(member, hello, clock, address):
-    link, answer = await _connect(address, clock, hello)
-    if answer is None:
-        return
-    link.send(m.Introduction([member.to_json()]))
-    # The other side closes nothing; a close at once could overtake what was sent.
-    await clock.sleep_ms(FIRST_REDIAL_MS)
-    link.close("introduced")
-
-
-async def _connect(address, clock, hello):
-    """Return a link and the other side's hello; both None where none answers."""
-    try:
-        async with asyncio.timeout(CONNECT_TIMEOUT_S):
-            link = await links.connect(address, clock)
-            answer = await exchange_hellos(link, hello)
-    except (OSError, TimeoutError) as error:
-        log.debug("no link", address=str(address), why=str(error))
-        return None, None
-    if answer is None:
-        link.close("no hello")
-        return None, None
-    return link, answer
--- a/plantainhitch/deployment.py
+++ b/plantainhitch/deployment.py
@@ -2,6 +2,8 @@
 
 from dataclasses import dataclass
 
+from .state.ids import new_incarnation
+from .state.members import Member
 from .transport.addresses import Address
 
 
@@ -50,3 +52,16 @@
         """Where the seeds take links: at the same port as this process."""
         own = self.link
         return [Address(host, own.port) for host in self.seeds if host != own.host]
+
+    def new_member(self, role):
+        """Return this process as a ``Member`` with a fresh incarnation."""
+        return Member(
+            role=role,
+            incarnation=new_incarnation(),
+            name=self.name,
+            zone=self.zone,
+            region=self.region,
+            rack="",
+            link=str(self.link),
+            http=str(self.metrics),
+        )
--- a/plantainhitch/job_metrics.py
+++ b/plantainhitch/job_metrics.py
@@ -1,9 +1,8 @@
-"""The metrics of a deployment's entries and agents, in the Prometheus text format."""
+"""The metrics of a deployment's entries, in the Prometheus text format."""
 
 import collections
 
 from .coordination.jobs.outcomes import Ended
-from .coordination.runs.outlook import pace
 from .latencies import LatencyWindow
 from .text_metrics import TextMetrics
 
@@ -54,20 +53,3 @@
         if queue not in self._took and len(self._took) >= MAX_QUEUES:
             queue = OTHER_QUEUE
         return self._took.setdefault(queue, LatencyWindow(self._clock))
-
-
-def agent_metrics_text(node):
-    """Return the metrics of a ``RunAgentNode`` as text."""
-    book = node.book
-    phases = collections.Counter(run.phase.value for run in book.runs.values())
-    text = TextMetrics("plantainhitch_agent_")
-    text.gauges("runs", "phase", phases)
-    text.counters("run_ends_total", "end", book.end_counts)
-    text.gauge("ready", int(book.is_ready))
-    text.gauge("endpoint_silent", int(book.is_suspect))
-    text.gauge("used_cpu_millis", book.used.cpu_millis)
-    text.gauge("free_cpu_millis", book.free.cpu_millis)
-    text.gauge("pace", round(pace(book.runs.values()), 3))
-    text.gauge("links", len(book.owners.linked))
-    text.gauge("fence", book.fence)
-    return text.render()
--- a/tests/deployment.py
+++ b/tests/deployment.py
@@ -8,7 +8,8 @@
 import msgspec
 
 from plantainhitch.clock import Clock
-from plantainhitch.commands import deployed
+from plantainhitch.commands.deployed_agent import run_agent
+from plantainhitch.commands.deployed_entry import run_entry
 from plantainhitch.commands.lifecycle import StopSignals
 from plantainhitch.deployment import Bounds, Deployment
 from plantainhitch.platform.store import OPERATOR_TABLE
@@ -97,11 +98,11 @@
         store = self._store_address = await self._serve(self.store)
         for number in range(self._entry_count):
             settings = self._settings(f"entry-{number}", store, front=True)
-            self.entries.append(Process(deployed.run_entry, settings))
+            self.entries.append(Process(run_entry, settings))
         for number, endpoint in enumerate(self.endpoints):
             address = await self._serve(endpoint)
             settings = self._settings(f"agent-{number}", store, endpoint=address)
-            self.agents.append(Process(deployed.run_agent, settings))
+            self.agents.append(Process(run_agent, settings))
             beat = self._beat(endpoint, settings.heartbeats)
             self._beats.append(asyncio.create_task(beat))
         async with asyncio.timeout(READY_LIMIT_S):
@@ -173,7 +174,7 @@
     async def add_entry(self):
         """Start one more entry, which knows the others as seeds."""
         settings = self._settings("entry-new", self._store_address, front=True)
-        self.entries.append(Process(deployed.run_entry, settings))
+        self.entries.append(Process(run_entry, settings))
         async with asyncio.timeout(READY_LIMIT_S):
             while await self.ready_agents(self.entries[-1]) < len(self.agents):
                 await asyncio.sleep(0.05)
