--- a/plantainhitch/commands/deployed.py
+++ b/plantainhitch/commands/deployed.py
@@ -21,12 +21,18 @@
 log = logs.get_logger("deployed")
 
 
-def run(role):
-    """Run a role with the settings that the platform placed, until SIGTERM."""
-    logs.configure("info", logs.DroppingStream(sys.stdout.fileno()))
+def run(role, kind):
+    """Run a role with the settings that the platform placed, until SIGTERM.
+
+    ``kind`` is the kind of member that the process is.
+    """
+    handler = logs.configure("info", logs.DroppingStream(sys.stdout.fileno()))
     deployment = platform_settings.load()
+    member = deployment.new_member(kind)
+    incarnation = member.incarnation.hex()
+    handler.formatter = logs.JsonLineFormatter(member.name, incarnation)
     gc.freeze()
-    return uvloop.run(role(deployment, Clock(), lifecycle.StopSignals.install))
+    return uvloop.run(role(deployment, member, Clock(), lifecycle.StopSignals.install))
 
 
 class Resources(contextlib.AsyncExitStack):
@@ -47,10 +53,10 @@
         self.callback(lifecycle.spawn(coroutine).cancel)
 
 
-async def serve_until_stopped(resources, deployment, member, node, signals):
+async def serve_until_stopped(resources, deployment, node, signals):
     """Run a node until the signals ask to stop; follow changes of the settings."""
     resources.spawn(_reload(signals, deployment))
-    log.notice("started", name=deployment.name, incarnation=member.incarnation.hex())
+    log.notice("started", name=deployment.name)
     await lifecycle.run_until_stopped(node, signals, deployment.bounds.shutdown_ms)
 
 
--- a/plantainhitch/commands/deployed_agent.py
+++ b/plantainhitch/commands/deployed_agent.py
@@ -19,14 +19,13 @@
 
 def deployed_agent():
     """Run an agent with the settings that the platform placed, until SIGTERM."""
-    return run(run_agent)
+    return run(run_agent, m.ROLE_AGENT)
 
 
-async def run_agent(deployment, clock, install_signals):
+async def run_agent(deployment, member, clock, install_signals):
     """Serve as an agent until the signals ask to stop."""
     signals = install_signals()
     store = RowStore.from_deployment(deployment, clock)
-    member = deployment.new_member(m.ROLE_AGENT)
     hello = m.Hello(m.ROLE_AGENT, member.incarnation, deployment.name, deployment.zone)
     book = RunBook(clock, deployment.bounds.lease_ms, first_fence=clock.wall_ms())
     node = RunAgentNode(
@@ -46,7 +45,7 @@
         await resources.listen(deployment.link, clock, node.serve_link, LINK_TIMING)
         resources.spawn(Membership(store, clock).register(member))
         resources.spawn(_introduce(deployment, member, hello, clock, node))
-        await serve_until_stopped(resources, deployment, member, node, signals)
+        await serve_until_stopped(resources, deployment, node, signals)
     log.notice("stopped", name=deployment.name)
     return ExitCode.OK
 
--- a/plantainhitch/commands/deployed_entry.py
+++ b/plantainhitch/commands/deployed_entry.py
@@ -20,14 +20,13 @@
 
 def deployed_entry():
     """Run an entry with the settings that the platform placed, until SIGTERM."""
-    return run(run_entry)
+    return run(run_entry, m.ROLE_ENTRY)
 
 
-async def run_entry(deployment, clock, install_signals):
+async def run_entry(deployment, member, clock, install_signals):
     """Serve as an entry until the signals ask to stop."""
     signals = install_signals()
     store = RowStore.from_deployment(deployment, clock)
-    member = deployment.new_member(m.ROLE_ENTRY)
     routes = RouteWatch(
         clock, RouteSource(store), lambda table: node.routes_changed(table)
     )
@@ -52,6 +51,6 @@
         await resources.serve(
             MetricsApp(lambda: metrics.render(node)), deployment.metrics
         )
-        await serve_until_stopped(resources, deployment, member, node, signals)
+        await serve_until_stopped(resources, deployment, node, signals)
     log.notice("stopped", name=deployment.name)
     return ExitCode.OK
--- a/plantainhitch/commands/main.py
+++ b/plantainhitch/commands/main.py
@@ -37,6 +37,7 @@
     ),
     "endpoints": Command("endpoints", "Endpoints", "show, drain or resume endpoints"),
     "entry": Command("entry", "entry", "run an entry"),
+    "explain": Command("explain", "explain", "say what became of a job, from logs"),
     "load": Command("load", "load", "send open-loop load and compare with the ideal"),
     "standin": Command("standin", "StandIn", "run a stand-in for tests and trials"),
     "status": Command("status", "status", "show what an entry is doing"),
--- a/plantainhitch/logs.py
+++ b/plantainhitch/logs.py
@@ -21,7 +21,15 @@
 
 
 class JsonLineFormatter:
-    """Formats a record as one JSON object; ``extra`` fields come after."""
+    """Formats a record as one JSON object; ``extra`` fields come after.
+
+    ``process`` and ``incarnation`` are left out while they are not known.
+    """
+
+    def __init__(self, process="", incarnation=""):
+        self._identity = {"process": process, "incarnation": incarnation}
+        if not process:
+            self._identity = {}
 
     def __call__(self, record, handler):
         """Return the line for ``record``."""
@@ -31,6 +39,7 @@
             "logger": record.channel,
             "message": record.message,
         }
+        line.update(self._identity)
         line.update(record.kwargs)
         if record.exc_info:
             line["exception"] = record.formatted_exception
--- a/tests/deployment.py
+++ b/tests/deployment.py
@@ -13,6 +13,7 @@
 from plantainhitch.commands.lifecycle import StopSignals
 from plantainhitch.deployment import Bounds, Deployment
 from plantainhitch.platform.store import OPERATOR_TABLE
+from plantainhitch.protocol.messages import ROLE_AGENT, ROLE_ENTRY
 from plantainhitch.standins.run_endpoint import RunEndpointStandIn
 from plantainhitch.standins.store_rows import RowsStandIn
 from plantainhitch.transport.addresses import Address
@@ -52,6 +53,8 @@
     }
 
 
+ROLES = {run_entry: ROLE_ENTRY, run_agent: ROLE_AGENT}
+
 _hosts = itertools.count()
 
 
@@ -67,7 +70,9 @@
     def __init__(self, role, settings):
         self.settings = settings
         self.signals = StopSignals()
-        self.task = asyncio.create_task(role(settings, Clock(), lambda: self.signals))
+        member = settings.new_member(ROLES[role])
+        running = role(settings, member, Clock(), lambda: self.signals)
+        self.task = asyncio.create_task(running)
 
     async def kill(self):
         """End the process without any of its orderly steps."""
--- /dev/null
+++ b/tests/test_explain.py
@@ -0,0 +1,125 @@
+"""What ``plantainhitch explain`` tells of a job from log lines."""
+
+import contextlib
+import io
+import json
+import tempfile
+import unittest
+from pathlib import Path
+
+from plantainhitch.commands.exit_codes import ExitCode
+from plantainhitch.commands.main import main
+
+JOB = "0000000000000012"
+TASK = f"{JOB}.0.0.1"
+PLACED = {
+    "time": "2026-12-04T10:54:53.858",
+    "level": "info",
+    "logger": "jobs",
+    "message": "run placed",
+    "process": "entry-1",
+    "task": TASK,
+    "run": 1,
+    "agent": "agent-2",
+    "heard_ms_ago": 47,
+    "expected_wait_ms": 100,
+    "expected_run_ms": 217,
+    "due_in_ms": 380,
+}
+ENDED = {
+    "time": "2026-12-04T10:54:53.916",
+    "level": "info",
+    "logger": "runs",
+    "message": "run ended",
+    "process": "agent-2",
+    "task": TASK,
+    "run": 1,
+    "end": "LOST",
+    "why": "a new lifetime of the endpoint",
+    "percent": 0.0,
+    "run_ms": 48,
+    "free_millis": 4000,
+}
+GIVEN_UP = {
+    "time": "2026-12-04T10:54:55.001",
+    "level": "info",
+    "logger": "jobs",
+    "message": "job not completed",
+    "process": "entry-1",
+    "job": JOB,
+    "outcome": "given up: the caller left",
+    "took_ms": 1200,
+    "objective_ms": 380,
+    "waiting_jobs": 4,
+    "left_out": 3,
+}
+
+
+class ExplainTests(unittest.TestCase):
+    """Lines of several files, gaps, and bad arguments."""
+
+    def setUp(self):
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.folder = Path(folder.name)
+
+    def write(self, name, *lines):
+        path = self.folder / name
+        texts = (line if isinstance(line, str) else json.dumps(line) for line in lines)
+        path.write_text("\n".join(texts), encoding="utf-8")
+        return str(path)
+
+    def run_command(self, *words):
+        out, err = io.StringIO(), io.StringIO()
+        with contextlib.redirect_stdout(out), contextlib.redirect_stderr(err):
+            code = main(["explain", *words])
+        return code, out.getvalue(), err.getvalue()
+
+    def test_lines_of_all_processes_are_told_in_order(self):
+        entry = self.write("entry.log", GIVEN_UP, PLACED)
+        agent = self.write("agent.log", ENDED)
+        code, out, _ = self.run_command(JOB, entry, agent)
+        self.assertEqual(ExitCode.OK, code)
+        self.assertIn("given up: the caller left", out)
+        self.assertIn("after 1200 ms, with an objective of 380 ms", out)
+        placed = out.index("entry-1 placed run 1 at agent-2, last heard 47 ms before")
+        ended = out.index("agent-2 saw run 1 end LOST (a new lifetime of the endpoint)")
+        self.assertLess(placed, ended)
+        self.assertIn("not told: 3 lines 'job not completed'", out)
+
+    def test_missing_lines_are_named(self):
+        path = self.write("agent.log", ENDED)
+        _, out, _ = self.run_command(JOB, path)
+        self.assertIn("not told: how the job ended", out)
+        self.assertIn(f"not told: who placed run 1 of {TASK}", out)
+
+    def test_a_run_without_an_end_is_named_unless_the_job_completed(self):
+        path = self.write("entry.log", PLACED, GIVEN_UP)
+        self.assertIn(f"how run 1 of {TASK} ended", self.run_command(JOB, path)[1])
+        done = GIVEN_UP | {"message": "job completed", "outcome": "completed"}
+        path = self.write("entry.log", PLACED, done)
+        self.assertNotIn("how run 1", self.run_command(JOB, path)[1])
+
+    def test_json_has_the_lines(self):
+        path = self.write("entry.log", PLACED, GIVEN_UP)
+        _, out, _ = self.run_command(JOB, path, "--json")
+        told = json.loads(out)
+        self.assertEqual(
+            ["run placed", "job not completed"], [e["event"] for e in told["lines"]]
+        )
+
+    def test_an_unknown_job_fails(self):
+        code, out, err = self.run_command(JOB, self.write("x.log", "not a log line"))
+        self.assertEqual(ExitCode.FAILED, code)
+        self.assertIn(f"no line names {JOB}", out)
+        self.assertIn("1 lines are no log lines", err)
+
+    def test_bad_arguments_are_refused(self):
+        self.assertEqual(ExitCode.USAGE, self.run_command(JOB)[0])
+        code, _, err = self.run_command(JOB, str(self.folder / "none.log"))
+        self.assertEqual(ExitCode.USAGE, code)
+        self.assertIn("none.log", err)
+
+
+if __name__ == "__main__":
+    unittest.main()
