Keep to the bound of tasks an endpoint, and place tasks near their data

Tasks also take longer away from the rack of their data, by a factor of the deployment; places are now judged with it, and run times are learnt without it. A step wider than a quarter of the fleet, or than its bound allows, begins in waves instead of never.

--- a/plantainhitch/commands/deployed_entry.py
+++ b/plantainhitch/commands/deployed_entry.py
@@ -34,7 +34,10 @@
         store, clock, region=deployment.region, on_change=lambda: node.members_changed()
     )
     metrics = JobMetrics(clock)
-    scheduler = Scheduler(clock, deployment.bounds.lease_ms, metrics.ended)
+    bounds = deployment.bounds
+    scheduler = Scheduler(
+        clock, bounds.lease_ms, metrics.ended, remote_factor=bounds.remote_factor
+    )
     node = JobEntryNode(
         deployment, member, clock, scheduler, routes, membership, decode_routes
     )
--- a/plantainhitch/coordination/jobs/candidates.py
+++ b/plantainhitch/coordination/jobs/candidates.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass
 
 from .fleet import AgentView
+from .job import Task
 
 
 @dataclass(frozen=True, slots=True)
@@ -23,18 +24,23 @@
 
 @dataclass(frozen=True, slots=True)
 class Need:
-    """What a task of a step needs of a place.
+    """What a task needs of a place, the same for all tasks of its step.
 
     A start of ``rank`` leaves ``kept_share`` of each endpoint's processor free for
     more urgent work, and waits ``longest_wait_ms`` for room at most.
     """
 
-    step: object
+    task: Task
     size_ms: float
     rank: float
     kept_share: float
     longest_wait_ms: int
 
+    @property
+    def step(self):
+        """The step."""
+        return self.task.spec
+
 
 # Ends that differ by less than this share of a task's size count as equal, since
 # sizes and speeds are known no better. Each entry then prefers another endpoint.
@@ -51,6 +57,8 @@
     def __init__(self, agents, need, taken):
         self._need = need
         self._taken = taken
+        # How many tasks of the step are given out at each agent here.
+        self._given = {}
         self._fitting = [agent for agent in agents if agent.fits(need.step)]
         self._grain_ms = max(EQUAL_SHARE * need.size_ms, 1.0)
         # Entries are (end in grains, number, Place); numbers keep the order of equals.
@@ -86,6 +94,7 @@
         agent = place.agent
         millis = self._need.step.room.cpu_millis
         self._taken[agent] = self._taken.get(agent, 0) + millis
+        self._given[agent] = self._given.get(agent, 0) + 1
         if self._offer(agent):
             heapq.heapify(self._heap)
         return place
@@ -108,6 +117,8 @@
         if agent.is_on_trial and (agent.tasks or agent in self._taken):
             return False
         need = self._need
+        if not agent.has_place_for(need.task, self._given.get(agent, 0)):
+            return False
         kept = need.kept_share * agent.status.capacity.cpu_millis
         ahead_millis = self._taken.get(agent, 0) + kept
         wait_ms = agent.wait_ms(need.step.room, need.rank, ahead_millis)
@@ -120,4 +131,5 @@
         return True
 
     def _run_ms(self, agent):
-        return self._need.size_ms * agent.slowness
+        step = self._need.step
+        return self._need.size_ms * agent.slowness * agent.distance_factor(step)
--- a/plantainhitch/coordination/jobs/fleet.py
+++ b/plantainhitch/coordination/jobs/fleet.py
@@ -48,6 +48,8 @@
     heard_ms: int = 0
     # The multiple of a task's size that a run takes now, see ``Fleet.slowness``.
     slowness: float = 1.0
+    # How many times as long a task takes away from the rack of its data.
+    remote_factor: float = 1.0
     # When the agent's process was proved to have ended, None while it wasn't.
     gone_ms: int | None = None
     # The tasks with a run here, by name.
@@ -70,6 +72,25 @@
             return False
         return status.capacity.holds(step.room)
 
+    def distance_factor(self, step):
+        """Return how many times as long a task takes here as near its data."""
+        is_near = not step.data_rack or step.data_rack == self.status.rack
+        return 1.0 if is_near else self.remote_factor
+
+    def has_place_for(self, task, given):
+        """Return whether one more task of a job's step may run here beside others.
+
+        ``given`` are those given out in this round and not ordered yet.
+        """
+        limit = task.spec.max_per_endpoint
+        if not limit:
+            return True
+        beside = (
+            other.job is task.job and other.step == task.step
+            for other in self.tasks.values()
+        )
+        return sum(beside) + given < limit
+
     def wait_ms(self, room, rank, ahead_millis=0):
         """Return how long a start of a rank would wait for room there, or None.
 
@@ -111,8 +132,9 @@
 class Fleet:
     """All agents that an entry knows."""
 
-    def __init__(self, clock, lease_ms, rng):
+    def __init__(self, clock, lease_ms, remote_factor, rng):
         self._clock = clock
+        self._remote_factor = remote_factor
         self._rng = rng
         self._silence_ms = OWNER_LEASE_MS + lease_ms * 1.02 + LOST_MARGIN_MS
         self._lapse_ms = lease_ms * 1.02 + LOST_MARGIN_MS
@@ -134,6 +156,7 @@
         agent = self._agents.get(hello.incarnation)
         if agent is None:
             agent = AgentView(hello.incarnation, hello.name, hello.zone)
+            agent.remote_factor = self._remote_factor
             self._agents[hello.incarnation] = agent
         agent.link = link
         agent.heard_ms = self._clock.now_ms()
--- a/plantainhitch/coordination/jobs/placement.py
+++ b/plantainhitch/coordination/jobs/placement.py
@@ -14,6 +14,8 @@
 WORTHLESS_FACTOR = 3
 # The part of a job's tasks that has to find room before any of them begins.
 BEGIN_SHARE = 0.8
+# A step that is wider than this share of the fleet runs in waves.
+WAVE_SHARE = 0.25
 # A job is refused when the work ahead takes longer than this many times its slack;
 # above 1, because the forecast is rough and others give up meanwhile.
 HOPELESS_FACTOR = 1.5
@@ -110,14 +112,22 @@
             if place is None:
                 break
             places.append((task, place))
-        if not job.has_started and len(places) < BEGIN_SHARE * len(tasks):
+        if not job.has_started and len(places) < self._least_to_begin(tasks):
             return []
         return places
 
+    def _least_to_begin(self, tasks):
+        """Return how many tasks of a job have to find a place before any begins."""
+        step = tasks[0].spec
+        wave = WAVE_SHARE * self._view.processor_millis / max(step.room.cpu_millis, 1)
+        if step.max_per_endpoint:
+            wave = min(wave, step.max_per_endpoint * len(self._view.agents))
+        return BEGIN_SHARE * min(len(tasks), max(wave, 1))
+
     def _need(self, task, rank, left_ms):
         job = task.job
         return Need(
-            step=task.spec,
+            task=task,
             size_ms=job.step_ms[task.step],
             rank=rank,
             kept_share=self._demand.ranks.reserved_share(job.route.name),
@@ -125,11 +135,14 @@
         )
 
     def _candidates(self, task, need, taken):
-        key = task.job.route.name, need.rank, need.longest_wait_ms, task.spec.label
+        step = task.spec
+        if step.max_per_endpoint:
+            return Candidates(self._view.agents, need, taken)
+        key = task.job.route.name, need.rank, need.longest_wait_ms, step.label
         missing = self._not_found.get(key)
-        if missing is not None and task.spec.room.holds(missing):
+        if missing is not None and step.room.holds(missing):
             return Candidates((), need, taken)
         found = Candidates(self._view.agents, need, taken)
         if not found.has_room:
-            self._not_found[key] = task.spec.room
+            self._not_found[key] = step.room
         return found
--- a/plantainhitch/coordination/jobs/scheduler.py
+++ b/plantainhitch/coordination/jobs/scheduler.py
@@ -42,12 +42,14 @@
 class Scheduler:
     """The jobs that an entry owns, and where their tasks run."""
 
-    def __init__(self, clock, lease_ms, on_outcome=None, rng=None):
+    def __init__(
+        self, clock, lease_ms, on_outcome=None, *, remote_factor=1.0, rng=None
+    ):
         self._clock = clock
         self._events = logs.EventLog(log, clock)
         # ``on_outcome(queue, JobOutcome, took_ms)`` is called for each job.
         self._on_outcome = on_outcome or (lambda queue, outcome, took_ms: None)
-        self._fleet = Fleet(clock, lease_ms, rng or random.Random())
+        self._fleet = Fleet(clock, lease_ms, remote_factor, rng or random.Random())
         self._checked_ms = 0
         self._placed_ms = 0
         self._unplaced = {}
@@ -287,7 +289,8 @@
         estimate_ms = task.spec.estimate_ms
         queue = task.job.route.name
         endpoint_id = agent.status.endpoint_id
-        self._fleet.speeds.observe(endpoint_id, queue, estimate_ms, end.run_ms)
+        run_ms = round(end.run_ms / agent.distance_factor(task.spec))
+        self._fleet.speeds.observe(endpoint_id, queue, estimate_ms, run_ms)
 
     def _expire(self):
         now_ms = self._clock.now_ms()
--- a/plantainhitch/deployment.py
+++ b/plantainhitch/deployment.py
@@ -14,6 +14,7 @@
     ``lease_ms`` is the longest lease of an endpoint, ``stop_ms`` how long a stop
     takes there, ``resubmit_ms`` how long callers wait before they submit again
     after a lost answer, and ``shutdown_ms`` how long a process has to end.
+    ``remote_factor`` is how many times as long a task takes away from its data.
     """
 
     drain_ms: int
@@ -22,6 +23,7 @@
     resubmit_ms: int
     shutdown_ms: int
     configuration_ms: int
+    remote_factor: float = 1.0
 
 
 @dataclass(frozen=True, slots=True)
--- a/plantainhitch/platform/settings.py
+++ b/plantainhitch/platform/settings.py
@@ -34,6 +34,7 @@
     retransmit_ms: int  # callers submit again this long after a lost answer
     grace_s: float
     config_apply_ms: int
+    remote_factor: float = 1.0  # run time away from the data, as a multiple
 
 
 class _Platform(msgspec.Struct):
@@ -114,6 +115,7 @@
             resubmit_ms=settings.bounds.retransmit_ms,
             shutdown_ms=int(settings.bounds.grace_s * 1_000),
             configuration_ms=settings.bounds.config_apply_ms,
+            remote_factor=settings.bounds.remote_factor,
         ),
     )
 
--- a/tests/test_job_scheduler.py
+++ b/tests/test_job_scheduler.py
@@ -88,6 +88,50 @@
             self.links[agent].last_heard_ms = self.clock.now_ms()
 
 
+class WishTests(SchedulerCase):
+    """What steps ask of the endpoints that their tasks share."""
+
+    def test_a_step_is_spread_as_it_asks(self):
+        step = StepSpec(3, Room(100, 10, 0), 200, max_per_endpoint=1)
+        takers = [taker for taker, _ in self.submit(steps=[step])]
+        self.assertEqual([b"one", b"two"], sorted(takers))
+        self.join(b"three")
+        self.clock.advance(50)
+        self.assertEqual([b"three"], [taker for taker, _ in self.starts()])
+
+    def test_a_step_wider_than_the_fleet_runs_in_waves(self):
+        step = StepSpec(40, Room(1_000, 10, 0), 200)
+        self.assertEqual(8, len(self.submit(steps=[step])))
+
+    def test_a_place_of_a_spread_step_is_free_again_at_its_end(self):
+        step = StepSpec(1, Room(100, 10, 0), 200, max_per_endpoint=1)
+        ((agent, start),) = self.submit(steps=[step])
+        ((other, again),) = self.end(agent, start, End.FAILED)
+        self.assertNotEqual(agent, other)
+        self.assertGreater(again.key.run, start.key.run)
+
+    def test_tasks_go_to_the_rack_of_their_data_while_it_has_room(self):
+        fleet = self.scheduler.fleet
+        for name, rack in ((b"one", "r1"), (b"two", "r2")):
+            agent = fleet.of(name)
+            agent.remote_factor = 3.0
+            agent.status.rack = rack
+        step = StepSpec(1, Room(2_500, 10, 0), 200, data_rack="r2")
+        ((taker, start),) = self.submit(steps=[step])
+        self.assertEqual((b"two", 200), (taker, start.estimate_ms))
+
+    def test_run_times_away_from_the_data_do_not_make_an_endpoint_slow(self):
+        agent = self.scheduler.fleet.of(b"one")
+        agent.remote_factor, agent.status.rack = 3.0, "r1"
+        step = StepSpec(1, Room(1_000, 10, 0), 200, label="", data_rack="r9")
+        usual = self.scheduler.fleet.slowness(agent)
+        self.scheduler.agent_gone(b"two")
+        self.scheduler.agent_unlinked(b"two", self.links[b"two"])
+        ((taker, start),) = self.submit(steps=[step])
+        self.end(taker, start, run_ms=600)
+        self.assertAlmostEqual(usual, self.scheduler.fleet.slowness(agent))
+
+
 class OutcomeTests(SchedulerCase):
     """How jobs end."""
 
