Tell refused callers when their turn comes; refuse queues with a policy

Retry-After was always 1 s, so a flood came back all at once. Each refusal now takes the next slot of its queue, as fast as the entry's part of the fleet can begin such work, at most 10 s: callers return in the order of their refusals.

Queues whose endpoints a policy service chooses were taken, and every start would have been rejected by the endpoints; they are refused as not supported.

Tests: RetryAfterTests, two for such queues.

--- a/plantainhitch/coordination/jobs/placement.py
+++ b/plantainhitch/coordination/jobs/placement.py
@@ -77,13 +77,17 @@
         self._not_found = {}
         self.ahead = 0.0
 
+    def time_for_ms(self, job, work_ms):
+        """Return how long work takes of what is left for a job's queue here."""
+        rate = self._demand.rate_for(job.route.name, self._view.processor_millis)
+        return 1_000 * work_ms / max(rate, 1.0)
+
     def is_hopeless(self, job):
         """Return whether the work ahead leaves a job no chance."""
-        rate = self._demand.rate_for(job.route.name, self._view.processor_millis)
         waited_ms = self._now_ms - job.arrived_ms
         is_early = waited_ms < DECIDED_SHARE * job.objective_ms
         factor = HOPELESS_FACTOR if is_early else DECIDED_FACTOR
-        expected_ms = waited_ms + 1_000 * self.ahead / max(rate, 1.0)
+        expected_ms = waited_ms + self.time_for_ms(job, self.ahead)
         return expected_ms > factor * job.slack_ms
 
     def place_all(self, job, rank):
--- a/plantainhitch/coordination/jobs/scheduler.py
+++ b/plantainhitch/coordination/jobs/scheduler.py
@@ -18,6 +18,7 @@
 from .job import Job
 from .outcomes import Ended, GaveUp, JobState, NeverRan, described
 from .placement import AGENT_WAIT_MS, Placement
+from .retry_slots import NO_ENDPOINT_MS, RetrySlots
 
 # Answers kept for callers that submit again because theirs was lost; at the sites'
 # load this is half a minute at each entry.
@@ -50,6 +51,7 @@
         # ``on_outcome(queue, JobOutcome, took_ms)`` is called for each job.
         self._on_outcome = on_outcome or (lambda queue, outcome, took_ms: None)
         self._fleet = Fleet(clock, lease_ms, remote_factor, rng or random.Random())
+        self._slots = RetrySlots(clock)
         self._checked_ms = 0
         self._placed_ms = 0
         self._unplaced = {}
@@ -110,8 +112,10 @@
                 why=reason,
                 agents_usable=len(self._fleet.usable(route.pool)),
             )
-            self._on_outcome(route.name, NeverRan(reason), 0)
-            on_end(NeverRan(reason))
+            retry_after_s = self._slots.take(route.name, NO_ENDPOINT_MS, 0)
+            outcome = NeverRan(reason, retry_after_s)
+            self._on_outcome(route.name, outcome, 0)
+            on_end(outcome)
             return
         self._jobs[job.job_id] = job
         self._unplaced[job] = None
@@ -305,8 +309,9 @@
             if now_ms >= job.leaves_ms:
                 self._give_up(job, "the caller's time is over")
 
-    def _give_up(self, job, reason):
-        outcome = GaveUp(reason) if job.has_started else NeverRan(reason)
+    def _give_up(self, job, reason, retry_after_s=1):
+        never_ran = NeverRan(reason, retry_after_s)
+        outcome = GaveUp(reason) if job.has_started else never_ran
         self._stop_runs(job)
         self._end(job, outcome)
 
@@ -376,7 +381,12 @@
             for task, place in this_round.place_late(job):
                 self._start(task, place, is_late=True)
             if not job.has_started:
-                self._give_up(job, "too much is waiting")
+                retry_after_s = self._slots.take(
+                    job.route.name,
+                    this_round.time_for_ms(job, this_round.ahead),
+                    this_round.time_for_ms(job, job.work_ms),
+                )
+                self._give_up(job, "too much is waiting", retry_after_s)
         else:
             this_round.ahead += job.work_ms
 
--- a/plantainhitch/platform/configuration.py
+++ b/plantainhitch/platform/configuration.py
@@ -21,6 +21,8 @@
     stretch: float = 1.0
     target_latency_ms: float = 0  # added to the stretched work, not the whole target
     timeout_ms: float = 0
+    # Only some endpoints may run the queue's steps, and a service says which.
+    advice: dict | None = None
 
 
 class _ServiceModel(msgspec.Struct):
@@ -64,6 +66,7 @@
         stretch=model.stretch,
         target_ms=round(model.target_latency_ms),
         timeout_ms=round(model.timeout_ms),
+        needs_permission=model.advice is not None,
     )
 
 
--- a/plantainhitch/platform/front.py
+++ b/plantainhitch/platform/front.py
@@ -62,6 +62,8 @@
     async def _submit(self, job_id, route, headers, body, receive):
         try:
             spec = jobs.decode(job_id, body)
+            if route.needs_permission:
+                raise jobs.UnsupportedJobError("queues with a policy of their own")
         except jobs.UnsupportedJobError as error:
             log.warning("job not supported", job=job_id, why=str(error))
             return self._error(503, f"not supported: {error}", retry_after_s=60)
--- a/plantainhitch/state/routes.py
+++ b/plantainhitch/state/routes.py
@@ -10,6 +10,8 @@
     ``pool`` names the endpoints that may run its tasks. A job's objective is
     ``stretch`` times its longest chain of work plus ``target_ms``. Priority 0 is
     the most urgent. A task that failed ``max_attempts`` times fails its job.
+    ``needs_permission`` says that a policy service chooses the endpoints of each step,
+    which is not supported.
     """
 
     name: str
@@ -21,6 +23,7 @@
     stretch: float = 1.0
     target_ms: int = 0
     timeout_ms: int = 0
+    needs_permission: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/test_deployment.py
+++ b/tests/test_deployment.py
@@ -162,6 +162,20 @@
         self.assertEqual([], self.starts())
         self.assertEqual(200, (await self.site.submit(JOB.format(1))).status)
 
+    async def test_a_queue_with_a_policy_of_its_own_is_refused(self):
+        document = configuration(version=9, prefixes=("/queue/", "/ruled/"))
+        document["routes"][1]["advice"] = {"decide_ms": 20}
+        self.site.configure(document)
+        body = b'{"best_effort":true,"steps":[{"count":1,"est_runtime_ms":20}]}'
+        async with asyncio.timeout(5):
+            while True:
+                answer = await self.site.call("POST", f"/ruled/{JOB.format(1)}", body)
+                if answer.status != 404:
+                    break
+                await asyncio.sleep(0.05)
+        self.assertEqual(503, answer.status)
+        self.assertEqual([], self.starts())
+
     async def test_a_task_that_fits_no_endpoint_is_refused_at_once(self):
         answer = await self.site.submit(JOB.format(1), cpu=99_000)
         self.assertEqual(503, answer.status)
--- a/tests/test_job_scheduler.py
+++ b/tests/test_job_scheduler.py
@@ -5,6 +5,7 @@
 from plantainhitch.clock import ManualClock
 from plantainhitch.coordination.jobs.fleet import HOLD_MS, SUSPECT_AFTER_MS
 from plantainhitch.coordination.jobs.outcomes import Ended, GaveUp, JobState, NeverRan
+from plantainhitch.coordination.jobs.retry_slots import RetrySlots
 from plantainhitch.coordination.jobs.scheduler import Scheduler
 from plantainhitch.coordination.runs.owners import OWNER_LEASE_MS
 from plantainhitch.protocol import messages as m
@@ -132,6 +133,34 @@
         self.assertAlmostEqual(usual, self.scheduler.fleet.slowness(agent))
 
 
+class RetryAfterTests(SchedulerCase):
+    """When callers of refused jobs are told to come back."""
+
+    def refusals(self, jobs, work_ms):
+        step = StepSpec(8, Room(1_000, 10, 0), work_ms)
+        for number in range(jobs):
+            self.submit(f"{number:016x}", steps=[step])
+        self.clock.advance(work_ms)
+        self.keep_hearing(b"one", b"two")
+        self.starts()
+        return [o for o in self.outcomes.values() if isinstance(o, NeverRan)]
+
+    def test_callers_return_in_turn_and_no_faster_than_room_comes(self):
+        refused = self.refusals(60, 400)
+        told = [outcome.retry_after_s for outcome in refused]
+        self.assertEqual(sorted(told), told)
+        self.assertGreaterEqual(told[0], 1)
+        # Each job is 3.2 core-seconds of work for 8 cores.
+        self.assertGreaterEqual(told[-1], min(10, len(told) * 3.2 / 8))
+
+    def test_nobody_is_sent_away_for_longer_than_a_burst(self):
+        slots = RetrySlots(self.clock)
+        self.assertEqual(10, max(slots.take("queue", 0, 5_000) for _ in range(9)))
+        self.clock.advance(60_000)
+        self.assertEqual(1, slots.take("queue", 0, 100))
+        self.assertEqual(1, slots.take("other", 0, 100))
+
+
 class OutcomeTests(SchedulerCase):
     """How jobs end."""
 
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -121,6 +121,13 @@
         self.assertEqual("/a/", table.find("jobs.example", "/a/c").path_prefix)
         self.assertIsNone(table.find("other.example", "/a/c"))
 
+    def test_a_queue_with_a_policy_of_its_own(self):
+        document = configured()
+        advice = {"decide_ms": 20, "period_ms": 1, "valid_ms": 500}
+        document["routes"].append(document["routes"][0] | {"advice": advice})
+        table = configuration.decode(msgspec.json.encode(document))
+        self.assertEqual([False, True], [r.needs_permission for r in table.routes])
+
     def test_heartbeat(self):
         report = endpoint.decode_heartbeat("i-1", msgspec.json.encode(HEARTBEAT))
         self.assertTrue(report.draining)
