--- a/plantainhitch/commands/deployed_entry.py
+++ b/plantainhitch/commands/deployed_entry.py
@@ -36,7 +36,11 @@
     metrics = JobMetrics(clock)
     bounds = deployment.bounds
     scheduler = Scheduler(
-        clock, bounds.lease_ms, metrics.ended, remote_factor=bounds.remote_factor
+        clock,
+        bounds.lease_ms,
+        metrics.ended,
+        zone=deployment.zone,
+        remote_factor=bounds.remote_factor,
     )
     node = JobEntryNode(
         deployment, member, clock, scheduler, routes, membership, decode_routes
--- a/plantainhitch/coordination/jobs/candidates.py
+++ b/plantainhitch/coordination/jobs/candidates.py
@@ -43,7 +43,8 @@
 
 
 # Ends that differ by less than this share of a task's size count as equal, since
-# sizes and speeds are known no better. Each entry then prefers another endpoint.
+# sizes and speeds are known no better. Among equals an entry prefers endpoints of its
+# own availability zone, then each entry another one.
 EQUAL_SHARE = 0.1
 
 
@@ -61,7 +62,7 @@
         self._given = {}
         self._fitting = [agent for agent in agents if agent.fits(need.step)]
         self._grain_ms = max(EQUAL_SHARE * need.size_ms, 1.0)
-        # Entries are (end in grains, number, Place); numbers keep the order of equals.
+        # Entries are (end in grains, whether far, number, Place).
         self._heap = []
         self._number = 0
         for agent in self._fitting:
@@ -86,7 +87,7 @@
         entry = self._first(allowed if avoided else None)
         if entry is None:
             return None
-        place = entry[2]
+        place = entry[-1]
         is_late = left_ms is not None and place.ends_in_ms > left_ms
         if is_late and any(self._run_ms(agent) <= left_ms for agent in allowed):
             heapq.heappush(self._heap, entry)
@@ -104,7 +105,7 @@
         passed, found = [], None
         while self._heap and found is None:
             entry = heapq.heappop(self._heap)
-            if allowed is None or entry[2].agent in allowed:
+            if allowed is None or entry[-1].agent in allowed:
                 found = entry
             else:
                 passed.append(entry)
@@ -127,7 +128,7 @@
         place = Place(agent, wait_ms, self._run_ms(agent))
         self._number += 1
         grains = math.floor(place.ends_in_ms / self._grain_ms)
-        self._heap.append((grains, self._number, place))
+        self._heap.append((grains, agent.is_far, self._number, place))
         return True
 
     def _run_ms(self, agent):
--- a/plantainhitch/coordination/jobs/fleet.py
+++ b/plantainhitch/coordination/jobs/fleet.py
@@ -35,6 +35,8 @@
     incarnation: bytes
     name: str
     zone: str
+    # Whether bytes to the agent leave the entry's availability zone.
+    is_far: bool = False
     link: object = None
     status: m.EndpointStatus | None = None
     free: Room = Room()
@@ -132,8 +134,9 @@
 class Fleet:
     """All agents that an entry knows."""
 
-    def __init__(self, clock, lease_ms, remote_factor, rng):
+    def __init__(self, clock, lease_ms, *, zone, remote_factor, rng):
         self._clock = clock
+        self._zone = zone
         self._remote_factor = remote_factor
         self._rng = rng
         self._silence_ms = OWNER_LEASE_MS + lease_ms * 1.02 + LOST_MARGIN_MS
@@ -157,6 +160,7 @@
         if agent is None:
             agent = AgentView(hello.incarnation, hello.name, hello.zone)
             agent.remote_factor = self._remote_factor
+            agent.is_far = hello.zone != self._zone
             self._agents[hello.incarnation] = agent
         agent.link = link
         agent.heard_ms = self._clock.now_ms()
--- a/plantainhitch/coordination/jobs/scheduler.py
+++ b/plantainhitch/coordination/jobs/scheduler.py
@@ -44,13 +44,19 @@
     """The jobs that an entry owns, and where their tasks run."""
 
     def __init__(
-        self, clock, lease_ms, on_outcome=None, *, remote_factor=1.0, rng=None
+        self, clock, lease_ms, on_outcome=None, *, zone="", remote_factor=1.0, rng=None
     ):
         self._clock = clock
         self._events = logs.EventLog(log, clock)
         # ``on_outcome(queue, JobOutcome, took_ms)`` is called for each job.
         self._on_outcome = on_outcome or (lambda queue, outcome, took_ms: None)
-        self._fleet = Fleet(clock, lease_ms, remote_factor, rng or random.Random())
+        self._fleet = Fleet(
+            clock,
+            lease_ms,
+            zone=zone,
+            remote_factor=remote_factor,
+            rng=rng or random.Random(),
+        )
         self._slots = RetrySlots(clock)
         self._checked_ms = 0
         self._placed_ms = 0
--- a/tests/fleet_sim.py
+++ b/tests/fleet_sim.py
@@ -31,6 +31,7 @@
 RENEWAL_MS = 250
 LEASE_MS = 1_000
 POOL = "pool"
+ZONES = 4
 PATIENCE_MS = 60_000
 
 
@@ -119,6 +120,7 @@
     def __init__(self, sim, number, slowness, cpu_millis):
         self.sim = sim
         self.name = f"agent-{number}"
+        self.zone = f"z{number % ZONES}"
         self.slowness = slowness
         self.book = RunBook(sim.clock, LEASE_MS, first_fence=1)
         self.links = {}
@@ -217,7 +219,12 @@
             for number, (slowness, cpu) in enumerate(self.endpoints)
         ]
         self.schedulers = [
-            Scheduler(self.clock, LEASE_MS, rng=random.Random(number))
+            Scheduler(
+                self.clock,
+                LEASE_MS,
+                zone=f"z{number % ZONES}",
+                rng=random.Random(number),
+            )
             for number in range(self.entries)
         ]
         for number, scheduler in enumerate(self.schedulers):
@@ -313,7 +320,9 @@
         to_entry = SimLink(
             self, lambda message: self._tell_entry(number, name, message)
         )
-        scheduler.agent_linked(m.Hello(m.ROLE_AGENT, name, agent.name), to_agent)
+        scheduler.agent_linked(
+            m.Hello(m.ROLE_AGENT, name, agent.name, agent.zone), to_agent
+        )
         agent.book.owners.open(incarnation)
         agent.book.owners.heard(incarnation, self.clock.now_ms(), 0)
         agent.links[incarnation] = to_entry
--- a/tests/test_job_scheduler.py
+++ b/tests/test_job_scheduler.py
@@ -121,6 +121,13 @@
         ((taker, start),) = self.submit(steps=[step])
         self.assertEqual((b"two", 200), (taker, start.estimate_ms))
 
+    def test_among_equals_tasks_stay_in_the_zone(self):
+        fleet = self.scheduler.fleet
+        fleet.of(b"one").is_far = True
+        fleet.of(b"two").is_far = False
+        step = StepSpec(3, Room(1_000, 10, 0), 200)
+        self.assertEqual({b"two"}, {taker for taker, _ in self.submit(steps=[step])})
+
     def test_run_times_away_from_the_data_do_not_make_an_endpoint_slow(self):
         agent = self.scheduler.fleet.of(b"one")
         agent.remote_factor, agent.status.rack = 3.0, "r1"
