Remember an endpoint's lifetime in the store, for a restarted agent

Ruled out: links (all within 20 ms of the start) and the configuration (10 ms).

An agent writes its endpoint's report to the row of its machine when its lifetime, state or capacity changes, and takes it up at its start. One write a lifetime and one read a start.

Tests: restarted agents serve without any report; they use no endpoint that is gone.

--- a/plantainhitch/commands/deployed_agent.py
+++ b/plantainhitch/commands/deployed_agent.py
@@ -4,6 +4,7 @@
 from ..coordination.introductions import INTRODUCE_MS, introduce
 from ..coordination.membership import Membership
 from ..coordination.runs.agent_node import LINK_TIMING, RunAgentNode
+from ..coordination.runs.endpoint_memory import EndpointMemory
 from ..coordination.runs.run_book import RunBook
 from ..platform.endpoint import EndpointOrders
 from ..platform.heartbeats import HeartbeatApp
@@ -34,7 +35,13 @@
         book,
         lambda endpoint_id: EndpointOrders(deployment.endpoint, clock, endpoint_id),
     )
-    heartbeats = HeartbeatApp(deployment.pool, node.on_report, node.on_leave)
+    memory = EndpointMemory(store, clock, deployment.name)
+
+    def on_report(report):
+        memory.note(report)
+        node.on_report(report)
+
+    heartbeats = HeartbeatApp(deployment.pool, on_report, node.on_leave)
     async with Resources() as resources:
         resources.push_async_callback(store.aclose)
         resources.push_async_callback(node.aclose)
@@ -44,6 +51,8 @@
         )
         await resources.listen(deployment.link, clock, node.serve_link, LINK_TIMING)
         resources.spawn(Membership(store, clock).register(member))
+        resources.spawn(memory.run())
+        resources.spawn(_recall(memory, deployment.pool, node))
         resources.spawn(_introduce(deployment, member, hello, clock, node))
         await serve_until_stopped(resources, deployment, node, signals)
     log.notice("stopped", name=deployment.name)
@@ -56,3 +65,11 @@
         if not node.has_links:
             await introduce(member, hello, clock, deployment.seed_links)
         await clock.sleep_ms(INTRODUCE_MS)
+
+
+async def _recall(memory, pool, node):
+    """Take up the endpoint that an earlier agent of this machine knew."""
+    report = await memory.recall()
+    if report is not None and report.pool == pool:
+        log.info("endpoint recalled", endpoint=report.endpoint_id, born=report.born_ms)
+        node.on_report(report)
--- a/tests/deployment.py
+++ b/tests/deployment.py
@@ -176,6 +176,14 @@
             bounds=BOUNDS,
         )
 
+    async def restart_agent(self, number, with_heartbeats=True):
+        """Kill an agent and start it again on its machine."""
+        if not with_heartbeats:
+            self._beats[number].cancel()
+        old = self.agents[number]
+        await old.kill()
+        self.agents[number] = Process(run_agent, old.settings)
+
     async def add_entry(self):
         """Start one more entry, which knows the others as seeds."""
         settings = self._settings("entry-new", self._store_address, front=True)
--- a/tests/test_deployment.py
+++ b/tests/test_deployment.py
@@ -162,6 +162,24 @@
         self.assertEqual([], self.starts())
         self.assertEqual(200, (await self.site.submit(JOB.format(1))).status)
 
+    async def test_a_restarted_agent_takes_up_its_endpoint_without_a_report(self):
+        await self.site.submit(JOB.format(1))
+        for number in range(len(self.site.agents)):
+            await self.site.restart_agent(number, with_heartbeats=False)
+        async with asyncio.timeout(5):
+            while (await self.site.submit(JOB.format(2), entry=0)).status != 200:
+                await asyncio.sleep(0.05)
+
+    async def test_a_restarted_agent_does_not_use_an_endpoint_that_is_gone(self):
+        await self.site.submit(JOB.format(1))
+        for number, endpoint in enumerate(self.site.endpoints):
+            await self.site.restart_agent(number, with_heartbeats=False)
+            endpoint.name = f"i-new-{number}"
+            endpoint.crash()
+        await asyncio.sleep(1.0)
+        for entry in self.site.entries:
+            self.assertEqual(0, await self.site.ready_agents(entry))
+
     async def test_a_queue_with_a_policy_of_its_own_is_refused(self):
         document = configuration(version=9, prefixes=("/queue/", "/ruled/"))
         document["routes"][1]["advice"] = {"decide_ms": 20}
