--- a/plantainhitch/coordination/runs/agent_node.py
+++ b/plantainhitch/coordination/runs/agent_node.py
@@ -248,9 +248,9 @@
         with contextlib.closing(orders):
             while True:
                 book = self._book
-                lease_until_ms = book.lease_until_ms
+                lease_until_ms = book.lease.until_ms
                 if lease_until_ms is not None:
-                    book.lease_sent()
+                    book.lease.renew()
                 result = await orders.inventory(
                     book.fence, book.seen, lease_until_ms, wait_ms
                 )
@@ -278,7 +278,7 @@
                 result = await self._orders.start(
                     start.key,
                     start.payload,
-                    book.lease_until_ms or 0,
+                    book.lease.until_ms or 0,
                     book.fence,
                     start.checkpoint,
                 )
--- a/plantainhitch/coordination/runs/run_book.py
+++ b/plantainhitch/coordination/runs/run_book.py
@@ -21,16 +21,13 @@
 )
 from ...state.jobs import Room
 from ...state.queue_ranks import QueueRanks
+from .endpoint_lease import EndpointLease
 from .outlook import Outlook
 from .owners import Owners
 from .run import Phase, Run, StartOrder, StopOrder, is_there
 
 # Ends are kept for owners that ask again, at most this many.
 MAX_REMEMBERED_ENDS = 2_000
-# How much slower than ours the endpoint's steady clock may be.
-CLOCK_SLACK = 1.02
-# Time for a lapsed run to be gone once its lease is over.
-LAPSE_MARGIN_MS = 80
 # How far a fence is raised that the endpoint found too low.
 FENCE_STEP = 60_000
 # An order to stop is given again after this long without its effect.
@@ -43,9 +40,6 @@
 CHECK_MS = 20
 # A list that is older than this says nothing of progress now.
 STALL_CHECK_MS = 100
-# An endpoint that has not answered for this long gets no new runs: longer than an
-# inventory with a wait, and one that was lost.
-SUSPECT_AFTER_MS = 600
 
 log = logs.get_logger("runs")
 
@@ -55,7 +49,7 @@
 
     def __init__(self, clock, lease_ms, first_fence):
         self._clock = clock
-        self._lease_ms = lease_ms
+        self._lease = EndpointLease(clock, lease_ms)
         self._fence = first_fence
         self._owners = Owners(clock)
         self._events = logs.EventLog(log, clock)
@@ -67,9 +61,6 @@
         self._endpoint = None
         self._is_reconciled = False
         self._seen = 0
-        self._clock_offset_ms = None
-        self._heard_ms = clock.now_ms()
-        self._renewed_ms = None
         self._listed_ms = 0
         self._wants_list = False
         self._is_stopping = False
@@ -108,16 +99,9 @@
         return self._seen
 
     @property
-    def lease_until_ms(self):
-        """The end of a full lease on the endpoint's clock, None while unknown."""
-        if self._clock_offset_ms is None or self.is_suspect:
-            return None
-        return self._clock.now_ms() + self._clock_offset_ms + self._lease_ms
-
-    @property
-    def is_suspect(self):
-        """Whether the endpoint has been silent; its lease is not renewed then."""
-        return self._clock.now_ms() - self._heard_ms > SUSPECT_AFTER_MS
+    def lease(self):
+        """The endpoint's lease."""
+        return self._lease
 
     @property
     def is_ready(self):
@@ -127,7 +111,7 @@
             and self._is_reconciled
             and not self._endpoint.draining
             and not self._is_stopping
-            and not self.is_suspect
+            and not self._lease.is_suspect
         )
 
     @property
@@ -230,8 +214,7 @@
             log.warning("endpoint lost", why=why)
         self._is_reconciled = False
         self._seen = 0
-        self._clock_offset_ms = None
-        self._renewed_ms = None
+        self._lease.reset()
         self._strays = frozenset()
         self._refuse_waiting("endpoint lost")
 
@@ -263,7 +246,7 @@
             return
         match result:
             case Accepted(clock_ms):
-                self._note_clock(clock_ms)
+                self._lease.answered(clock_ms)
                 if run.phase is Phase.STARTING:
                     run.phase = Phase.RUNNING
             case NoAnswer():
@@ -274,11 +257,11 @@
             case Rejected(Rejection.OTHER_LIFETIME):
                 self._finish(key, End.NOT_STARTED, "other_lifetime")
             case Rejected(Rejection.FENCE, clock_ms):
-                self._note_clock(clock_ms)
+                self._lease.answered(clock_ms)
                 self.raise_fence()
                 self._finish(key, End.NOT_STARTED, "fence")
             case Rejected(reason, clock_ms):
-                self._note_clock(clock_ms)
+                self._lease.answered(clock_ms)
                 self._finish(key, End.NOT_STARTED, reason.value)
 
     def stop_answered(self, key, result):
@@ -300,16 +283,12 @@
         self._fence += FENCE_STEP
         log.warning("fence raised", fence=self._fence)
 
-    def lease_sent(self):
-        """Note that a renewal is sent which the endpoint may receive."""
-        self._renewed_ms = self._clock.now_ms()
-
     def inventory(self, found: Inventory):
         """Take in what runs and what has ended."""
         if found.born_ms and found.born_ms != self._endpoint.born_ms:
             self._events.write("list of another lifetime", born=found.born_ms)
             return
-        self._note_clock(found.clock_ms)
+        self._lease.answered(found.clock_ms)
         self._listed_ms = self._clock.now_ms()
         for ended in found.ended:
             if ended.number > self._seen:
@@ -337,7 +316,7 @@
         now_ms = self._clock.now_ms()
         if now_ms - self._checked_ms >= CHECK_MS:
             self._checked_ms = now_ms
-            self._expire_lease(now_ms)
+            self._expire_lease()
             self._expire_runs(now_ms)
             self._repeat_stops(now_ms)
             self._stop_stalled(now_ms)
@@ -478,20 +457,12 @@
             case Phase.RUNNING:
                 # Listed neither as at work nor as ended: seen only where an answer
                 # overtook the start's, so the next list decides.
-                if self._clock.now_ms() - run.started_ms > self._lease_ms:
+                if self._clock.now_ms() - run.started_ms > self._lease.length_ms:
                     self._finish(key, End.LOST, "not listed")
 
-    def _note_clock(self, clock_ms):
-        if clock_ms:
-            self._heard_ms = self._clock.now_ms()
-            self._clock_offset_ms = clock_ms - self._heard_ms
-
-    def _expire_lease(self, now_ms):
+    def _expire_lease(self):
         """Give up what runs where the endpoint's lease can't hold any more."""
-        if self._renewed_ms is None or not self._is_reconciled:
-            return
-        over_ms = self._renewed_ms + self._lease_ms * CLOCK_SLACK + LAPSE_MARGIN_MS
-        if now_ms > over_ms:
+        if self._is_reconciled and self._lease.is_over:
             self.endpoint_gone("no answer for longer than the lease")
 
     def _expire_runs(self, now_ms):
@@ -523,7 +494,7 @@
                 run.started_ms = now_ms
                 free -= start.room
                 used[start.queue] = used.get(start.queue, 0) + start.room.cpu_millis
-                self.lease_sent()
+                self._lease.renew()
                 self._orders.append(StartOrder(start))
 
     def _turn(self, run):
--- a/plantainhitch/run_metrics.py
+++ b/plantainhitch/run_metrics.py
@@ -14,7 +14,7 @@
     text.gauges("runs", "phase", phases)
     text.counters("run_ends_total", "end", book.end_counts)
     text.gauge("ready", int(book.is_ready))
-    text.gauge("endpoint_silent", int(book.is_suspect))
+    text.gauge("endpoint_silent", int(book.lease.is_suspect))
     text.gauge("used_cpu_millis", book.used.cpu_millis)
     text.gauge("free_cpu_millis", book.free.cpu_millis)
     text.gauge("pace", round(pace(book.runs.values()), 3))
--- a/tests/fleet_sim.py
+++ b/tests/fleet_sim.py
@@ -137,7 +137,7 @@
 
     def _renew(self):
         self.sim.later(RENEWAL_MS, self._renew)
-        self.book.lease_sent()
+        self.book.lease.renew()
         self._listed()
 
     def list_runs(self):
--- a/tests/test_run_book.py
+++ b/tests/test_run_book.py
@@ -3,13 +3,10 @@
 import unittest
 
 from plantainhitch.clock import ManualClock
+from plantainhitch.coordination.runs.endpoint_lease import SUSPECT_AFTER_MS
 from plantainhitch.coordination.runs.owners import OWNER_LEASE_MS
 from plantainhitch.coordination.runs.run import StartOrder, StopOrder
-from plantainhitch.coordination.runs.run_book import (
-    STOP_RETRY_MS,
-    SUSPECT_AFTER_MS,
-    RunBook,
-)
+from plantainhitch.coordination.runs.run_book import STOP_RETRY_MS, RunBook
 from plantainhitch.protocol import messages as m
 from plantainhitch.state.endpoints import (
     Accepted,
@@ -269,13 +266,13 @@
     def test_a_silent_endpoint_gets_no_new_runs_and_no_renewal(self):
         self.clock.advance(SUSPECT_AFTER_MS + 1)
         self.hear()
-        self.assertIsNone(self.book.lease_until_ms)
+        self.assertIsNone(self.book.lease.until_ms)
         self.assertEqual([], self.order(start()))
 
     def test_its_runs_are_lost_once_the_lease_must_be_over(self):
         first = start()
         self.begin(first)
-        self.book.lease_sent()
+        self.book.lease.renew()
         self.clock.advance(LEASE_MS)
         self.hear()
         self.book.round()
