Tell owners of scarce room in turn instead of all at once

All nine entries were told of the same freed room at the same time and sent for it together.

The simulation uses it too, where before it told everybody everything within 2 ms.

--- a/plantainhitch/coordination/runs/agent_node.py
+++ b/plantainhitch/coordination/runs/agent_node.py
@@ -22,6 +22,7 @@
 from ..agent_links import exchange_hellos
 from ..background import run_until_first
 from ..inbox import Inbox
+from .room_news import RoomNews
 from .run import StartOrder, StopOrder
 
 TICK_MS = 50
@@ -30,13 +31,6 @@
 INVENTORY_WAIT_MS = 300
 # Between tries while no endpoint answers.
 INVENTORY_RETRY_MS = 50
-# Owners without news of their own learn the free room this often, times the square of
-# their number: each report costs work at every owner, and fleets grow with owners.
-ROOM_REPORT_MS = 0.8
-# While more than this share of the processor is free, no start has to wait, and the
-# room is told so many times more rarely.
-PLENTY_SHARE = 0.5
-PLENTY_FACTOR = 4
 LINK_TIMING = links.LinkTiming(heartbeat_ms=150, dead_after_ms=1_500)
 DRAIN_POLL_MS = 20
 
@@ -118,8 +112,7 @@
         self._inventories = None
         self._tasks = set()
         self._last_status = None
-        self._last_free = None
-        self._room_reported_ms = 0
+        self._news = RoomNews(clock)
 
     @property
     def has_links(self):
@@ -203,10 +196,11 @@
                 book.owners.open(incarnation)
                 self._links[incarnation] = link
                 link.send(book.status())
-                link.send(book.report_for(incarnation))
+                self._send_report(incarnation, book.outlook())
             case OwnerUnlinked(incarnation, link):
                 if self._links.get(incarnation) is link:
                     del self._links[incarnation]
+                    self._news.forget(incarnation)
                     book.owners.close(incarnation)
             case Ticked():
                 self._note_echoes()
@@ -294,31 +288,18 @@
             self._last_status = status
             for link in self._links.values():
                 link.send(status)
-        is_due = self._is_room_due()
-        if is_due:
-            self._last_free = self._book.free
-            self._room_reported_ms = self._clock.now_ms()
+        book = self._book
+        capacity = book.endpoint.capacity.cpu_millis if book.endpoint else 0
+        in_turn = self._news.next_owner(book.free, capacity)
         outlook = None
-        for incarnation, link in self._links.items():
-            owner = self._book.owners.of(incarnation)
-            if is_due or owner.new_ends:
-                outlook = outlook or self._book.outlook()
-                link.send(self._book.report_for(incarnation, outlook))
-
-    def _is_room_due(self):
-        """Return whether all owners are to learn of the free room."""
-        free, last = self._book.free, self._last_free
-        if free == last:
-            return False
-        interval_ms = ROOM_REPORT_MS * len(self._links) ** 2
-        if last is not None and self._is_plenty(free) and self._is_plenty(last):
-            interval_ms *= PLENTY_FACTOR
-        return self._clock.now_ms() - self._room_reported_ms >= interval_ms
-
-    def _is_plenty(self, free):
-        endpoint = self._book.endpoint
-        capacity = endpoint.capacity.cpu_millis if endpoint else 0
-        return free.cpu_millis > PLENTY_SHARE * capacity
+        for incarnation in self._links:
+            if incarnation == in_turn or book.owners.of(incarnation).new_ends:
+                outlook = outlook or book.outlook()
+                self._send_report(incarnation, outlook)
+
+    def _send_report(self, incarnation, outlook):
+        self._news.told(incarnation, outlook.free)
+        self._links[incarnation].send(self._book.report_for(incarnation, outlook))
 
     async def _tick(self):
         while True:
--- a/tests/fleet_sim.py
+++ b/tests/fleet_sim.py
@@ -12,6 +12,7 @@
 from plantainhitch.clock import ManualClock
 from plantainhitch.coordination.jobs.outcomes import Ended, JobState
 from plantainhitch.coordination.jobs.scheduler import Scheduler
+from plantainhitch.coordination.runs.room_news import RoomNews
 from plantainhitch.coordination.runs.run import StartOrder, StopOrder
 from plantainhitch.coordination.runs.run_book import RunBook
 from plantainhitch.protocol import messages as m
@@ -29,6 +30,7 @@
 STEP_MS = 2
 TICK_MS = 24
 RENEWAL_MS = 250
+AGENT_TICK_MS = 20
 LEASE_MS = 1_000
 POOL = "pool"
 ZONES = 4
@@ -123,6 +125,7 @@
         self.zone = f"z{number % ZONES}"
         self.slowness = slowness
         self.book = RunBook(sim.clock, LEASE_MS, first_fence=1)
+        self.news = RoomNews(sim.clock)
         self.links = {}
         self.running = {}
         self.ended = []
@@ -134,6 +137,11 @@
         )
         self.list_runs()
         self._renew()
+        self._tick()
+
+    def _tick(self):
+        self.sim.later(AGENT_TICK_MS, self._tick)
+        self.act()
 
     def _renew(self):
         self.sim.later(RENEWAL_MS, self._renew)
@@ -185,13 +193,12 @@
         self.act()
 
     def _report(self):
-        free = self.book.free
+        book = self.book
+        in_turn = self.news.next_owner(book.free, self.capacity.cpu_millis)
         for incarnation, link in self.links.items():
-            owner = self.book.owners.of(incarnation)
-            changed = self.sim.told.get((self.name, incarnation)) != free
-            if owner.new_ends or changed:
-                self.sim.told[self.name, incarnation] = free
-                link.send(self.book.report_for(incarnation))
+            if incarnation == in_turn or book.owners.of(incarnation).new_ends:
+                self.news.told(incarnation, book.free)
+                link.send(book.report_for(incarnation))
 
 
 @dataclass
@@ -208,7 +215,6 @@
     def __post_init__(self):
         self.clock = ManualClock(1_000)
         self.rng = random.Random(self.seed)
-        self.told = {}
         self._events = []
         self._touched = set()
         self._order = 0
@@ -327,6 +333,7 @@
         agent.book.owners.heard(incarnation, self.clock.now_ms(), 0)
         agent.links[incarnation] = to_entry
         scheduler.agent_said(name, agent.book.status())
+        agent.news.told(incarnation, agent.book.free)
         scheduler.agent_said(name, agent.book.report_for(incarnation))
 
     def _tell_agent(self, agent, incarnation, message):
