Let a doubt end with its lease, and a run go on for a resubmission

Read over as a newcomer: a start that the next lifetime of an endpoint may have taken stayed in doubt for ever where that lifetime answers nothing; it now ends with the lease that its order carried. An order for a run that is here already, from another entry, was dropped, so that entry would have waited until its caller's deadline; the run now goes on for it. An older run of a task is stopped even where the newer one is sent back.

--- a/tests/deployed_world.py
+++ b/tests/deployed_world.py
@@ -109,6 +109,7 @@
         self.host = f"127.{os.getpid() % 100 + 100}.{number // 250}.{number % 250 + 1}"
         self.link = self.store = self.endpoint = None
         self.process = None
+        self._starts = 0
         self._settings = folder / f"{name}.toml"
         self.log = folder / f"{name}.log"
 
@@ -150,8 +151,14 @@
         ]
         self._settings.write_text("\n".join(lines), encoding="utf-8")
 
+    @property
+    def has_started(self):
+        """Whether the process has said that it started."""
+        return self.log.read_bytes().count(b'"message":"started"') == self._starts
+
     async def start(self):
         """Start the program."""
+        self._starts += 1
         with self.log.open("ab") as log:
             child = await asyncio.create_subprocess_exec(
                 *(sys.executable, "-m", "tests.deployed_process", self.role),
--- a/tests/test_run_book.py
+++ b/tests/test_run_book.py
@@ -304,6 +304,35 @@
         self.list_runs(born_ms=2)
         self.assertEqual({unlisted.key: End.NOT_STARTED}, self.ends())
 
+    def test_a_run_goes_on_for_the_entry_where_its_job_was_submitted_again(self):
+        order = start()
+        self.begin(order)
+        self.meet(OTHER)
+        self.assertEqual([], self.order(order, owner=OTHER))
+        self.assertEqual([], self.order(stops=[order.key], owner=OWNER))
+        self.list_runs(ended=[EndedTask(1, order.key, End.DONE, "")])
+        self.assertEqual({order.key: End.DONE}, self.ends(OTHER))
+        self.assertEqual({}, self.ends(OWNER))
+
+    def test_an_older_run_is_stopped_though_the_newer_one_finds_no_room(self):
+        order = start(cpu=4_000)
+        self.begin(order)
+        newer = start(run=2, cpu=4_000, wait_ms=10)
+        self.assertEqual([StopOrder(order.key)], self.order(newer))
+        self.assertIn(newer.key, self.ends())
+
+    def test_a_doubt_ends_with_the_lease_where_the_next_lifetime_is_silent(self):
+        order = start()
+        self.begin(order)
+        self.book.heartbeat(report(born_ms=2, sequence=0))
+        self.book.round()
+        self.assertEqual({}, self.ends())
+        self.clock.advance(LEASE_MS + 200)
+        self.hear()
+        self.book.round()
+        self.assertEqual({order.key: End.LOST}, self.ends())
+        self.assertEqual(0, self.book.used.cpu_millis)
+
     def test_a_list_of_another_lifetime_changes_nothing(self):
         order = start()
         self.begin(order)
