--- a/plantainhitch/coordination/jobs/candidates.py
+++ b/plantainhitch/coordination/jobs/candidates.py
@@ -7,6 +7,11 @@
 from .fleet import AgentView
 from .job import Task
 
+# Ends that differ by less than this share of a task's size count as equal, since
+# sizes and speeds are known no better. Among equals an entry prefers endpoints of its
+# own availability zone, then each entry another one.
+EQUAL_SHARE = 0.1
+
 
 @dataclass(frozen=True, slots=True)
 class Place:
@@ -42,12 +47,6 @@
         return self.task.spec
 
 
-# Ends that differ by less than this share of a task's size count as equal, since
-# sizes and speeds are known no better. Among equals an entry prefers endpoints of its
-# own availability zone, then each entry another one.
-EQUAL_SHARE = 0.1
-
-
 class Candidates:
     """Hands out places for the tasks of a step, the one that ends first each time.
 
@@ -62,11 +61,10 @@
         self._given = {}
         self._fitting = [agent for agent in agents if agent.fits(need.step)]
         self._grain_ms = max(EQUAL_SHARE * need.size_ms, 1.0)
-        # Entries are (end in grains, whether far, number, Place).
-        self._heap = []
         self._number = 0
-        for agent in self._fitting:
-            self._offer(agent)
+        # Entries are (end in grains, whether far, number, Place).
+        entries = map(self._entry, self._fitting)
+        self._heap = [entry for entry in entries if entry is not None]
         heapq.heapify(self._heap)
 
     @property
@@ -96,8 +94,8 @@
         millis = self._need.step.room.cpu_millis
         self._taken[agent] = self._taken.get(agent, 0) + millis
         self._given[agent] = self._given.get(agent, 0) + 1
-        if self._offer(agent):
-            heapq.heapify(self._heap)
+        if (entry := self._entry(agent)) is not None:
+            heapq.heappush(self._heap, entry)
         return place
 
     def _first(self, allowed):
@@ -113,23 +111,22 @@
             heapq.heappush(self._heap, entry)
         return found
 
-    def _offer(self, agent):
-        """Append an agent to the heap where it has room soon; return whether so."""
+    def _entry(self, agent):
+        """Return the heap's entry for one more task at an agent, None without room."""
         if agent.is_on_trial and (agent.tasks or agent in self._taken):
-            return False
+            return None
         need = self._need
         if not agent.has_place_for(need.task, self._given.get(agent, 0)):
-            return False
+            return None
         kept = need.kept_share * agent.status.capacity.cpu_millis
         ahead_millis = self._taken.get(agent, 0) + kept
         wait_ms = agent.wait_ms(need.step.room, need.rank, ahead_millis)
         if wait_ms is None or wait_ms > need.longest_wait_ms:
-            return False
+            return None
         place = Place(agent, wait_ms, self._run_ms(agent))
         self._number += 1
         grains = math.floor(place.ends_in_ms / self._grain_ms)
-        self._heap.append((grains, agent.is_far, self._number, place))
-        return True
+        return grains, agent.is_far, self._number, place
 
     def _run_ms(self, agent):
         step = self._need.step
--- a/plantainhitch/coordination/runs/agent_node.py
+++ b/plantainhitch/coordination/runs/agent_node.py
@@ -283,12 +283,12 @@
 
     def _report(self):
         """Send each owner what is new to it."""
-        status = self._book.status()
+        book = self._book
+        status = book.status()
         if status != self._last_status:
             self._last_status = status
             for link in self._links.values():
                 link.send(status)
-        book = self._book
         capacity = book.endpoint.capacity.cpu_millis if book.endpoint else 0
         in_turn = self._news.next_owner(book.free, capacity)
         outlook = None
