--- a/tests/test_deployed_soak.py
+++ b/tests/test_deployed_soak.py
@@ -21,6 +21,12 @@
 
 CHAOS_SEED = 3
 ORDERLY_SEED = 11
+# By seed, what was broken once.
+BROKEN_ONCE = {
+    18: "a start that reached the next lifetime of its endpoint ran beside another",
+    21: "the same",
+    55: "an agent that was stopped while it loaded counted as failed",
+}
 
 
 class ShortSoakTests(ProcessTestCase):
@@ -30,6 +36,11 @@
         faults = (soak.kill_everything, soak.hold_link, soak.late_orders)
         self.assertEqual([], await soak.run_seed(CHAOS_SEED, faults))
 
+    async def test_seeds_that_were_broken_once(self):
+        for seed, cause in BROKEN_ONCE.items():
+            with self.subTest(seed=seed, cause=cause):
+                self.assertEqual([], await soak.run_seed(seed))
+
     async def test_orderly_changes_under_traffic(self):
         faults = (soak.replace_in_turn, soak.drain_endpoint, soak.configuration_storm)
         self.assertEqual([], await soak.run_seed(ORDERLY_SEED, faults))
