Start tracked tasks in one place, and drop state that can be derived

Five nodes each started a task, held it and let it go again by the same lines; background.spawn serves them all, the older two as well. A task's phase said again what its job's sets of blocked, ready and placed say. The fleet had the endpoint clock's slack as a bare 1.02 beside CLOCK_SLACK. Strays are looked at in one method only and are no state.

--- a/plantainhitch/coordination/agent.py
+++ b/plantainhitch/coordination/agent.py
@@ -15,7 +15,7 @@
 from ..transport.endpoint_http import HttpEndpointClient
 from . import agent_events as e
 from .agent_core import AgentCore
-from .background import run_until_first
+from .background import run_until_first, spawn
 from .inbox import Inbox
 from .membership import Membership
 
@@ -154,11 +154,6 @@
             configuration_version=self._core.configuration_version,
         )
 
-    def _spawn(self, coroutine):
-        task = asyncio.create_task(coroutine)
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
-
     # The task that owns the decisions
 
     async def _run_core(self):
@@ -171,12 +166,12 @@
 
     def _perform(self, todo):
         for start in todo.starts:
-            self._spawn(self._run_task(start))
+            spawn(self._run_task(start), self._tasks)
         for number, message in todo.messages:
             if number in self._links:
                 self._links[number].send(message)
         for key in todo.cancels:
-            self._spawn(self._endpoint.cancel(key))
+            spawn(self._endpoint.cancel(key), self._tasks)
         if todo.again_in_ms is not None and self._timer is None:
             loop = asyncio.get_running_loop()
             self._timer = loop.call_later(todo.again_in_ms / 1000, self._wake)
@@ -190,10 +185,10 @@
             self._endpoint = HttpEndpointClient.from_address(
                 endpoint.address, self._clock
             )
-            self._spawn(self._count_busy())
+            spawn(self._count_busy(), self._tasks)
         if not self._is_joining:
             self._is_joining = True
-            self._spawn(self._join())
+            spawn(self._join(), self._tasks)
 
     # Tasks that post events
 
--- a/plantainhitch/coordination/background.py
+++ b/plantainhitch/coordination/background.py
@@ -3,6 +3,14 @@
 import asyncio
 
 
+def spawn(coroutine, tasks):
+    """Start a task and return it; the set ``tasks`` holds it until it ends."""
+    task = asyncio.create_task(coroutine)
+    tasks.add(task)
+    task.add_done_callback(tasks.discard)
+    return task
+
+
 async def run_until_first(owned, others=()):
     """Run the coroutines ``owned`` until the first ends, then cancel the rest.
 
--- a/plantainhitch/coordination/jobs/entry_node.py
+++ b/plantainhitch/coordination/jobs/entry_node.py
@@ -10,7 +10,7 @@
 from ...protocol import messages as m
 from .. import events as e
 from ..agent_links import AgentDialer, DialRules
-from ..background import run_until_first
+from ..background import run_until_first, spawn
 from ..inbox import Inbox
 from ..runs.agent_node import LINK_TIMING
 from .outcomes import GaveUp, NeverRan
@@ -187,9 +187,7 @@
             member, self._hello, self._clock, self._post_from_agent, DIAL_RULES
         )
         self._dialers[member.link] = dialer
-        task = asyncio.create_task(dialer.run())
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
+        spawn(dialer.run(), self._tasks)
 
     def _hello(self):
         table = self._routes.table
--- a/plantainhitch/coordination/jobs/fleet.py
+++ b/plantainhitch/coordination/jobs/fleet.py
@@ -6,6 +6,7 @@
 from ...protocol import messages as m
 from ...state.jobs import Room
 from ...state.queue_ranks import SAME_RANK
+from ..runs.endpoint_lease import CLOCK_SLACK
 from ..runs.owners import OWNER_LEASE_MS
 from .speeds import Speeds
 
@@ -139,8 +140,8 @@
         self._zone = zone
         self._remote_factor = remote_factor
         self._rng = rng
-        self._silence_ms = OWNER_LEASE_MS + lease_ms * 1.02 + LOST_MARGIN_MS
-        self._lapse_ms = lease_ms * 1.02 + LOST_MARGIN_MS
+        self._lapse_ms = lease_ms * CLOCK_SLACK + LOST_MARGIN_MS
+        self._silence_ms = OWNER_LEASE_MS + self._lapse_ms
         self._agents = {}
         self._views = {}
         self.speeds = Speeds()
--- a/plantainhitch/coordination/jobs/job.py
+++ b/plantainhitch/coordination/jobs/job.py
@@ -1,21 +1,11 @@
 """The state of one job at its owner: which tasks may start, run or have ended."""
 
-import enum
 from dataclasses import dataclass, field
 
 from ...state.jobs import JobSpec, RunKey, StepSpec
 from ...state.routes import Route
 
 
-class TaskPhase(enum.Enum):
-    """Where a task stands; a ``PLACED`` one has a run at an agent."""
-
-    BLOCKED = "blocked"
-    READY = "ready"
-    PLACED = "placed"
-    DONE = "done"
-
-
 @dataclass(slots=True, eq=False)
 class Task:
     """One task; ``run`` is the number of its newest run."""
@@ -24,7 +14,6 @@
     step: int
     index: int
     name: str
-    phase: TaskPhase = TaskPhase.BLOCKED
     run: int = 0
     failures: int = 0
     agent: bytes = b""
@@ -60,6 +49,8 @@
     has_run: bool = False
     step_ms: tuple[float, ...] = ()
     objective_ms: float = 0.0
+    # Steps that wait for earlier ones; tasks that wait for a place, or have a run.
+    _blocked: set[int] = field(default_factory=set)
     _ready: dict = field(default_factory=dict)
     _placed: dict = field(default_factory=dict)
     _left: list[int] = field(default_factory=list)
@@ -74,6 +65,7 @@
                 [Task(job, number, index, name) for index, name in enumerate(names)]
             )
             job._left.append(step.count)
+            job._blocked.add(number)
         job.unblock()
         return job
 
@@ -131,13 +123,11 @@
 
     def unblock(self):
         """Make the tasks ready whose earlier steps are done."""
-        for number, step in enumerate(self.spec.steps):
-            if any(self._left[earlier] for earlier in step.after):
-                continue
-            for task in self.tasks[number]:
-                if task.phase is TaskPhase.BLOCKED:
-                    task.phase = TaskPhase.READY
-                    self._ready[task] = None
+        for number in sorted(self._blocked):
+            after = self.spec.steps[number].after
+            if not any(self._left[earlier] for earlier in after):
+                self._blocked.remove(number)
+                self._ready.update(dict.fromkeys(self.tasks[number]))
 
     def ready_tasks(self):
         """Return the tasks that wait for a place."""
@@ -150,7 +140,6 @@
     def place(self, task, agent):
         """Note that a new run of a task is ordered at an agent, by incarnation."""
         task.run += 1
-        task.phase = TaskPhase.PLACED
         task.agent = agent
         self._ready.pop(task)
         self._placed[task] = None
@@ -158,13 +147,11 @@
     def put_back(self, task):
         """Note that a task's run came to nothing, so that it waits for a place."""
         task.agent = b""
-        task.phase = TaskPhase.READY
         self._placed.pop(task)
         self._ready[task] = None
 
     def finish(self, task):
         """Note that a task has ended as done."""
-        task.phase = TaskPhase.DONE
         self._placed.pop(task)
         self._left[task.step] -= 1
         if not self._left[task.step]:
--- a/plantainhitch/coordination/jobs/peers.py
+++ b/plantainhitch/coordination/jobs/peers.py
@@ -5,8 +5,6 @@
 its settings, and entries keep links among each other.
 """
 
-import asyncio
-
 import msgspec
 
 from ... import logs
@@ -14,6 +12,7 @@
 from ...state.members import Member
 from ...transport.addresses import Address
 from ..agent_links import exchange_hellos
+from ..background import spawn
 from ..backoff import Backoff
 from ..introductions import connect
 
@@ -56,7 +55,7 @@
         if address in self._dialled or address == self._own.link:
             return
         self._dialled.add(address)
-        self._spawn(self._keep_link(Address.from_text(address)))
+        spawn(self._keep_link(Address.from_text(address)), self._tasks)
 
     def tell_members(self):
         """Tell the peers of members that are new; dial the entries among them."""
@@ -69,7 +68,7 @@
         """Tell the peers which configuration is here; send it to those that lack it."""
         for link in self._links:
             link.send(m.Configuration(table.version, b""))
-        self._spawn(self._push_routes(table))
+        spawn(self._push_routes(table), self._tasks)
 
     async def serve_link(self, link):
         """Serve a link that another process has opened, until it ends."""
@@ -161,8 +160,3 @@
         if new:
             told.update(member.incarnation for member in new)
             link.send(m.Introduction([member.to_json() for member in new]))
-
-    def _spawn(self, coroutine):
-        task = asyncio.create_task(coroutine)
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
--- a/plantainhitch/coordination/peers.py
+++ b/plantainhitch/coordination/peers.py
@@ -19,6 +19,7 @@
 from ..transport import links
 from ..transport.addresses import Address
 from .agent_links import CONNECT_TIMEOUT_MS, exchange_hellos
+from .background import spawn
 
 # Beyond the time that the call itself may wait.
 REPLY_GRACE_MS = 5_000
@@ -235,9 +236,7 @@
     def _receive(self, link, envelope):
         match envelope.message:
             case m.Call() as call:
-                task = asyncio.create_task(self._answer(link, call))
-                self._tasks.add(task)
-                task.add_done_callback(self._tasks.discard)
+                spawn(self._answer(link, call), self._tasks)
             case m.Configuration() as configuration:
                 self._on_configuration(configuration)
 
--- a/plantainhitch/coordination/runs/agent_node.py
+++ b/plantainhitch/coordination/runs/agent_node.py
@@ -20,7 +20,7 @@
 from ...state.jobs import RunKey
 from ...transport import links
 from ..agent_links import exchange_hellos
-from ..background import run_until_first
+from ..background import run_until_first, spawn
 from ..inbox import Inbox
 from .room_news import RoomNews
 from .run import StartOrder, StopOrder
@@ -167,9 +167,9 @@
             for event in await self._inbox.take():
                 self._handle(event)
             for order in self._book.round():
-                self._spawn(self._give(order))
+                spawn(self._give(order), self._tasks)
             if self._book.take_list_wish():
-                self._spawn(self._list_now())
+                spawn(self._list_now(), self._tasks)
             self._report()
 
     def _note_echoes(self):
@@ -233,7 +233,7 @@
         if self._inventories is not None:
             self._inventories.cancel()
         self._orders = self._connect_endpoint(report.endpoint_id)
-        self._inventories = self._spawn(self._hold(report, self._orders))
+        self._inventories = spawn(self._hold(report, self._orders), self._tasks)
 
     async def _hold(self, report, orders):
         """Renew the endpoint's lease and post what it lists, until cancelled."""
@@ -315,9 +315,3 @@
         while self._book.runs:
             await self._clock.sleep_ms(DRAIN_POLL_MS)
         await self._clock.sleep_ms(DRAIN_POLL_MS)
-
-    def _spawn(self, coroutine):
-        task = asyncio.create_task(coroutine)
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
-        return task
--- a/plantainhitch/coordination/runs/run_book.py
+++ b/plantainhitch/coordination/runs/run_book.py
@@ -64,7 +64,6 @@
         self._listed_ms = 0
         self._wants_list = False
         self._is_stopping = False
-        self._strays = frozenset()
         self._ranks = QueueRanks()
         self._orders = []
 
@@ -217,7 +216,6 @@
         self._is_reconciled = False
         self._seen = 0
         self._lease.reset()
-        self._strays = frozenset()
         self._refuse_waiting("endpoint lost")
 
     def orders(self, incarnation, orders: m.RunOrders, echo_ms):
@@ -301,10 +299,9 @@
         for key, run in list(self._runs.items()):
             if key not in at_work:
                 self._consider_absent(key, run, found.clock_ms)
-        self._strays = frozenset(key for key in at_work if key not in self._runs)
-        for key in self._strays:
-            self._orders.append(StopOrder(key))
-        if not self._is_reconciled and not self._strays:
+        strays = [key for key in at_work if key not in self._runs]
+        self._orders.extend(map(StopOrder, strays))
+        if not self._is_reconciled and not strays:
             self._is_reconciled = True
             log.info("endpoint reconciled", seen=self._seen)
 
