--- a/plantainhitch/commands/deployed.py
+++ b/plantainhitch/commands/deployed.py
@@ -21,11 +21,12 @@
 log = logs.get_logger("deployed")
 
 
-def run(role, kind):
+def run(role, kind, *, is_profiled=False):
     """Run a role with the settings that the platform placed, until SIGTERM.
 
     ``role`` is ``run_agent`` or ``run_entry``; ``kind`` is the role that the process
-    has as a member, ``messages.ROLE_AGENT`` or ``messages.ROLE_ENTRY``.
+    has as a member, ``messages.ROLE_AGENT`` or ``messages.ROLE_ENTRY``. With
+    ``is_profiled`` the process logs where it spends its processor time.
     """
     handler = logs.configure("info", logs.DroppingStream(sys.stdout.fileno()))
     deployment = platform_settings.load()
@@ -33,7 +34,21 @@
     incarnation = member.incarnation.hex()
     handler.formatter = logs.JsonLineFormatter(member.name, incarnation)
     gc.freeze()
-    return uvloop.run(role(deployment, member, Clock(), lifecycle.StopSignals.install))
+    clock = Clock()
+    process = role(deployment, member, clock, lifecycle.StopSignals.install)
+    return uvloop.run(_profile(process, clock) if is_profiled else process)
+
+
+async def _profile(process, clock):
+    from ..profiling import Profiler  # imported here to save its memory otherwise
+
+    profiler = Profiler(clock)
+    accounts = lifecycle.spawn(profiler.run())
+    profiler.start()
+    try:
+        return await process
+    finally:
+        accounts.cancel()
 
 
 class Resources(contextlib.AsyncExitStack):
--- a/plantainhitch/commands/deployed_agent.py
+++ b/plantainhitch/commands/deployed_agent.py
@@ -3,7 +3,7 @@
 from .. import logs
 from ..coordination.introductions import INTRODUCE_INTERVAL_MS, introduce
 from ..coordination.membership import Membership
-from ..coordination.runs.agent_node import LINK_TIMING, RunAgentNode
+from ..coordination.runs.agent_node import AGENT_LINK_TIMING, RunAgentNode
 from ..coordination.runs.endpoint_record import EndpointRecord
 from ..coordination.runs.run_controller import RunController
 from ..platform.endpoint import EndpointClient
@@ -18,9 +18,12 @@
 log = logs.get_logger("deployed")
 
 
-def deployed_agent():
-    """Run an agent with the settings that the platform placed, until SIGTERM."""
-    return run(run_agent, m.ROLE_AGENT)
+def deployed_agent(*, is_profiled=False):
+    """Run an agent with the settings that the platform placed, until SIGTERM.
+
+    With ``is_profiled`` it logs where it spends its processor time.
+    """
+    return run(run_agent, m.ROLE_AGENT, is_profiled=is_profiled)
 
 
 async def run_agent(deployment, member, clock, install_signals):
@@ -54,7 +57,9 @@
         await resources.serve(
             MetricsApp(lambda: run_metrics_text(node)), deployment.metrics
         )
-        await resources.listen(deployment.link, clock, node.serve_link, LINK_TIMING)
+        await resources.listen(
+            deployment.link, clock, node.serve_link, AGENT_LINK_TIMING
+        )
         resources.spawn(Membership(store, clock).register(member))
         resources.spawn(endpoint_record.run())
         resources.spawn(_restore_endpoint(endpoint_record, deployment.pool, node))
--- a/plantainhitch/commands/deployed_entry.py
+++ b/plantainhitch/commands/deployed_entry.py
@@ -2,6 +2,7 @@
 
 from .. import logs
 from ..coordination.jobs.entry_node import JobEntryNode
+from ..coordination.jobs.peers import PEER_LINK_TIMING
 from ..coordination.jobs.route_watch import RouteWatch
 from ..coordination.jobs.scheduler import Scheduler
 from ..coordination.membership import Membership
@@ -10,7 +11,6 @@
 from ..platform.job_app import JobApp, ReadinessApp
 from ..platform.store import RowStore
 from ..protocol import messages as m
-from ..transport import links
 from ..transport.asgi import MetricsApp
 from .deployed import Resources, run, serve_until_stopped
 from .exit_codes import ExitCode
@@ -18,9 +18,12 @@
 log = logs.get_logger("deployed")
 
 
-def deployed_entry():
-    """Run an entry with the settings that the platform placed, until SIGTERM."""
-    return run(run_entry, m.ROLE_ENTRY)
+def deployed_entry(*, is_profiled=False):
+    """Run an entry with the settings that the platform placed, until SIGTERM.
+
+    With ``is_profiled`` it logs where it spends its processor time.
+    """
+    return run(run_entry, m.ROLE_ENTRY, is_profiled=is_profiled)
 
 
 async def run_entry(deployment, member, clock, install_signals):
@@ -52,7 +55,7 @@
         resources.push_async_callback(store.aclose)
         resources.push_async_callback(node.aclose)
         await resources.listen(
-            deployment.link, clock, node.serve_link, links.LinkTiming()
+            deployment.link, clock, node.serve_link, PEER_LINK_TIMING
         )
         await resources.serve(
             JobApp(node), deployment.front, grace_ms=deployment.bounds.stop_ms
--- a/plantainhitch/commands/main.py
+++ b/plantainhitch/commands/main.py
@@ -48,8 +48,10 @@
     "submit": Command("submit", "submit", "run a job"),
 }
 HELP_OPTIONS = frozenset({"--help", "-h", "help"})
-# Commands without arguments. They don't load ``fire``, to keep their memory small.
+# Commands that take ``PROFILE_OPTION`` at most. They don't load ``fire``, to keep their
+# memory small.
 DEPLOYED_COMMANDS = frozenset({"deployed-agent", "deployed-entry"})
+PROFILE_OPTION = "--profile"
 # ``class`` is a keyword, so it can't be the name of a parameter.
 OPTION_NAMES = {"--class": "--class_name"}
 SUBMISSION_OPTION = "--submission"
@@ -114,11 +116,14 @@
 
 
 def _run_deployed(name, words):
-    if words:
-        print(f"{name} takes no arguments: {' '.join(words)}", file=sys.stderr)
+    if words not in ([], [PROFILE_OPTION]):
+        print(
+            f"{name} takes no arguments but {PROFILE_OPTION}: {' '.join(words)}",
+            file=sys.stderr,
+        )
         return ExitCode.USAGE
     try:
-        return _load_command(name)()
+        return _load_command(name)(is_profiled=bool(words))
     except SettingsError as error:
         print(error, file=sys.stderr)
         return ExitCode.USAGE
--- a/plantainhitch/coordination/agent_links.py
+++ b/plantainhitch/coordination/agent_links.py
@@ -49,6 +49,8 @@
         self._clock = clock
         self._post = post
         self._is_stopped = False
+        self._is_withdrawn = False
+        self._link = None
 
     @property
     def incarnation(self):
@@ -59,6 +61,12 @@
         """Open no further link; an open one is served until it ends."""
         self._is_stopped = True
 
+    def withdraw(self, detail):
+        """Close the link and open no further one, although the agent is not gone."""
+        self._is_stopped = self._is_withdrawn = True
+        if self._link is not None:
+            self._link.close(detail)
+
     async def run(self):
         """Dial and serve links, one after another, until the agent is gone."""
         delay_ms = FIRST_REDIAL_DELAY_MS
@@ -70,7 +78,8 @@
                 break
             await self._clock.sleep_ms(delay_ms * random.uniform(0.5, 1.0))
             delay_ms = min(delay_ms * 2, self._options.max_redial_delay_ms)
-        self._post(AgentGone(self.incarnation))
+        if not self._is_withdrawn:
+            self._post(AgentGone(self.incarnation))
 
     async def _connect(self):
         address = Address.from_text(self._member.link)
@@ -85,6 +94,7 @@
 
     async def _serve(self, link):
         """Serve a link until it ends; return whether hellos were exchanged."""
+        self._link = link
         hello = await exchange_hellos(link, self._own_hello())
         if hello is None:
             link.close("no hello")
@@ -99,6 +109,9 @@
             self._is_stopped = True
             link.close("another incarnation")
             return False
+        if self._is_withdrawn:
+            link.close("withdrawn")
+            return False
         self._post(AgentLinked(hello, self._member.rack, link))
         closed = await link.run(lambda envelope: self._receive(link, envelope))
         log.info("link ended", agent=self._member.name, detail=closed.detail)
--- a/plantainhitch/coordination/introductions.py
+++ b/plantainhitch/coordination/introductions.py
@@ -33,14 +33,14 @@
     link.close("introduced")
 
 
-async def open_link(address, clock, hello):
+async def open_link(address, clock, hello, timing=links.DEFAULT_TIMING):
     """Connect and exchange hellos; return (link, the other side's hello).
 
     Both are None if the connection fails or no hello arrives.
     """
     try:
         async with asyncio.timeout(CONNECT_TIMEOUT_S):
-            link = await links.connect(address, clock)
+            link = await links.connect(address, clock, timing)
             peer_hello = await exchange_hellos(link, hello)
     except (OSError, TimeoutError) as error:
         log.debug("connection failed", address=str(address), why=str(error))
--- a/plantainhitch/coordination/jobs/entry_node.py
+++ b/plantainhitch/coordination/jobs/entry_node.py
@@ -9,20 +9,15 @@
 from ... import logs
 from ...protocol import messages as m
 from .. import events as e
-from ..agent_links import AgentDialer, DialOptions
-from ..background import run_until_first_completed, spawn
+from ..background import run_until_first_completed
 from ..inbox import Inbox
-from ..runs.agent_node import LINK_TIMING
+from .agent_connections import AgentConnections
 from .outcomes import GaveUp, NeverRan
 from .peers import Peers
 
 TICK_MS = 25
 # Interval of the scheduler's rounds while a job waits, for which room may be free.
 WAITING_TICK_MS = 8
-# An agent on the same network answers within a few ms, and a frozen one never does.
-DIAL_OPTIONS = DialOptions(
-    LINK_TIMING, max_redial_delay_ms=500, connect_timeout_ms=1_000, follow_address=True
-)
 # For this long after SIGTERM new jobs are accepted: until two of the load balancer's
 # checks, one a second, have failed.
 INTAKE_AFTER_STOP_MS = 2_500
@@ -51,7 +46,15 @@
             clock, member, self._make_hello, membership, routes, decode_routes
         )
         self._inbox = Inbox()
-        self._dialers = {}
+        self._connections = AgentConnections(
+            clock,
+            member,
+            membership,
+            self._peers,
+            scheduler.fleet,
+            self._make_hello,
+            self._post_agent_event,
+        )
         self._tasks = set()
         self._stopping_since_ms = None
 
@@ -82,9 +85,8 @@
 
     def members_changed(self):
         """Dial new agents and inform peers; called on a change of the membership."""
-        for member in self._membership.agents(self._deployment.region):
-            self._dial(member)
         self._peers.announce_members()
+        self._connections.update()
 
     def routes_changed(self, table):
         """Announce a newer configuration to the peers; called by the ``RouteWatch``."""
@@ -131,6 +133,7 @@
         services = (
             self._run_scheduler(),
             self._tick(),
+            self._connections.run(),
             self._routes.run(),
             self._run_membership(),
             self._drain_after(stop),
@@ -148,7 +151,7 @@
 
     def status(self):
         """Return the counts that the log shows at the stop."""
-        return {"jobs": len(self._scheduler.jobs), "dialled": len(self._dialers)}
+        return {"jobs": len(self._scheduler.jobs), "dialled": self._connections.count}
 
     async def _run_scheduler(self):
         scheduler = self._scheduler
@@ -193,15 +196,6 @@
         finally:
             registration.cancel()
 
-    def _dial(self, member):
-        if member.link in self._dialers:
-            return
-        dialer = AgentDialer(
-            member, self._make_hello, self._clock, self._post_agent_event, DIAL_OPTIONS
-        )
-        self._dialers[member.link] = dialer
-        spawn(dialer.run(), self._tasks)
-
     def _make_hello(self):
         table = self._routes.table
         return m.Hello(
--- a/plantainhitch/coordination/jobs/fleet.py
+++ b/plantainhitch/coordination/jobs/fleet.py
@@ -89,6 +89,26 @@
         is_near = not step.data_rack or step.data_rack == self.status.rack
         return 1.0 if is_near else self.remote_factor
 
+    def attach_link(self, link):
+        """Record the link that is open from now on."""
+        self.link = link
+        self._update_link()
+
+    def add_task(self, task):
+        """Record that a run of a task is ordered here."""
+        self.tasks[task.name] = task
+        self._update_link()
+
+    def remove_task(self, task):
+        """Record that a task has no run here any more; it may have had none."""
+        self.tasks.pop(task.name, None)
+        self._update_link()
+
+    def _update_link(self):
+        """Tell the link whether the agent needs echoes to renew this owner's lease."""
+        if self.link is not None:
+            self.link.set_busy(bool(self.tasks))
+
     def is_below_step_limit(self, task, assigned_count):
         """Return whether the step's ``max_per_endpoint`` allows one more task here.
 
@@ -181,7 +201,7 @@
             agent.remote_factor = self._remote_factor
             agent.is_cross_zone = hello.zone != self._zone
             self._agents[hello.incarnation] = agent
-        agent.link = link
+        agent.attach_link(link)
         agent.last_contact_ms = self._clock.now_ms()
         agent.confirmed_dead_ms = None
         agent.unreported_orders.clear()
--- a/plantainhitch/coordination/jobs/peers.py
+++ b/plantainhitch/coordination/jobs/peers.py
@@ -11,6 +11,7 @@
 from ...protocol import messages as m
 from ...state.members import Member
 from ...transport.addresses import Address
+from ...transport.links import LinkTiming
 from ..agent_links import exchange_hellos
 from ..background import spawn
 from ..backoff import Backoff
@@ -21,6 +22,12 @@
 # Most peers get a new configuration from the store within some ten ms. The others are
 # sent it after this delay, well below the 2 s within which it has to be in force.
 PUSH_DELAY_MS = 300
+# A peer without a link is taken to be alive for this long, which is longer than its
+# restart takes, or a first connection.
+PEER_GRACE_MS = 3_000
+# A peer that has lost its power or is cut off is silent. Its share of the agents goes
+# to the other entries soon after.
+PEER_LINK_TIMING = LinkTiming(heartbeat_ms=1_000, silence_timeout_ms=3_500)
 
 log = logs.get_logger("peers")
 
@@ -44,7 +51,10 @@
         self._known_by_link = {}
         # By link: the newest configuration version that the peer has named.
         self._version_by_link = {}
-        self._dialled_addresses = set()
+        # By the address of a dialled peer: when its link ended, or when it was dialled
+        # for the first time.
+        self._last_alive_ms = {}
+        self._linked_addresses = set()
         self._tasks = set()
 
     @property
@@ -52,11 +62,19 @@
         """The number of open links."""
         return len(self._known_by_link)
 
+    def is_alive(self, address):
+        """Return whether the link to a peer is open or was recently."""
+        last_alive_ms = self._last_alive_ms.get(address)
+        return address in self._linked_addresses or (
+            last_alive_ms is not None
+            and self._clock.now_ms() - last_alive_ms < PEER_GRACE_MS
+        )
+
     def dial(self, address):
         """Maintain a link to the entry at an address, given as ``IP:port``."""
-        if address in self._dialled_addresses or address == self._own_member.link:
+        if address in self._last_alive_ms or address == self._own_member.link:
             return
-        self._dialled_addresses.add(address)
+        self._last_alive_ms[address] = self._clock.now_ms()
         spawn(self._maintain_link(Address.from_text(address)), self._tasks)
 
     def announce_members(self):
@@ -90,13 +108,18 @@
     async def _maintain_link(self, address):
         backoff = Backoff(first_delay_ms=FIRST_REDIAL_MS, max_delay_ms=MAX_REDIAL_MS)
         while True:
-            link, hello = await open_link(address, self._clock, self._make_hello())
+            link, hello = await open_link(
+                address, self._clock, self._make_hello(), PEER_LINK_TIMING
+            )
             if hello is not None and hello.incarnation == self._own_member.incarnation:
                 link.close("connected to itself")
                 return
             if hello is not None:
                 backoff.reset()
+                self._linked_addresses.add(str(address))
                 await self._serve(link, hello)
+                self._linked_addresses.discard(str(address))
+                self._last_alive_ms[str(address)] = self._clock.now_ms()
             await self._clock.sleep_ms(backoff.next_delay_ms())
 
     async def _serve(self, link, hello):
--- a/plantainhitch/coordination/jobs/scheduler.py
+++ b/plantainhitch/coordination/jobs/scheduler.py
@@ -268,7 +268,7 @@
         self._orders.pop(agent, None)
 
     def _requeue(self, task, agent):
-        agent.tasks.pop(task.name, None)
+        agent.remove_task(task)
         task.job.has_run = True  # its run may have started
         self._mark_ready(task)
 
@@ -291,7 +291,7 @@
                 run_ms=end.run_ms,
                 failures=task.failures,
             )
-        del agent.tasks[task.name]
+        agent.remove_task(task)
         match end.end:
             case End.DONE:
                 self._record_run_time(agent, task, end)
@@ -350,7 +350,7 @@
         for task in job.placed_tasks():
             agent = self._fleet.get(task.agent)
             if agent is not None:
-                agent.tasks.pop(task.name, None)
+                agent.remove_task(task)
                 self._orders_for(agent).stops.append(task.key)
 
     def _finish_job(self, job, outcome):
@@ -424,7 +424,7 @@
         agent, now_ms = candidate.agent, self._clock.now_ms()
         due_in_ms = round(task.job.due_ms - now_ms)
         task.job.mark_placed(task, agent.incarnation)
-        agent.tasks[task.name] = task
+        agent.add_task(task)
         agent.unreported_orders.append(
             (agent.last_order_number + 1, task.step_spec.room)
         )
--- a/plantainhitch/coordination/runs/agent_node.py
+++ b/plantainhitch/coordination/runs/agent_node.py
@@ -31,7 +31,13 @@
 INVENTORY_WAIT_MS = 300
 # The delay between inventories while the endpoint does not answer.
 INVENTORY_RETRY_DELAY_MS = 50
-LINK_TIMING = links.LinkTiming(heartbeat_ms=150, silence_timeout_ms=1_500)
+# An agent sends heartbeats on all links, so that entries place runs only at agents that
+# are alive. An entry answers them where it has runs, which renews its lease; on other
+# links nothing depends on it, and it sends few frames.
+AGENT_LINK_TIMING = links.LinkTiming(heartbeat_ms=200, silence_timeout_ms=6_000)
+ENTRY_LINK_TIMING = links.LinkTiming(
+    heartbeat_ms=2_000, silence_timeout_ms=1_500, busy_reply_ms=150
+)
 DRAIN_POLL_INTERVAL_MS = 20
 
 log = logs.get_logger("agent")
--- a/plantainhitch/coordination/runs/owners.py
+++ b/plantainhitch/coordination/runs/owners.py
@@ -82,10 +82,13 @@
         return owner is not None and owner.lease_expiry_ms >= self._clock.now_ms()
 
     def total_loads(self):
-        """Return the load of each queue, summed over the owners that are alive."""
+        """Return the load of each queue, summed over the owners that are linked.
+
+        An owner without runs here need not renew its lease, so the lease doesn't tell.
+        """
         total = {}
-        for incarnation, owner in self._owners.items():
-            if not self.is_alive(incarnation):
+        for owner in self._owners.values():
+            if not owner.is_linked:
                 continue
             for load in owner.loads:
                 summed = total.get(load.queue)
--- a/plantainhitch/transport/links.py
+++ b/plantainhitch/transport/links.py
@@ -18,16 +18,24 @@
 HEARTBEAT_MS = 3_000
 SILENCE_TIMEOUT_MS = 10_000
 READ_BYTES = 64 * 1024
+# Heartbeats are sent at multiples of this, so that a process with many idle links wakes
+# once for all of them.
+HEARTBEAT_GRID_MS = 50
 # A link whose send buffer exceeds this is closed: its peer reads too slowly.
 MAX_UNSENT_BYTES = 64 * 1024 * 1024
 
 
 @dataclass(frozen=True, slots=True)
 class LinkTiming:
-    """Heartbeat interval, and silence of the peer that closes a link, both in ms."""
+    """Heartbeat interval, and silence of the peer that closes a link, both in ms.
+
+    On a busy link a frame of the peer is answered at once if nothing was sent for
+    ``busy_reply_ms``; None leaves that to the heartbeats.
+    """
 
     heartbeat_ms: int = HEARTBEAT_MS
     silence_timeout_ms: int = SILENCE_TIMEOUT_MS
+    busy_reply_ms: int | None = None
 
 
 DEFAULT_TIMING = LinkTiming()
@@ -59,6 +67,7 @@
         self._sent_bytes = 0
         self._close_detail = ""
         self._received = bytearray()
+        self._is_busy = False
 
     @property
     def peer_stamp_ms(self):
@@ -90,6 +99,10 @@
         """Whether the connection is open for sending."""
         return not self._writer.is_closing()
 
+    def set_busy(self, is_busy):
+        """Set whether the peer needs recent echoes, see ``LinkTiming``."""
+        self._is_busy = is_busy
+
     def acknowledge(self, number):
         """Send ``number`` in later frames as the newest report batch received."""
         self._ack = max(self._ack, number)
@@ -190,19 +203,37 @@
                 case codec.BadFrame(detail):
                     return LinkClosed(detail, bad_frame=True)
                 case m.Envelope(message=m.Heartbeat(), ack=0):
-                    continue
-            on_message(received)
+                    pass
+                case _:
+                    on_message(received)
+            self._reply_if_due()
+
+    def _reply_if_due(self):
+        """Send the peer an echo of its time stamp if the link is busy."""
+        reply_ms = self._timing.busy_reply_ms
+        if not self._is_busy or reply_ms is None:
+            return
+        if self._clock.now_ms() - self._last_sent_ms >= reply_ms:
+            self.send(m.Heartbeat())
 
     async def _send_heartbeats(self):
-        while True:
-            idle_ms = self._clock.now_ms() - self._last_sent_ms
-            await self._clock.sleep_ms(max(self._timing.heartbeat_ms - idle_ms, 1))
+        while self.is_open:
             now_ms = self._clock.now_ms()
-            if now_ms - self._last_received_ms > self._timing.silence_timeout_ms:
+            silent_at_ms = self._last_received_ms + self._timing.silence_timeout_ms
+            if now_ms > silent_at_ms:
                 self.close(f"silent for {now_ms - self._last_received_ms} ms")
                 return
-            if now_ms - self._last_sent_ms >= self._timing.heartbeat_ms:
+            if self._next_heartbeat_ms() <= now_ms:
                 self.send(m.Heartbeat())
+            next_check_ms = min(self._next_heartbeat_ms(), silent_at_ms + 1)
+            await self._clock.sleep_ms(max(next_check_ms - now_ms, 1))
+
+    def _next_heartbeat_ms(self):
+        """Return when the next heartbeat is due, at a multiple of the grid."""
+        due_ms = self._last_sent_ms + self._timing.heartbeat_ms
+        if self._timing.heartbeat_ms > HEARTBEAT_GRID_MS:
+            due_ms -= due_ms % HEARTBEAT_GRID_MS
+        return due_ms
 
 
 async def connect(address, clock, timing=DEFAULT_TIMING):
--- a/tests/fleet_sim.py
+++ b/tests/fleet_sim.py
@@ -124,6 +124,9 @@
             self._sim.call_later(STEP_MS, lambda: self._receive(message))
         return self.is_open
 
+    def set_busy(self, is_busy):
+        """Do nothing: an open link is never silent."""
+
     def close(self, detail=""):
         """Drop all further messages."""
         self.is_open = False
--- a/tests/test_job_scheduler.py
+++ b/tests/test_job_scheduler.py
@@ -25,8 +25,13 @@
         self._clock = clock
         self.sent = []
         self.closed = ""
+        self.is_busy = None
         self.last_received_ms = clock.now_ms()
 
+    def set_busy(self, is_busy):
+        """Record whether the agent needs echoes."""
+        self.is_busy = is_busy
+
     def send(self, message):
         """Record a message."""
         self.sent.append(message)
