--- a/plantainhitch/protocol/json_codec.py
+++ b/plantainhitch/protocol/json_codec.py
@@ -24,8 +24,13 @@
 
 
 def read_model(body, decoder):
-    """Return the model that ``decoder`` decodes from ``body``, or a ``Refusal``."""
+    """Return the model that ``decoder`` decodes from ``body``, or a ``Refusal``.
+
+    The decoder skips raw fields, such as the bodies of tasks, without decoding their
+    text. So the whole body is checked for valid UTF-8 here.
+    """
     try:
+        str(body, "utf-8")
         return decoder.decode(body)
     except msgspec.ValidationError as error:
         return Refusal(ErrorCode.BAD_FIELD, str(error), not_run=True)
--- a/tests/test_json_codec_fuzz.py
+++ b/tests/test_json_codec_fuzz.py
@@ -125,6 +125,13 @@
             if isinstance(found, Job):
                 json.loads(body)
 
+    def test_a_task_body_that_is_not_utf_8(self):
+        for damage in (b"\x80", b"\xc3", b"\xff\xfe"):
+            body = b'{"class":"sync","tasks":[{"index":0,"body":"a%bz"}]}' % damage
+            found = json_codec.read_job(body)
+            self.assertIsInstance(found, Refusal)
+            self.assertEqual((ErrorCode.BAD_JSON, True), (found.code, found.not_run))
+
     @DRAWN
     @given(texts | st.binary(max_size=60).map(lambda raw: raw.hex()))
     def test_ids(self, text):
