--- a/plantainhitch/transport/links.py
+++ b/plantainhitch/transport/links.py
@@ -7,9 +7,11 @@
 """
 
 import asyncio
+import collections
 import struct
 from dataclasses import dataclass
 
+from .. import logs
 from ..protocol import codec, messages as m
 
 LENGTH_PREFIX = struct.Struct(">I")
@@ -17,13 +19,14 @@
 # Time without a frame sent after which a heartbeat is sent.
 HEARTBEAT_MS = 3_000
 SILENCE_TIMEOUT_MS = 10_000
-READ_BYTES = 64 * 1024
 # Heartbeats are sent at multiples of this, so that a process with many idle links wakes
 # once for all of them.
 HEARTBEAT_GRID_MS = 50
 # A link whose send buffer exceeds this is closed: its peer reads too slowly.
 MAX_UNSENT_BYTES = 64 * 1024 * 1024
 
+log = logs.get_logger("links")
+
 
 @dataclass(frozen=True, slots=True)
 class LinkTiming:
@@ -49,14 +52,18 @@
     bad_frame: bool = False
 
 
-class Link:
-    """A framed connection; the task that owns it calls ``run``."""
+class Link(asyncio.Protocol):
+    """A framed connection, created by ``connect`` or ``listen``.
+
+    The task that owns it may wait for single frames with ``receive_one``, and then
+    calls ``run``. ``on_connected(link)`` is called once the connection is open.
+    """
 
-    def __init__(self, reader, writer, clock, timing=DEFAULT_TIMING):
-        self._reader = reader
-        self._writer = writer
+    def __init__(self, clock, timing=DEFAULT_TIMING, on_connected=None):
         self._clock = clock
         self._timing = timing
+        self._on_connected = on_connected
+        self._transport = None
         self._last_sent_ms = clock.now_ms()
         self._last_received_ms = clock.now_ms()
         self._peer_stamp_ms = 0
@@ -65,9 +72,16 @@
         self._last_sent_ack = 0
         self._sent_frames = 0
         self._sent_bytes = 0
-        self._close_detail = ""
-        self._received = bytearray()
         self._is_busy = False
+        # The beginning of a frame whose rest has not arrived yet.
+        self._partial = bytearray()
+        # Envelopes that arrived before ``run``.
+        self._early = collections.deque()
+        self._on_message = None
+        # Set when an envelope arrives before ``run``, and when the link has ended.
+        self._wake_event = asyncio.Event()
+        # Why the link has ended, None while it is open.
+        self._closed = None
 
     @property
     def peer_stamp_ms(self):
@@ -97,7 +111,7 @@
     @property
     def is_open(self):
         """Whether the connection is open for sending."""
-        return not self._writer.is_closing()
+        return self._closed is None and not self._transport.is_closing()
 
     def set_busy(self, is_busy):
         """Set whether the peer needs recent echoes, see ``LinkTiming``."""
@@ -113,10 +127,10 @@
         Returns False, with nothing written, if the link is closed or if its peer
         reads too slowly; the link is closed in that case.
         """
-        if self._writer.is_closing():
+        if not self.is_open:
             return False
-        if self._writer.transport.get_write_buffer_size() > MAX_UNSENT_BYTES:
-            self.close("the peer reads too slowly")
+        if self._transport.get_write_buffer_size() > MAX_UNSENT_BYTES:
+            self._abort("the peer reads too slowly")
             return False
         data = codec.encode(
             m.Envelope(
@@ -126,16 +140,16 @@
                 self._ack_to_send(message),
             )
         )
-        self._writer.writelines((LENGTH_PREFIX.pack(len(data)), data))
+        self._transport.writelines((LENGTH_PREFIX.pack(len(data)), data))
         self._sent_frames += 1
         self._sent_bytes += LENGTH_PREFIX.size + len(data)
         self._last_sent_ms = self._clock.now_ms()
         return True
 
     def close(self, detail="closed here"):
-        """Close the connection, which makes ``run`` return."""
-        self._close_detail = self._close_detail or detail
-        self._writer.close()
+        """Close the connection after the frames sent so far; ``run`` returns."""
+        self._end(LinkClosed(detail))
+        self._transport.close()
 
     async def run(self, on_message):
         """Receive frames until the link ends; return a ``LinkClosed``.
@@ -143,49 +157,90 @@
         ``on_message(envelope)`` is called for every frame, except for heartbeats
         without an acknowledgement.
         """
-        heartbeat_task = asyncio.create_task(self._send_heartbeats())
+        self._on_message = on_message
+        while self._early:
+            self._deliver(self._early.popleft())
+        heartbeats = asyncio.create_task(self._send_heartbeats())
         try:
-            return await self._receive(on_message)
+            while self._closed is None:
+                self._wake_event.clear()
+                await self._wake_event.wait()
+            return self._closed
         finally:
-            heartbeat_task.cancel()
-            self._writer.close()
+            heartbeats.cancel()
+            self._transport.close()
 
     async def receive_one(self):
-        """Return the next envelope, a ``BadFrame``, or a ``LinkClosed``."""
-        while (data := self._next_frame()) is None:
-            try:
-                chunk = await self._reader.read(READ_BYTES)
-            except OSError as error:
-                return LinkClosed(self._close_detail or str(error) or "reset")
-            if not chunk:
-                return LinkClosed(self._close_detail or "closed by the peer")
-            self._received += chunk
-        if isinstance(data, codec.BadFrame):
-            return data
+        """Return the next envelope, or a ``LinkClosed``; only before ``run``."""
+        while not self._early and self._closed is None:
+            self._wake_event.clear()
+            await self._wake_event.wait()
+        return self._early.popleft() if self._early else self._closed
+
+    def connection_made(self, transport):
+        """See ``asyncio.Protocol``."""
+        self._transport = transport
+        if self._on_connected is not None:
+            self._on_connected(self)
+
+    def connection_lost(self, exc):
+        """See ``asyncio.Protocol``."""
+        self._end(LinkClosed(str(exc or "closed by the peer")))
+
+    def data_received(self, data):
+        """Handle the frames that are complete now."""
+        received = self._partial
+        received += data
+        start = 0
+        while self.is_open and len(received) - start >= LENGTH_PREFIX.size:
+            (length,) = LENGTH_PREFIX.unpack_from(received, start)
+            if length > MAX_FRAME_BYTES:
+                self._abort(f"frame of {length} bytes", bad_frame=True)
+                break
+            begin = start + LENGTH_PREFIX.size
+            if len(received) < begin + length:
+                break
+            start = begin + length
+            self._handle_frame(bytes(received[begin:start]))
+        del received[:start]
+
+    def _handle_frame(self, data):
         envelope = codec.decode(data)
-        if isinstance(envelope, m.Envelope):
-            self._last_received_ms = self._clock.now_ms()
-            self._peer_stamp_ms = envelope.stamp_ms
-            self._echo_ms = max(self._echo_ms, envelope.echo_ms)
-        return envelope
+        if isinstance(envelope, codec.BadFrame):
+            self._abort(envelope.detail, bad_frame=True)
+            return
+        self._last_received_ms = self._clock.now_ms()
+        self._peer_stamp_ms = envelope.stamp_ms
+        self._echo_ms = max(self._echo_ms, envelope.echo_ms)
+        if self._on_message is None:
+            self._early.append(envelope)
+            self._wake_event.set()
+        else:
+            self._deliver(envelope)
+
+    def _deliver(self, envelope):
+        """Pass an envelope to the owner, and answer the peer if that is due.
+
+        An error in the owner ends this link only, and the peer's other links go on.
+        """
+        if envelope.ack or not isinstance(envelope.message, m.Heartbeat):
+            try:
+                self._on_message(envelope)
+            except Exception:
+                log.exception("message not handled", kind=type(envelope.message))
+                self._abort("a message could not be handled", bad_frame=True)
+                return
+        self._reply_if_due()
 
-    def _next_frame(self):
-        """Remove and return the next frame from the receive buffer.
+    def _abort(self, detail, *, bad_frame=False):
+        """Close the connection at once, discarding frames that are not sent yet."""
+        self._end(LinkClosed(detail, bad_frame))
+        self._transport.abort()
 
-        Returns None if it is incomplete, and a ``BadFrame`` if it is too large.
-        """
-        received = self._received
-        if len(received) < LENGTH_PREFIX.size:
-            return None
-        (length,) = LENGTH_PREFIX.unpack_from(received)
-        if length > MAX_FRAME_BYTES:
-            return codec.BadFrame(f"frame of {length} bytes")
-        end = LENGTH_PREFIX.size + length
-        if len(received) < end:
-            return None
-        data = bytes(received[LENGTH_PREFIX.size : end])
-        del received[:end]
-        return data
+    def _end(self, closed):
+        """Record why the link has ended; the first reason counts."""
+        self._closed = self._closed or closed
+        self._wake_event.set()
 
     def _ack_to_send(self, message):
         """Return the acknowledgement to send; 0 in a heartbeat if sent before."""
@@ -194,20 +249,6 @@
         self._last_sent_ack = self._ack
         return self._ack
 
-    async def _receive(self, on_message):
-        while True:
-            received = await self.receive_one()
-            match received:
-                case LinkClosed():
-                    return received
-                case codec.BadFrame(detail):
-                    return LinkClosed(detail, bad_frame=True)
-                case m.Envelope(message=m.Heartbeat(), ack=0):
-                    pass
-                case _:
-                    on_message(received)
-            self._reply_if_due()
-
     def _reply_if_due(self):
         """Send the peer an echo of its time stamp if the link is busy."""
         reply_ms = self._timing.busy_reply_ms
@@ -221,7 +262,7 @@
             now_ms = self._clock.now_ms()
             silent_at_ms = self._last_received_ms + self._timing.silence_timeout_ms
             if now_ms > silent_at_ms:
-                self.close(f"silent for {now_ms - self._last_received_ms} ms")
+                self._abort(f"silent for {now_ms - self._last_received_ms} ms")
                 return
             if self._next_heartbeat_ms() <= now_ms:
                 self.send(m.Heartbeat())
@@ -238,14 +279,32 @@
 
 async def connect(address, clock, timing=DEFAULT_TIMING):
     """Connect to ``address`` and return the ``Link``; raise OSError on failure."""
-    reader, writer = await asyncio.open_connection(address.host, address.port)
-    return Link(reader, writer, clock, timing)
+    loop = asyncio.get_running_loop()
+    _, link = await loop.create_connection(
+        lambda: Link(clock, timing), address.host, address.port
+    )
+    return link
 
 
 async def listen(address, clock, on_link, timing=DEFAULT_TIMING):
     """Listen at ``address`` and await ``on_link(link)`` for each link accepted."""
-
-    async def accept(reader, writer):
-        await on_link(Link(reader, writer, clock, timing))
-
-    return await asyncio.start_server(accept, address.host, address.port)
+    tasks = set()
+
+    def start_serving(link):
+        task = asyncio.create_task(_serve(on_link, link))
+        tasks.add(task)
+        task.add_done_callback(tasks.discard)
+
+    loop = asyncio.get_running_loop()
+    return await loop.create_server(
+        lambda: Link(clock, timing, start_serving), address.host, address.port
+    )
+
+
+async def _serve(on_link, link):
+    """Await ``on_link(link)``; an error in it ends this link only."""
+    try:
+        await on_link(link)
+    except Exception:
+        log.exception("link not served")
+        link.close("the link could not be served")
