--- a/plantainhitch/coordination/runs/agent_node.py
+++ b/plantainhitch/coordination/runs/agent_node.py
@@ -11,6 +11,7 @@
 from ... import logs
 from ...protocol import messages as m
 from ...state.endpoints import (
+    Accepted,
     EndpointReport,
     Inventory,
     OrderResult,
@@ -26,6 +27,8 @@
 from .run import StartOrder, StopOrder
 
 TICK_INTERVAL_MS = 50
+# The interval while the endpoint has no runs.
+IDLE_TICK_INTERVAL_MS = 200
 # The time for which an inventory waits for an end. It is a third of the shortest
 # lease, so that one lost answer does not let the lease expire.
 INVENTORY_WAIT_MS = 300
@@ -122,6 +125,8 @@
         self._tasks = set()
         self._last_status = None
         self._report_pacer = ReportPacer(clock)
+        # Set when there are runs, whose deadlines need frequent ticks.
+        self._busy_event = asyncio.Event()
 
     @property
     def has_links(self):
@@ -184,6 +189,8 @@
         while True:
             for event in await self._inbox.take_all():
                 self._handle_event(event)
+            if self._controller.runs:
+                self._busy_event.set()
             for order in self._controller.next_orders():
                 spawn(self._send_order(order), self._tasks)
             if self._controller.take_inventory_request():
@@ -312,7 +319,12 @@
                     controller.fence,
                     start.checkpoint,
                 )
-                self._inbox.post(StartResultReceived(start.key, result))
+                received = StartResultReceived(start.key, result)
+                if isinstance(result, Accepted):
+                    # Nothing is to be decided until the next event.
+                    self._inbox.post_without_waking(received)
+                else:
+                    self._inbox.post(received)
             case StopOrder(key):
                 result = await self._endpoint_client.stop(key, controller.fence)
                 self._inbox.post(StopResultReceived(key, result))
@@ -335,13 +347,12 @@
         owner_to_report = self._report_pacer.next_owner(
             controller.free_room, capacity_millis
         )
-        forecast = None
-        for incarnation in self._links:
-            if (
-                incarnation == owner_to_report
-                or controller.owners.get_or_create(incarnation).unsent_ends
-            ):
-                forecast = forecast or controller.forecast()
+        due = controller.owners.incarnations_with_unsent_ends() & self._links.keys()
+        if owner_to_report is not None:
+            due.add(owner_to_report)
+        if due:
+            forecast = controller.forecast()
+            for incarnation in due:
                 self._send_report(incarnation, forecast)
 
     def _send_report(self, incarnation, forecast):
@@ -352,7 +363,13 @@
 
     async def _post_ticks(self):
         while True:
-            await self._clock.sleep_ms(TICK_INTERVAL_MS)
+            if self._controller.runs:
+                await self._clock.sleep_ms(TICK_INTERVAL_MS)
+            else:
+                self._busy_event.clear()
+                with contextlib.suppress(TimeoutError):
+                    async with asyncio.timeout(IDLE_TICK_INTERVAL_MS / 1000):
+                        await self._busy_event.wait()
             self._inbox.post(TimerTicked())
 
     async def _drain_after_stop(self, stop):
--- a/plantainhitch/coordination/runs/owners.py
+++ b/plantainhitch/coordination/runs/owners.py
@@ -81,6 +81,14 @@
         owner = self._owners.get(incarnation)
         return owner is not None and owner.lease_expiry_ms >= self._clock.now_ms()
 
+    def incarnations_with_unsent_ends(self):
+        """Return a set of the owners for which ends are waiting to be reported."""
+        return {
+            incarnation
+            for incarnation, owner in self._owners.items()
+            if owner.unsent_ends
+        }
+
     def total_loads(self):
         """Return the load of each queue, summed over the owners that are linked.
 
--- a/plantainhitch/transport/http_server.py
+++ b/plantainhitch/transport/http_server.py
@@ -22,11 +22,28 @@
 
 
 class _EmbeddedServer(uvicorn.Server):
-    """A uvicorn server that leaves signal handling to the process."""
+    """A uvicorn server that leaves signal handling to the process.
+
+    Its main loop waits for ``stop`` instead of waking ten times a second, which an idle
+    process would spend most of its time on.
+    """
+
+    def __init__(self, config):
+        super().__init__(config)
+        self._stop_event = asyncio.Event()
 
     def capture_signals(self):
         return contextlib.nullcontext()
 
+    def stop(self):
+        """Make the main loop return."""
+        self.should_exit = True
+        self._stop_event.set()
+
+    async def main_loop(self):
+        await self.on_tick(0)  # sets the default headers
+        await self._stop_event.wait()
+
 
 class _HeadLimitProtocol(HttpToolsProtocol):
     """A connection that is closed if a request's head exceeds ``MAX_HEAD_BYTES``."""
@@ -80,7 +97,7 @@
         """
         if grace_ms is not None:
             self._server.config.timeout_graceful_shutdown = grace_ms / 1000
-        self._server.should_exit = True
+        self._server.stop()
         await self._task
 
 
