--- a/plantainhitch/coordination/jobs/fleet.py
+++ b/plantainhitch/coordination/jobs/fleet.py
@@ -45,6 +45,8 @@
     incarnation: bytes
     name: str
     zone: str
+    # Rises with each incarnation that becomes known.
+    number: int = 0
     # Whether traffic to the agent leaves the entry's availability zone.
     is_cross_zone: bool = False
     link: object = None
@@ -181,6 +183,7 @@
         self._endpoint_lease_ms = lease_ms * CLOCK_DRIFT_FACTOR + LEASE_MARGIN_MS
         self._max_silence_ms = OWNER_LEASE_MS + self._endpoint_lease_ms
         self._agents = {}
+        self._known_count = 0
         self._pool_views = {}
         self.speeds = SpeedEstimates()
 
@@ -197,7 +200,10 @@
         """Record a new link to an agent; return the agent's view."""
         agent = self._agents.get(hello.incarnation)
         if agent is None:
-            agent = AgentView(hello.incarnation, hello.name, hello.zone)
+            self._known_count += 1
+            agent = AgentView(
+                hello.incarnation, hello.name, hello.zone, self._known_count
+            )
             agent.remote_factor = self._remote_factor
             agent.is_cross_zone = hello.zone != self._zone
             self._agents[hello.incarnation] = agent
--- a/plantainhitch/coordination/jobs/route_watch.py
+++ b/plantainhitch/coordination/jobs/route_watch.py
@@ -29,7 +29,7 @@
         self._source = source
         self._on_change = on_change
         self._table = None
-        self._last_read_ms = 0
+        self._last_answer_ms = clock.now_ms()
         self._is_store_reachable = True
 
     @property
@@ -61,7 +61,7 @@
         """
         match await self._source.read():
             case Success((revision, table)):
-                self._record_read()
+                self._record_answer()
                 if table is not None:
                     self.apply(table)
             case Failure(fault):
@@ -70,20 +70,21 @@
         while (remaining_ms := reread_at_ms - self._clock.now_ms()) > 0:
             match await self._source.wait(revision, min(LONG_POLL_MS, remaining_ms)):
                 case Success((revision, table)):
+                    self._record_answer()
                     if table is not None:
                         self.apply(table)
                 case Failure(fault):
                     return self._record_fault(fault)
         return True
 
-    def _record_read(self):
+    def _record_answer(self):
         if not self._is_store_reachable:
             log.notice(
                 "store reachable again",
-                away_ms=self._clock.now_ms() - self._last_read_ms,
+                away_ms=self._clock.now_ms() - self._last_answer_ms,
             )
         self._is_store_reachable = True
-        self._last_read_ms = self._clock.now_ms()
+        self._last_answer_ms = self._clock.now_ms()
 
     def _record_fault(self, fault):
         if self._is_store_reachable:
--- a/plantainhitch/coordination/jobs/scheduler.py
+++ b/plantainhitch/coordination/jobs/scheduler.py
@@ -246,10 +246,11 @@
     def _remove_predecessors(self, agent):
         """Remove earlier incarnations of an agent whose endpoint is ready.
 
-        No run that an earlier one ordered is at work then, see ``EndpointStatus``.
+        No run that an earlier one ordered is at work then, see ``EndpointStatus``. A
+        delayed status of an earlier incarnation says nothing about a later one.
         """
         for other in list(self._fleet.agents.values()):
-            if other is not agent and other.name == agent.name:
+            if other.name == agent.name and other.number < agent.number:
                 self._remove_agent(other, "the agent was replaced")
 
     def _remove_agent(self, agent, why):
--- a/plantainhitch/coordination/runs/endpoint_lease.py
+++ b/plantainhitch/coordination/runs/endpoint_lease.py
@@ -70,6 +70,10 @@
             self._clock_offset_ms = clock_ms - self._last_answer_ms
 
     def reset(self):
-        """Discard the lease and the clock of a lifetime that has ended."""
+        """Discard the lease and the clock of a lifetime that has ended.
+
+        The next lifetime is not suspect for the silence of this one.
+        """
+        self._last_answer_ms = self._clock.now_ms()
         self._clock_offset_ms = None
         self._last_renewal_ms = None
--- a/plantainhitch/coordination/runs/owners.py
+++ b/plantainhitch/coordination/runs/owners.py
@@ -9,9 +9,9 @@
 
 from ...protocol import messages as m
 
-# A run is stopped when its owner has not been heard from for this long. Together
-# with the time of the stop and the endpoint's lease this stays below the 1.3 s after
-# which callers resubmit. It is longer than three heartbeats and a retransmission.
+# A run is stopped when its owner has not been heard from for this long: longer than
+# three heartbeats and a retransmission, and shorter than the 1.3 s after which callers
+# resubmit a job whose entry is gone.
 OWNER_LEASE_MS = 900
 
 
--- a/plantainhitch/coordination/runs/run_controller.py
+++ b/plantainhitch/coordination/runs/run_controller.py
@@ -383,13 +383,29 @@
         if not self._owners.is_alive(incarnation):
             self._finish(key, End.NOT_STARTED, "stale order")
             return
-        for other in list(self._runs.values()):
-            if other.start.key.task == key.task and other is not run:
-                self._stop_run(other, "a newer run of the task")
-        refusal = self._start_refusal(run)
+        refusal = self._replace_older_runs(run) or self._start_refusal(run)
         if refusal:
             self._finish(key, End.NOT_STARTED, refusal)
 
+    def _replace_older_runs(self, new_run):
+        """Stop the other runs of a task; return why the start is refused instead.
+
+        Only an owner's own run numbers compare. A start of one that is older than
+        another of its runs was delayed, for example on a link that it has replaced.
+        """
+        key = new_run.start.key
+        others = [
+            other
+            for other in self._runs.values()
+            if other.start.key.task == key.task and other is not new_run
+        ]
+        for other in others:
+            if other.owner == new_run.owner and other.start.key.run > key.run:
+                return "older than another run of the task"
+        for other in others:
+            self._stop_run(other, "a newer run of the task")
+        return ""
+
     def _start_refusal(self, run):
         """Return why a start is refused at once, or an empty string."""
         if not self.is_ready:
@@ -550,6 +566,7 @@
             has_room = free.can_fit(start.room) and millis_left >= reserved
             if has_room and start.key.task not in tasks_at_endpoint:
                 run.phase = Phase.STARTING
+                tasks_at_endpoint.add(start.key.task)
                 self._used_room += start.room
                 run.started_ms = now_ms
                 free -= start.room
--- a/tests/test_job_scheduler.py
+++ b/tests/test_job_scheduler.py
@@ -332,6 +332,14 @@
         self.join(b"new", name=agent.decode())
         self.assertEqual(1, len(self.starts()))
 
+    def test_a_late_status_of_an_old_agent_does_not_remove_the_new_one(self):
+        # The new agent is linked and not ready yet.
+        hello = m.Hello(m.ROLE_AGENT, b"new", "one")
+        self.scheduler.agent_linked(hello, FakeLink(self.clock))
+        status = m.EndpointStatus("e-one", 1, "pool", True, capacity=CAPACITY)
+        self.scheduler.handle_agent_message(b"one", status)
+        self.assertIsNotNone(self.scheduler.fleet.get(b"new"))
+
     def test_a_new_link_to_the_same_agent_names_its_runs(self):
         ((agent, start),) = self.submit()
         self.scheduler.agent_unlinked(agent, self.links[agent])
--- a/tests/test_run_controller.py
+++ b/tests/test_run_controller.py
@@ -155,6 +155,34 @@
         self.deliver_inventory(ended=[EndedRun(1, older.key, End.STOPPED, "")])
         self.assertEqual([StartOrder(newer)], self.controller.next_orders())
 
+    def test_a_delayed_older_start_of_an_owner_does_not_stop_the_newer_run(self):
+        # Its link was replaced, and the frames of the old one arrive last.
+        newer = run_start(run=2)
+        self.send_orders(newer)
+        self.controller.handle_start_result(newer.key, Accepted(1))
+        self.assertEqual([], self.send_orders(run_start(run=1)))
+        self.assertEqual([newer.key], list(self.controller.runs))
+        ends = self.controller.next_report(OWNER).ends
+        self.assertEqual(
+            [(RunKey("job.0.0.0", 1), End.NOT_STARTED)],
+            [(end.key, end.end) for end in ends],
+        )
+
+    def test_a_run_of_another_owner_replaces_one_with_a_higher_number(self):
+        # The caller submitted its job again, at an entry that numbers runs anew.
+        self.link_owner(OTHER)
+        older = run_start(run=2)
+        self.send_orders(older)
+        self.controller.handle_start_result(older.key, Accepted(1))
+        orders = self.send_orders(run_start(run=1), owner=OTHER)
+        self.assertIn(StopOrder(older.key), orders)
+
+    def test_a_new_lifetime_is_not_suspect_for_the_silence_of_the_old_one(self):
+        self.clock.advance(SUSPECT_AFTER_MS + 1)
+        self.assertTrue(self.controller.lease.is_suspect)
+        self.controller.handle_heartbeat(heartbeat(born_ms=2))
+        self.assertFalse(self.controller.lease.is_suspect)
+
     def test_starts_are_ordered_by_load_of_the_queue_then_by_slack(self):
         self.start_runs(run_start(cpu=4_000))
         self.controller.handle_queue_loads(
