--- a/plantainhitch/coordination/jobs/entry_node.py
+++ b/plantainhitch/coordination/jobs/entry_node.py
@@ -134,6 +134,7 @@
             self._run_scheduler(),
             self._tick(),
             self._connections.run(),
+            self._peers.run(),
             self._routes.run(),
             self._run_membership(),
             self._drain_after(stop),
--- a/plantainhitch/coordination/membership.py
+++ b/plantainhitch/coordination/membership.py
@@ -126,6 +126,14 @@
             members.append(self._own_member)
         return members
 
+    def unstored_members(self):
+        """Return the members without a row that was read, this one among them."""
+        return [
+            member
+            for member in self.present_members()
+            if self._row_revisions.get(member.incarnation, ABSENT) == ABSENT
+        ]
+
     def add_introduced(self, member):
         """Add a member that did not come from the table; return whether it is new.
 
--- a/plantainhitch/protocol/messages.py
+++ b/plantainhitch/protocol/messages.py
@@ -246,7 +246,10 @@
 
 @dataclass(slots=True)
 class Introduction:
-    """Members that the sender knows, each as the JSON of its row in the store."""
+    """Members that the sender knows, each as the JSON of its row in the store.
+
+    Without members it asks the receiver for those that the sender may not know.
+    """
 
     members: list[bytes]
 
