--- a/plantainhitch/coordination/jobs/entry_node.py
+++ b/plantainhitch/coordination/jobs/entry_node.py
@@ -114,9 +114,14 @@
             if not outcome_future.done():
                 outcome_future.set_result(outcome)
 
-        self._inbox.post(
-            lambda: self._scheduler.submit(spec, route, caller_timeout_ms, set_outcome)
-        )
+        def submit():
+            try:
+                self._scheduler.submit(spec, route, caller_timeout_ms, set_outcome)
+            except Exception:
+                set_outcome(GaveUp("internal error"))
+                raise
+
+        self._inbox.post(submit)
         await asyncio.wait(
             (outcome_future, disconnected), return_when=asyncio.FIRST_COMPLETED
         )
@@ -158,24 +163,30 @@
         scheduler = self._scheduler
         while True:
             for event in await self._inbox.take_all():
-                match event:
-                    case e.AgentMessageReceived(incarnation, message):
-                        scheduler.handle_agent_message(incarnation, message)
-                    case e.AgentLinked(hello=hello, link=link):
-                        scheduler.agent_linked(hello, link)
-                    case e.AgentUnlinked(incarnation, link):
-                        scheduler.agent_unlinked(incarnation, link)
-                    case e.AgentGone(incarnation) | e.AgentConnectionRefused(
-                        incarnation
-                    ):
-                        scheduler.agent_confirmed_dead(incarnation)
-                    case e.TimerTicked():
-                        pass
-                    case _:
-                        event()
+                try:
+                    self._handle_event(event)
+                except Exception:
+                    # One event must not end the process, and with it all its jobs.
+                    log.exception("event not handled", kind=type(event).__name__)
             for agent, message in scheduler.run_round():
                 agent.link.send(message)
 
+    def _handle_event(self, event):
+        scheduler = self._scheduler
+        match event:
+            case e.AgentMessageReceived(incarnation, message):
+                scheduler.handle_agent_message(incarnation, message)
+            case e.AgentLinked(hello=hello, link=link):
+                scheduler.agent_linked(hello, link)
+            case e.AgentUnlinked(incarnation, link):
+                scheduler.agent_unlinked(incarnation, link)
+            case e.AgentGone(incarnation) | e.AgentConnectionRefused(incarnation):
+                scheduler.agent_confirmed_dead(incarnation)
+            case e.TimerTicked():
+                pass
+            case _:
+                event()
+
     async def _tick(self):
         while True:
             has_ready_tasks = self._scheduler.has_ready_tasks
--- a/plantainhitch/coordination/runs/agent_node.py
+++ b/plantainhitch/coordination/runs/agent_node.py
@@ -188,7 +188,11 @@
     async def _process_events(self):
         while True:
             for event in await self._inbox.take_all():
-                self._handle_event(event)
+                try:
+                    self._handle_event(event)
+                except Exception:
+                    # One event must not end the process, and with it all its runs.
+                    log.exception("event not handled", kind=type(event).__name__)
             if self._controller.runs:
                 self._busy_event.set()
             for order in self._controller.next_orders():
@@ -311,6 +315,9 @@
     async def _send_order(self, order):
         controller = self._controller
         match order:
+            case StartOrder(start) if not controller.may_send_start(start.key):
+                result = Rejected(Rejection.WITHDRAWN)
+                self._inbox.post(StartResultReceived(start.key, result))
             case StartOrder(start):
                 result = await self._endpoint_client.start(
                     start.key,
--- a/plantainhitch/coordination/runs/run.py
+++ b/plantainhitch/coordination/runs/run.py
@@ -47,6 +47,15 @@
     last_progress_ms: int = 0
     is_listed: bool = False
 
+    @property
+    def ms_per_percent(self):
+        """The time in ms in which the run is expected to progress by one percent."""
+        expected_ms = self.start.estimate_ms / 100
+        if self.percent > 0:
+            progressed_ms = self.last_progress_ms - self.started_ms
+            expected_ms = max(expected_ms, progressed_ms / self.percent)
+        return expected_ms
+
 
 @dataclass(frozen=True, slots=True)
 class StartOrder:
--- a/plantainhitch/coordination/runs/run_controller.py
+++ b/plantainhitch/coordination/runs/run_controller.py
@@ -33,9 +33,12 @@
 FENCE_STEP = 60_000
 # An order to stop is sent again if the run has not ended after this long.
 STOP_RETRY_MS = 200
-# A run whose progress has not risen for this long is stalled: a healthy run has
+# A run whose progress has not risen for this long is stalled: a healthy short run has
 # progressed in each inventory, and inventories arrive at least every 300 ms.
 STALL_TIMEOUT_MS = 700
+# Progress is listed in whole percent, so that of a long run rises rarely. A run is not
+# stalled before the time in which it should have risen by this much.
+STALL_PERCENT = 5
 STALLED_REASON = "stalled"
 # The interval between checks of leases and wait deadlines, the shortest of which is
 # 30 ms.
@@ -264,6 +267,19 @@
         self._ranks = QueueRanks(total)
         return m.QueueLoads(total)
 
+    def may_send_start(self, key):
+        """Return whether the order to start a run may still be sent to the endpoint.
+
+        The process may have been paused since it decided on the start, and the owner
+        may have given the task to another endpoint meanwhile.
+        """
+        run = self._runs.get(key)
+        return (
+            run is not None
+            and run.phase is Phase.STARTING
+            and self._owners.is_alive(run.owner)
+        )
+
     def handle_start_result(self, key, result):
         """Record the ``OrderResult`` of a start."""
         run = self._runs.get(key)
@@ -491,7 +507,8 @@
             if run.phase is not Phase.RUNNING:
                 continue
             no_progress_since_ms = max(run.last_progress_ms, run.started_ms)
-            if self._last_inventory_ms - no_progress_since_ms > STALL_TIMEOUT_MS:
+            timeout_ms = max(STALL_TIMEOUT_MS, STALL_PERCENT * run.ms_per_percent)
+            if self._last_inventory_ms - no_progress_since_ms > timeout_ms:
                 self._stop_run(run, STALLED_REASON)
 
     def _resend_end(self, incarnation, key):
--- a/plantainhitch/state/endpoints.py
+++ b/plantainhitch/state/endpoints.py
@@ -83,6 +83,7 @@
 
     ``NOT_LISTENING`` means that the connection was refused, so nothing listens at the
     endpoint's address any more; ``UNREACHABLE`` only that no connection could be made.
+    ``WITHDRAWN`` is the agent's own: the order was not sent, as it was no longer valid.
     """
 
     FENCE = "fence"
@@ -94,6 +95,7 @@
     OTHER_LIFETIME = "other_lifetime"
     UNREACHABLE = "unreachable"
     NOT_LISTENING = "gone"
+    WITHDRAWN = "withdrawn"
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/test_run_controller.py
+++ b/tests/test_run_controller.py
@@ -5,7 +5,7 @@
 from plantainhitch.clock import ManualClock
 from plantainhitch.coordination.runs.endpoint_lease import SUSPECT_AFTER_MS
 from plantainhitch.coordination.runs.owners import OWNER_LEASE_MS
-from plantainhitch.coordination.runs.run import StartOrder, StopOrder
+from plantainhitch.coordination.runs.run import Phase, StartOrder, StopOrder
 from plantainhitch.coordination.runs.run_controller import STOP_RETRY_MS, RunController
 from plantainhitch.protocol import messages as m
 from plantainhitch.state.endpoints import (
@@ -316,6 +316,64 @@
         self.assertIsNone(self.controller.lease.renewal_expiry_ms)
         self.assertEqual([], self.send_orders(run_start()))
 
+    def test_a_start_is_not_sent_after_its_owners_lease(self):
+        # The process was paused between the decision and the call to the endpoint. The
+        # owner may have placed the task at another endpoint meanwhile.
+        start = run_start()
+        self.send_orders(start)
+        self.assertTrue(self.controller.may_send_start(start.key))
+        self.clock.advance(OWNER_LEASE_MS + 1)
+        self.assertFalse(self.controller.may_send_start(start.key))
+
+    def test_a_start_is_not_sent_after_its_run_was_stopped(self):
+        start = run_start()
+        self.send_orders(start)
+        self.send_orders(stops=[start.key])
+        self.assertFalse(self.controller.may_send_start(start.key))
+        self.controller.handle_start_result(start.key, Rejected(Rejection.WITHDRAWN))
+        (end,) = self.controller.next_report(OWNER).ends
+        self.assertEqual(End.NOT_STARTED, end.end)
+
+    def list_progress(self, key, percent, after_ms):
+        """Pass in inventories each 100 ms, the last one with this progress."""
+        for remaining in reversed(range(after_ms // 100)):
+            self.clock.advance(100)
+            self.renew_owner_lease()
+            self.controller.lease.record_renewal()
+            listed = self.controller.runs[key].percent if remaining else percent
+            rows = (ActiveRun(key, "", listed),)
+            self.controller.handle_inventory(
+                Inventory(self.clock.now_ms(), 1, rows, ())
+            )
+            self.controller.next_orders()
+
+    def test_a_long_run_whose_percent_rises_rarely_is_not_stalled(self):
+        # A run of five minutes progresses by one percent in 3 s. It was stopped and
+        # started elsewhere each 700 ms, and never ended.
+        start = run_start()
+        start.estimate_ms = 300_000
+        self.send_orders(start)
+        self.controller.handle_start_result(start.key, Accepted(1))
+        for percent in (1, 2, 3):
+            self.list_progress(start.key, percent, 3_000)
+        self.assertIs(Phase.RUNNING, self.controller.runs[start.key].phase)
+
+    def test_a_run_slower_than_its_estimate_is_judged_by_its_own_progress(self):
+        start = run_start()
+        start.estimate_ms = 1_000
+        self.send_orders(start)
+        self.controller.handle_start_result(start.key, Accepted(1))
+        self.list_progress(start.key, 1, 600)
+        self.list_progress(start.key, 2, 1_400)
+        self.assertIs(Phase.RUNNING, self.controller.runs[start.key].phase)
+
+    def test_a_run_that_makes_no_progress_is_stopped(self):
+        start = run_start()
+        self.send_orders(start)
+        self.controller.handle_start_result(start.key, Accepted(1))
+        self.list_progress(start.key, 0, 900)
+        self.assertIs(Phase.STOPPING, self.controller.runs[start.key].phase)
+
     def test_runs_are_lost_once_the_lease_has_certainly_expired(self):
         first = run_start()
         self.start_runs(first)
