--- a/plantainhitch/coordination/runs/agent_node.py
+++ b/plantainhitch/coordination/runs/agent_node.py
@@ -201,13 +201,14 @@
                 spawn(self._request_inventory(), self._tasks)
             self._send_new_reports()
 
-    def _record_echoes(self):
-        """Renew owners' leases by the echoes of heartbeats.
+    def _record_echoes(self, incarnations):
+        """Renew the leases of owners by the echoes of heartbeats.
 
         Links do not pass heartbeat frames on as messages.
         """
-        for incarnation, link in self._links.items():
-            self._controller.owners.record_frame(incarnation, link.echo_ms, 0)
+        for incarnation in incarnations & self._links.keys():
+            echo_ms = self._links[incarnation].echo_ms
+            self._controller.owners.record_frame(incarnation, echo_ms, 0)
 
     def _handle_event(self, event):
         controller = self._controller
@@ -237,8 +238,8 @@
                     self._report_pacer.remove_owner(incarnation)
                     controller.owners.link_closed(incarnation)
             case TimerTicked():
-                self._record_echoes()
                 incarnations_with_runs = {run.owner for run in controller.runs.values()}
+                self._record_echoes(incarnations_with_runs)
                 controller.owners.remove_expired(incarnations_with_runs)
 
     def _handle_message(self, incarnation, envelope):
--- a/plantainhitch/coordination/runs/report_pacer.py
+++ b/plantainhitch/coordination/runs/report_pacer.py
@@ -40,6 +40,12 @@
         from ``free``. ``capacity_millis`` is the endpoint's processor in thousandths
         of a core.
         """
+        now_ms = self._clock.now_ms()
+        interval_ms = INTERVAL_PER_OWNER_MS * len(self._last_reports)
+        if free.cpu_millis > PLENTIFUL_SHARE * capacity_millis:
+            interval_ms *= PLENTIFUL_INTERVAL_FACTOR
+        if now_ms - self._last_turn_ms < interval_ms:
+            return None
         outdated = [
             (sent_ms, owner)
             for owner, (sent_free, sent_ms) in self._last_reports.items()
@@ -47,11 +53,5 @@
         ]
         if not outdated:
             return None
-        interval_ms = INTERVAL_PER_OWNER_MS * len(self._last_reports)
-        if free.cpu_millis > PLENTIFUL_SHARE * capacity_millis:
-            interval_ms *= PLENTIFUL_INTERVAL_FACTOR
-        now_ms = self._clock.now_ms()
-        if now_ms - self._last_turn_ms < interval_ms:
-            return None
         self._last_turn_ms = now_ms
         return min(outdated)[1]
--- a/plantainhitch/coordination/runs/run_controller.py
+++ b/plantainhitch/coordination/runs/run_controller.py
@@ -76,6 +76,8 @@
         self._is_stopping = False
         self._ranks = QueueRanks()
         self._orders = []
+        # The last status, and the report and the readiness that it was built from.
+        self._status = self._status_inputs = None
 
     @property
     def owners(self):
@@ -144,6 +146,13 @@
         endpoint = self._endpoint
         if endpoint is None:
             return m.EndpointStatus("", 0, "", ready=False)
+        inputs = endpoint, self.is_ready
+        if inputs != self._status_inputs:
+            self._status_inputs = inputs
+            self._status = self._build_status(endpoint)
+        return self._status
+
+    def _build_status(self, endpoint):
         return m.EndpointStatus(
             endpoint_id=endpoint.endpoint_id,
             born_ms=endpoint.born_ms,
--- a/tests/fleet_sim.py
+++ b/tests/fleet_sim.py
@@ -10,6 +10,7 @@
 from dataclasses import dataclass, field
 
 from plantainhitch.clock import ManualClock
+from plantainhitch.coordination.jobs.agent_subset import AgentSubset
 from plantainhitch.coordination.jobs.outcomes import Ended, JobState
 from plantainhitch.coordination.jobs.scheduler import Scheduler
 from plantainhitch.coordination.runs.report_pacer import ReportPacer
@@ -25,6 +26,7 @@
     Inventory,
 )
 from plantainhitch.state.jobs import JobSpec, Room, StepSpec
+from plantainhitch.state.members import Member
 from plantainhitch.state.routes import Route
 
 STEP_MS = 2
@@ -275,9 +277,7 @@
             )
             for number in range(self.entries)
         ]
-        for number, scheduler in enumerate(self.schedulers):
-            for agent in self.agents:
-                self._connect(number, scheduler, agent)
+        self._connect_subsets()
 
     def call_later(self, delay_ms, call):
         """Call ``call()`` after ``delay_ms``."""
@@ -369,8 +369,25 @@
             for burst in bursts:
                 if burst.is_active(now_ms, kind.route.name):
                     rate *= burst.factor
-            if self.rng.random() < rate * STEP_MS / 1_000:
+            expected_count = rate * STEP_MS / 1_000
+            while expected_count > 0 and self.rng.random() < expected_count:
                 self.submit(kind)
+                expected_count -= 1
+
+    def _connect_subsets(self):
+        """Link each entry to the agents that it selects, knowing all members."""
+        entries = [
+            _member(m.ROLE_ENTRY, f"entry-{number}", number)
+            for number in range(self.entries)
+        ]
+        agents = {
+            _member(m.ROLE_AGENT, agent.name, number): agent
+            for number, agent in enumerate(self.agents)
+        }
+        for number, scheduler in enumerate(self.schedulers):
+            subset = AgentSubset(entries[number].link)
+            for member in subset.select(entries, agents):
+                self._connect(number, scheduler, agents[member])
 
     def _connect(self, number, scheduler, agent):
         incarnation = b"entry-%d" % number
@@ -409,6 +426,12 @@
             agent.link.send(message)
 
 
+def _member(role, name, number):
+    """Return a member; members are spread evenly over the zones."""
+    zone = f"z{number % ZONES}"
+    return Member(role, name.encode(), name, zone, "region", "", f"{name}:1", "")
+
+
 def route(name, priority, attempts=3):
     """Return a route with the stretch and target that the sites use."""
     return Route(name, "", "/", POOL, priority, attempts, stretch=1.6, target_ms=60)
