--- a/plantainhitch/coordination/jobs/peers.py
+++ b/plantainhitch/coordination/jobs/peers.py
@@ -29,6 +29,9 @@
 # many of them are asked.
 REQUEST_INTERVAL_MS = 400
 REQUESTED_PEERS = 3
+# The delay after which the entry with the higher address of two dials the other.
+SECOND_DIAL_DELAY_MS = 700
+LINK_CHECK_INTERVAL_MS = 500
 # A peer without a link is taken to be alive for this long, which is longer than its
 # restart takes, or a first connection.
 PEER_GRACE_MS = 3_000
@@ -58,10 +61,11 @@
         self._known_by_link = {}
         # By link: the newest configuration version that the peer has named.
         self._version_by_link = {}
-        # By the address of a dialled peer: when its link ended, or when it was dialled
-        # for the first time.
+        # By link: the incarnation of the peer.
+        self._incarnation_by_link = {}
+        self._dialled_addresses = set()
+        # By the address of a peer: when its last link ended, or when it became known.
         self._last_alive_ms = {}
-        self._linked_addresses = set()
         self._tasks = set()
 
     @property
@@ -72,15 +76,16 @@
     def is_alive(self, address):
         """Return whether the link to a peer is open or was recently."""
         last_alive_ms = self._last_alive_ms.get(address)
-        return address in self._linked_addresses or (
+        return self._is_linked(address) or (
             last_alive_ms is not None
             and self._clock.now_ms() - last_alive_ms < PEER_GRACE_MS
         )
 
     def dial(self, address):
         """Maintain a link to the entry at an address, given as ``IP:port``."""
-        if address in self._last_alive_ms or address == self._own_member.link:
+        if address in self._dialled_addresses or address == self._own_member.link:
             return
+        self._dialled_addresses.add(address)
         self._last_alive_ms[address] = self._clock.now_ms()
         spawn(self._maintain_link(Address.from_text(address)), self._tasks)
 
@@ -121,8 +126,19 @@
             link.close("the entry shuts down")
 
     async def _maintain_link(self, address):
+        """Dial a peer whenever neither side has a link to the other.
+
+        Of two entries the one with the lower address dials first, so that usually a
+        single link connects them.
+        """
         backoff = Backoff(first_delay_ms=FIRST_REDIAL_MS, max_delay_ms=MAX_REDIAL_MS)
+        dials_first = self._own_member.link < str(address)
         while True:
+            if not dials_first:
+                await self._clock.sleep_ms(SECOND_DIAL_DELAY_MS)
+            if self._is_linked(str(address)):
+                await self._clock.sleep_ms(LINK_CHECK_INTERVAL_MS)
+                continue
             link, hello = await open_link(
                 address, self._clock, self._make_hello(), PEER_LINK_TIMING
             )
@@ -131,15 +147,25 @@
                 return
             if hello is not None:
                 backoff.reset()
-                self._linked_addresses.add(str(address))
                 await self._serve(link, hello)
-                self._linked_addresses.discard(str(address))
-                self._last_alive_ms[str(address)] = self._clock.now_ms()
             await self._clock.sleep_ms(backoff.next_delay_ms())
 
+    def _is_linked(self, address):
+        """Return whether a link to or from the entry at an address is open."""
+        return any(
+            self._address_of(incarnation) == address
+            for incarnation in self._incarnation_by_link.values()
+        )
+
+    def _address_of(self, incarnation):
+        """Return the link address of an entry, or None if it isn't known."""
+        member = self._membership.find_entry(incarnation)
+        return member.link if member is not None else None
+
     async def _serve(self, link, hello):
         self._known_by_link[link] = {hello.incarnation}
         self._version_by_link[link] = hello.configuration_version
+        self._incarnation_by_link[link] = hello.incarnation
         self._introduce(link, self._membership.unstored_members())
         table = self._routes.table
         if table is not None and table.version > hello.configuration_version:
@@ -149,6 +175,9 @@
             log.info("peer link ended", peer=hello.name, why=closed.detail)
         finally:
             del self._known_by_link[link], self._version_by_link[link]
+            del self._incarnation_by_link[link]
+            if address := self._address_of(hello.incarnation):
+                self._last_alive_ms[address] = self._clock.now_ms()
 
     async def _push_routes(self, table):
         """Send a configuration to the peers that did not get it from the store."""
--- a/tests/test_job_peers.py
+++ b/tests/test_job_peers.py
@@ -4,7 +4,7 @@
 import unittest
 
 from plantainhitch.clock import ManualClock
-from plantainhitch.coordination.jobs.peers import Peers
+from plantainhitch.coordination.jobs.peers import PEER_GRACE_MS, Peers
 from plantainhitch.protocol import messages as m
 from plantainhitch.state.members import Member
 from plantainhitch.state.routes import RouteTable
@@ -32,6 +32,10 @@
         """Return the members that were introduced."""
         return [item for key, item in self.members.items() if key not in self.stored]
 
+    def find_entry(self, incarnation):
+        """Return a member, or None."""
+        return self.members.get(incarnation)
+
     def entries(self, region):
         """Return no entry to dial."""
         return ()
@@ -84,8 +88,9 @@
         self.own = member("own", m.ROLE_ENTRY)
         self.membership = FakeMembership(member("a"), member("b"))
         self.routes = FakeRoutes()
+        self.clock = ManualClock(10_000)
         self.peers = Peers(
-            ManualClock(), self.own, None, self.membership, self.routes, None
+            self.clock, self.own, None, self.membership, self.routes, None
         )
         self.membership.on_change = self.peers.announce_members
         self.links = [FakeLink(), FakeLink()]
@@ -164,6 +169,21 @@
         documents = [text for _, text in self.links[0].configurations if text]
         self.assertEqual([b"8"], documents)
 
+    async def test_a_peer_is_alive_while_it_has_a_link_and_shortly_after(self):
+        peer = member("peer", m.ROLE_ENTRY)
+        self.membership.add_introduced(peer)
+        self.assertFalse(self.peers.is_alive(peer.link))
+        hello = m.Hello(m.ROLE_ENTRY, peer.incarnation, peer.name)
+        task = asyncio.create_task(self.peers._serve(FakeLink(), hello))
+        await asyncio.sleep(0)
+        self.clock.advance(60_000)
+        self.assertTrue(self.peers.is_alive(peer.link))
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+        self.assertTrue(self.peers.is_alive(peer.link))
+        self.clock.advance(PEER_GRACE_MS)
+        self.assertFalse(self.peers.is_alive(peer.link))
+
     async def test_an_ended_link_is_removed(self):
         self.tasks[0].cancel()
         await asyncio.gather(self.tasks[0], return_exceptions=True)
