--- a/plantainhitch/coordination/keys.py
+++ b/plantainhitch/coordination/keys.py
@@ -231,9 +231,12 @@
     if value is None:
         return None
     try:
-        return msgspec.json.decode(value, type=BindingModel)
-    except msgspec.DecodeError:
+        model = msgspec.json.decode(value, type=BindingModel)
+        bytes.fromhex(model.submission)
+        bytes.fromhex(model.digest)
+    except ValueError:  # msgspec.DecodeError is one
         return None
+    return model
 
 
 def _bind_result(call, model, is_expired):
--- a/plantainhitch/transport/http_client.py
+++ b/plantainhitch/transport/http_client.py
@@ -13,6 +13,7 @@
 
 MAX_CONNECTIONS = 60
 MAX_RESPONSE_BYTES = 16 * 1024 * 1024
+MAX_HEADER_BYTES = 64 * 1024
 # Shorter than the keep-alive timeout of common servers, so that the client closes an
 # idle connection first.
 IDLE_TIMEOUT_MS = 4_000
@@ -69,6 +70,7 @@
     headers: dict[bytes, bytes] = field(default_factory=dict)
     chunks: list[bytes] = field(default_factory=list)
     size: int = 0
+    header_bytes: int = 0
 
 
 class _Connection(asyncio.Protocol):
@@ -120,10 +122,17 @@
             self._finish(ConnectionLost(str(exc or "closed by the peer")), reuse=False)
 
     def on_header(self, name, value):
+        self._partial.header_bytes += len(name) + len(value)
+        if self._partial.header_bytes > MAX_HEADER_BYTES:
+            if self._waiter is not None:
+                self._finish(ConnectionLost("headers too large"), reuse=False)
+            return
         self._partial.headers[name.lower()] = value
 
     def on_body(self, body):
         self._partial.size += len(body)
+        if self._waiter is None:
+            return
         if self._partial.size > MAX_RESPONSE_BYTES:
             self._finish(ResponseTooLarge(), reuse=False)
             return
--- a/tests/test_endpoint_client.py
+++ b/tests/test_endpoint_client.py
@@ -1,5 +1,7 @@
 """Tests of the endpoint client against the stand-in endpoint and its faults."""
 
+import asyncio
+import contextlib
 import unittest
 
 import msgspec
@@ -10,6 +12,7 @@
 from plantainhitch.standins.endpoint import EndpointOptions, EndpointStandIn, Faults
 from plantainhitch.transport.addresses import Address
 from plantainhitch.transport.endpoint_http import HttpEndpointClient
+from plantainhitch.transport.http_client import ConnectionLost, HttpClient
 
 SUBMISSION = bytes(range(40))
 LOOPBACK = Address("127.0.0.1", 0)
@@ -90,3 +93,27 @@
         await self.run_with_faults(make_start(1, timeout_ms=50, sleep_ms=100))
         outcome = await self.run_with_faults(make_start(2))
         self.assertEqual(msgspec.json.decode(outcome.body)["index"], 2)
+
+
+class ResponseHeadTests(unittest.IsolatedAsyncioTestCase):
+    """Responses whose headers would fill the memory of the caller."""
+
+    async def test_too_large_headers_end_the_request_and_the_next_is_served(self):
+        async def answer(reader, writer):
+            await reader.readuntil(b"\r\n\r\n")
+            lines = self.lines.pop()
+            writer.write(b"HTTP/1.1 200 OK\r\n" + lines + b"\r\n")
+            with contextlib.suppress(ConnectionError):
+                await writer.drain()
+
+        many = b"".join(b"h%d: %s\r\n" % (n, b"x" * 1_000) for n in range(100))
+        self.lines = [b"Content-Length: 0\r\n", many + b"Content-Length: 0\r\n"]
+        server = await asyncio.start_server(answer, "127.0.0.1", 0)
+        address = Address(*server.sockets[0].getsockname())
+        client = HttpClient(address, Clock())
+        first = await client.request(b"GET", b"/")
+        second = await client.request(b"GET", b"/")
+        client.close()
+        server.close()
+        self.assertIsInstance(first, ConnectionLost)
+        self.assertEqual(200, second.status)
--- a/tests/test_keys.py
+++ b/tests/test_keys.py
@@ -108,6 +108,16 @@
         self.assertEqual(await KeySweeper(self.platform, self.clock).sweep(), 0)
         self.assertEqual(self.platform.counters.reads, 2)
 
+    async def test_row_with_an_id_that_is_not_hexadecimal_affects_no_other_key(self):
+        value = b'{"submission":"zz","digest":"00","bound_ms":1}'
+        await self.platform.write(TABLE_KEYS, [Write(key_hash("bad"), value)])
+        bad, good = await asyncio.gather(
+            self.binder.bind("bad", DIGEST, b"a"),
+            self.binder.bind("good", DIGEST, b"b"),
+        )
+        self.assertIs(ErrorCode.INTERNAL, bad.failure().code)
+        self.assertEqual(Success(Binding(b"b", DIGEST, True)), good)
+
     async def test_unreadable_row_does_not_affect_other_keys(self):
         writes = [Write(key_hash("bad"), b"{bad")]
         await self.platform.write(TABLE_KEYS, writes)
