--- a/plantainhitch/coordination/runs/report_pacer.py
+++ b/plantainhitch/coordination/runs/report_pacer.py
@@ -5,11 +5,10 @@
 that is free at that time.
 """
 
-# The interval between reports is this times the number of owners, so a change reaches
-# each owner within this times the square of their number. The interval grows with the
-# number of owners because each report costs an owner processor time, and larger
-# fleets have more owners.
-INTERVAL_PER_OWNER_MS = 1.4
+# The interval between reports is this times the square of the number of owners. With
+# more owners, each has a smaller part of the load and more agents to choose from, so
+# that it needs no report as fresh, and each report costs it processor time.
+INTERVAL_PER_SQUARED_OWNERS_MS = 0.35
 # While more than this share of the processor is free, no start has to wait for room.
 # The interval is then longer by the factor.
 PLENTIFUL_SHARE = 0.5
@@ -41,7 +40,7 @@
         of a core.
         """
         now_ms = self._clock.now_ms()
-        interval_ms = INTERVAL_PER_OWNER_MS * len(self._last_reports)
+        interval_ms = INTERVAL_PER_SQUARED_OWNERS_MS * len(self._last_reports) ** 2
         if free.cpu_millis > PLENTIFUL_SHARE * capacity_millis:
             interval_ms *= PLENTIFUL_INTERVAL_FACTOR
         if now_ms - self._last_turn_ms < interval_ms:
--- a/tests/test_report_pacer.py
+++ b/tests/test_report_pacer.py
@@ -4,14 +4,14 @@
 
 from plantainhitch.clock import ManualClock
 from plantainhitch.coordination.runs.report_pacer import (
-    INTERVAL_PER_OWNER_MS,
+    INTERVAL_PER_SQUARED_OWNERS_MS,
     ReportPacer,
 )
 from plantainhitch.state.jobs import Room
 
 OWNERS = ("a", "b", "c", "d", "e")
 CAPACITY_MILLIS = 16_000
-INTERVAL_MS = round(INTERVAL_PER_OWNER_MS * len(OWNERS))
+INTERVAL_MS = round(INTERVAL_PER_SQUARED_OWNERS_MS * len(OWNERS) ** 2)
 
 
 class ReportPacerTests(unittest.TestCase):
