--- a/tests/fleet_sim.py
+++ b/tests/fleet_sim.py
@@ -245,6 +245,7 @@
 class FleetSim:
     """Entries, agents and callers; ``simulate`` returns the answers of all jobs.
 
+    ``entry_weights`` has the entries' shares of the jobs, by default equal ones.
     ``spread`` is the standard deviation of task counts and mean run times between
     jobs of a kind, as a fraction of the mean.
     """
@@ -254,6 +255,7 @@
     entries: int = 4
     seed: int = 1
     spread: float = 0.4
+    entry_weights: list | None = None
     answers: list = field(default_factory=list)
 
     def __post_init__(self):
@@ -335,7 +337,10 @@
             answer.outcome = outcome
             answer.ended_ms = self.clock.now_ms() + STEP_MS
 
-        number = self.rng.randrange(self.entries)
+        if self.entry_weights:
+            (number,) = self.rng.choices(range(self.entries), self.entry_weights)
+        else:
+            number = self.rng.randrange(self.entries)
         scheduler = entry or self.schedulers[number]
         self._due_entries.add(number)
         scheduler.submit(spec, kind.route, CALLER_TIMEOUT_MS, record_outcome)
--- a/tests/test_load_patterns.py
+++ b/tests/test_load_patterns.py
@@ -63,6 +63,20 @@
         )
         self.assertGreaterEqual(sim.attainment(), 0.9)
 
+    def test_uneven_entries_of_a_large_fleet_serve_their_callers(self):
+        # A balancer that hashes few clients gives some entries several times the mean
+        # load, and each entry is linked to a part of the fleet only.
+        entries = 20
+        sim = FleetSim(
+            scaled_kinds(4.0),
+            FLEET * 4,
+            entries=entries,
+            entry_weights=[3.0] * 4 + [0.5] * (entries - 4),
+        )
+        sim.simulate(4_000)
+        self.assertGreaterEqual(sim.attainment(), 0.95)
+        self.check_capacity(sim)
+
     def test_infeasible_jobs_are_mostly_rejected_early(self):
         sim = FleetSim(scaled_kinds(), FLEET[:5])
         sim.simulate(LENGTH_MS, long_job_burst())
