--- a/tests/deployed_world.py
+++ b/tests/deployed_world.py
@@ -29,6 +29,7 @@
 from .deployed_process import LINK_PORT_OFFSET
 from .deployment import BOUNDS, HOST, POOL, configuration
 from .harness import ROOT, Forwarder, Process
+from .loopback import HOSTS
 
 CPU_MILLIS = 4_000
 MAX_ATTEMPTS = 2
@@ -42,7 +43,6 @@
 RECOVERY_TIMEOUT_S = 12.0
 CONFIGURATION_APPLY_S = BOUNDS.configuration_ms / 1_000
 LINK_PORT = 7_700
-_hosts = itertools.count(1)
 
 
 @dataclass(eq=False)
@@ -112,8 +112,7 @@
 
     def __init__(self, role, name, folder):
         self.role, self.name = role, name
-        number = next(_hosts)
-        self.host = f"127.{os.getpid() % 100 + 100}.{number // 250}.{number % 250 + 1}"
+        self.host = HOSTS.next_host()
         self.link = self.store = self.endpoint = None
         self.process = None
         self._start_count = 0
--- a/tests/deployment.py
+++ b/tests/deployment.py
@@ -6,8 +6,6 @@
 
 import asyncio
 import contextlib
-import itertools
-import os
 
 import msgspec
 
@@ -24,6 +22,8 @@
 from plantainhitch.transport.http_client import HttpClient
 from plantainhitch.transport.http_server import serve
 
+from .loopback import HOSTS
+
 POOL = "pool-1"
 HOST = b"jobs.example"
 PREFIX = "/queue/"
@@ -59,14 +59,6 @@
 
 ROLES = {run_entry: ROLE_ENTRY, run_agent: ROLE_AGENT}
 
-_hosts = itertools.count()
-
-
-def _new_host():
-    """Return an unused loopback address; each process can then use the same ports."""
-    number = next(_hosts)
-    return f"127.{100 + os.getpid() % 100}.{number // 250}.{1 + number % 250}"
-
 
 class Process:
     """An entry or an agent as a task, with its own stop signals."""
@@ -163,7 +155,7 @@
         return await self.call("POST", PREFIX + job_id, msgspec.json.encode(job), entry)
 
     def _settings(self, name, store, front=False, endpoint=None):
-        host = _new_host()
+        host = HOSTS.next_host()
         return Deployment(
             name=name,
             zone="z1",
