--- a/plantainhitch/coordination/jobs/agent_connections.py
+++ b/plantainhitch/coordination/jobs/agent_connections.py
@@ -31,6 +31,7 @@
 
     def __init__(self, clock, own_member, membership, peers, fleet, make_hello, post):
         self._clock = clock
+        self._events = logs.EventLog(log, clock)
         self._own_member = own_member
         self._membership = membership
         self._peers = peers
@@ -80,7 +81,7 @@
         for member in selected:
             if member.link not in self._dialers:
                 self._dial(member)
-        log.info(
+        self._events.write(
             "agents selected",
             entries=len(entries),
             agents=len(agents),
--- a/plantainhitch/coordination/jobs/agent_subset.py
+++ b/plantainhitch/coordination/jobs/agent_subset.py
@@ -28,6 +28,10 @@
         self._own_address = own_address
         # By the addresses of an entry and an agent.
         self._scores = {}
+        # The entries of the last selection, and whether they selected an agent, by the
+        # address of the agent. Agents often become known one after another.
+        self._zone_by_entry = {}
+        self._is_selected_by_agent = {}
 
     def select(self, entries, agents):
         """Return the agents to be linked to, of the ``Member`` objects given.
@@ -36,25 +40,36 @@
         told apart by their link addresses, which last through a restart.
         """
         zone_by_entry = {entry.link: entry.zone for entry in entries}
+        if zone_by_entry != self._zone_by_entry:
+            self._zone_by_entry = zone_by_entry
+            self._is_selected_by_agent = {}
         if len(zone_by_entry) <= ENTRIES_PER_AGENT:
             return list(agents)
-        return [agent for agent in agents if self._is_selected(agent, zone_by_entry)]
+        return [agent for agent in agents if self._is_selected(agent)]
 
-    def _is_selected(self, agent, zone_by_entry):
+    def _is_selected(self, agent):
+        is_selected = self._is_selected_by_agent.get(agent.link)
+        if is_selected is None:
+            is_selected = self._own_address in self._entries_of(agent)
+            self._is_selected_by_agent[agent.link] = is_selected
+        return is_selected
+
+    def _entries_of(self, agent):
+        """Return the addresses of the entries that are linked to an agent."""
         ranked = sorted(
-            zone_by_entry, key=lambda address: self._score(address, agent.link)
+            self._zone_by_entry, key=lambda address: self._score(address, agent.link)
         )
-        nearby = [entry for entry in ranked if zone_by_entry[entry] == agent.zone]
-        nearby = nearby[:NEARBY_ENTRIES_PER_AGENT]
+        nearby = [
+            entry for entry in ranked if self._zone_by_entry[entry] == agent.zone
+        ][:NEARBY_ENTRIES_PER_AGENT]
         distant = [entry for entry in ranked if entry not in nearby]
-        selected = nearby + distant[: ENTRIES_PER_AGENT - len(nearby)]
-        return self._own_address in selected
+        return nearby + distant[: ENTRIES_PER_AGENT - len(nearby)]
 
     def _score(self, entry_address, agent_address):
         key = entry_address, agent_address
         score = self._scores.get(key)
         if score is None:
             text = f"{entry_address} {agent_address}".encode()
-            digest = hashlib.blake2b(text, digest_size=_SCORE_BYTES).digest()
-            score = self._scores[key] = digest
+            score = hashlib.blake2b(text, digest_size=_SCORE_BYTES).digest()
+            self._scores[key] = score
         return score
--- a/tests/test_agent_subset.py
+++ b/tests/test_agent_subset.py
@@ -93,6 +93,15 @@
         for name, names in after.items():
             self.assertLessEqual(before[name], names)
 
+    def test_agents_that_become_known_one_by_one_are_selected_alike(self):
+        entries = members(m.ROLE_ENTRY, 35)
+        agents = members(m.ROLE_AGENT, 160)
+        subset = AgentSubset(entries[0].link)
+        for count in range(160):
+            subset.select(entries, agents[:count])
+        found = {agent.name for agent in subset.select(entries, agents)}
+        self.assertEqual(subsets(entries, agents)[entries[0].name], found)
+
     def test_a_third_of_the_entries_lost_leaves_links_to_nearly_all_agents(self):
         # Before the others know of the loss.
         entries = members(m.ROLE_ENTRY, 35)
