--- a/plantainhitch/coordination/jobs/fleet.py
+++ b/plantainhitch/coordination/jobs/fleet.py
@@ -10,7 +10,8 @@
 from ..runs.owners import OWNER_LEASE_MS
 from .speeds import SpeedEstimates
 
-# An agent that has been silent for this long, three heartbeats, gets no new runs.
+# An agent that has been silent for this long, two heartbeats and a delay, gets no new
+# runs.
 SUSPECT_AFTER_MS = 450
 # Below this pace the endpoint counts as slower than its past run times say. Above it
 # a deviation says nothing, because run-time estimates are rough.
--- a/plantainhitch/transport/links.py
+++ b/plantainhitch/transport/links.py
@@ -227,7 +227,8 @@
             try:
                 self._on_message(envelope)
             except Exception:
-                log.exception("message not handled", kind=type(envelope.message))
+                kind = type(envelope.message).__name__
+                log.exception("message not handled", kind=kind)
                 self._abort("a message could not be handled", bad_frame=True)
                 return
         self._reply_if_due()
