--- a/plantainhitch/transport/http_server.py
+++ b/plantainhitch/transport/http_server.py
@@ -24,8 +24,8 @@
 class _EmbeddedServer(uvicorn.Server):
     """A uvicorn server that leaves signal handling to the process.
 
-    Its main loop waits for ``stop``. uvicorn's own wakes ten times a second, which makes
-    up most of what an idle process does.
+    Its main loop waits for ``stop``. uvicorn's own wakes ten times a second, which
+    makes up most of what an idle process does.
     """
 
     def __init__(self, config):
