--- a/tests/test_unexpected_errors.py
+++ b/tests/test_unexpected_errors.py
@@ -4,6 +4,8 @@
 import unittest
 from types import SimpleNamespace
 
+import logbook
+
 from plantainhitch.clock import Clock
 from plantainhitch.coordination.jobs.entry_node import JobEntryNode
 from plantainhitch.coordination.jobs.outcomes import GaveUp, NeverRan
@@ -20,10 +22,25 @@
 SPEC = JobSpec("00000000000000aa", "", (StepSpec(1, Room(1, 1, 0), 10),))
 
 
-class EntryTests(unittest.IsolatedAsyncioTestCase):
+class QuietLogCase(unittest.IsolatedAsyncioTestCase):
+    """Keeps the log of a test; ``self.logged`` has its records."""
+
+    async def asyncSetUp(self):
+        self.logged = logbook.TestHandler()
+        self.logged.push_application()
+        self.addCleanup(self.logged.pop_application)
+
+    def assert_error_is_logged(self):
+        """Check that the traceback of an unexpected error is in the log."""
+        errors = [record for record in self.logged.records if record.exc_info]
+        self.assertEqual(["event not handled"], [error.message for error in errors])
+
+
+class EntryTests(QuietLogCase):
     """An entry whose scheduler fails in one event."""
 
     async def asyncSetUp(self):
+        await super().asyncSetUp()
         clock = Clock()
         member = Member(m.ROLE_ENTRY, b"own", "own", "z", "r", "", "own:1", "")
         self.scheduler = Scheduler(clock, 1_000)
@@ -48,6 +65,7 @@
 
         self.scheduler.submit, submit = fail, self.scheduler.submit
         self.assertIsInstance(await self.submit(), GaveUp)
+        self.assert_error_is_logged()
         self.scheduler.submit = submit
         self.assertIsInstance(await self.submit(), NeverRan)
 
@@ -71,10 +89,11 @@
         """Do nothing."""
 
 
-class AgentTests(unittest.IsolatedAsyncioTestCase):
+class AgentTests(QuietLogCase):
     """An agent with an error in an event, and one that was paused."""
 
     async def asyncSetUp(self):
+        await super().asyncSetUp()
         self.clock = Clock()
         self.controller = RunController(self.clock, 1_000, first_fence=1)
         hello = m.Hello(m.ROLE_AGENT, b"agent", "agent")
@@ -90,6 +109,7 @@
         self.node._inbox.post(agent_node.TimerTicked())
         await asyncio.sleep(0.01)
         self.assertFalse(task.done())
+        self.assert_error_is_logged()
         task.cancel()
 
     async def test_a_start_decided_before_a_pause_is_not_sent_after_it(self):
