--- a/plantainhitch/commands/main.py
+++ b/plantainhitch/commands/main.py
@@ -125,7 +125,7 @@
             file=sys.stderr,
         )
         return ExitCode.USAGE
-    # Modules leave little garbage while they load, and collections made a fifth of the
+    # Modules leave little garbage while they load, so that collections only delay the
     # start. ``deployed.run`` enables them again.
     gc.disable()
     command = _load_command(name)
--- a/tests/test_job_peers.py
+++ b/tests/test_job_peers.py
@@ -2,12 +2,15 @@
 
 import asyncio
 import unittest
+from unittest import mock
 
 from plantainhitch.clock import ManualClock
+from plantainhitch.coordination.jobs import peers
 from plantainhitch.coordination.jobs.peers import PEER_GRACE_MS, Peers
 from plantainhitch.protocol import messages as m
 from plantainhitch.state.members import Member
 from plantainhitch.state.routes import RouteTable
+from plantainhitch.transport.addresses import Address
 
 
 def member(name, role=m.ROLE_AGENT):
@@ -184,6 +187,28 @@
         self.clock.advance(PEER_GRACE_MS)
         self.assertFalse(self.peers.is_alive(peer.link))
 
+    async def test_a_peer_that_is_linked_is_not_dialled(self):
+        # With a link in each direction, entries told one another everything twice.
+        peer = member("peer", m.ROLE_ENTRY)
+        self.membership.add_introduced(peer)
+        hello = m.Hello(m.ROLE_ENTRY, peer.incarnation, peer.name)
+        served = asyncio.create_task(self.peers._serve(FakeLink(), hello))
+        self.tasks.append(served)
+        await asyncio.sleep(0)
+        self.peers._make_hello = lambda: None
+        address = Address("peer", 1)
+        with mock.patch.object(peers, "open_link") as open_link:
+            open_link.return_value = None, None
+            dialling = asyncio.create_task(self.peers._maintain_link(address))
+            for _ in range(20):
+                await asyncio.sleep(0)
+            self.assertEqual(0, open_link.call_count)
+            served.cancel()
+            for _ in range(20):
+                await asyncio.sleep(0)
+            self.assertGreater(open_link.call_count, 0)
+            dialling.cancel()
+
     async def test_an_ended_link_is_removed(self):
         self.tasks[0].cancel()
         await asyncio.gather(self.tasks[0], return_exceptions=True)
