Log which tasks an endpoint may have been running when it crashed

The agent now writes one line for each crash with all tasks concerned and counts crashes, 'run not completed' has the task's lost runs, and 'explain' shows both. An endpoint that announced its end or was lost by silence before has not crashed.

No decision is changed. Found: a start whose connection is refused counts as lost with the endpoint, although it never began.

--- a/plantainhitch/coordination/jobs/job.py
+++ b/plantainhitch/coordination/jobs/job.py
@@ -20,6 +20,8 @@
     name: str
     run_number: int = 0
     failures: int = 0
+    # How many of its runs were lost with their endpoint or agent.
+    lost_runs: int = 0
     agent: bytes = b""
     checkpoint: str = ""
     # Incarnations of agents where a run failed, stalled or was rejected because the
--- a/plantainhitch/coordination/jobs/scheduler.py
+++ b/plantainhitch/coordination/jobs/scheduler.py
@@ -270,6 +270,7 @@
 
     def _requeue(self, task, agent):
         agent.remove_task(task)
+        task.lost_runs += 1
         task.job.has_run = True  # its run may have started
         self._mark_ready(task)
 
@@ -281,6 +282,8 @@
             task.checkpoint = end.checkpoint
         job = task.job
         job.has_run = job.has_run or end.end is not End.NOT_STARTED
+        if end.end is End.LOST:
+            task.lost_runs += 1
         if end.end is not End.DONE:
             self._events.write(
                 "run not completed",
@@ -291,6 +294,7 @@
                 why=end.reason,
                 run_ms=end.run_ms,
                 failures=task.failures,
+                lost_runs=task.lost_runs,
             )
         agent.remove_task(task)
         match end.end:
--- a/plantainhitch/coordination/runs/agent_node.py
+++ b/plantainhitch/coordination/runs/agent_node.py
@@ -264,9 +264,7 @@
             case Inventory():
                 self._controller.handle_inventory(result)
             case Rejected(Rejection.NOT_LISTENING):
-                self._controller.declare_endpoint_lost(
-                    "nothing listens at the endpoint"
-                )
+                self._controller.endpoint_not_listening()
             case Rejected(Rejection.FENCE):
                 self._controller.raise_fence()
 
--- a/plantainhitch/coordination/runs/run_controller.py
+++ b/plantainhitch/coordination/runs/run_controller.py
@@ -40,6 +40,8 @@
 # stalled before the time in which it should have risen by this much.
 STALL_PERCENT = 5
 STALLED_REASON = "stalled"
+# The most tasks that the log line of a crash names.
+MAX_LOGGED_TASKS = 100
 # The interval between checks of leases and wait deadlines, the shortest of which is
 # 30 ms.
 CHECK_INTERVAL_MS = 20
@@ -68,6 +70,7 @@
         self._last_check_ms = 0
         self._recent_ends = OrderedDict()
         self._end_counts = Counter()
+        self._crash_count = 0
         self._endpoint = None
         self._is_reconciled = False
         self._last_end_number = 0
@@ -94,6 +97,11 @@
         """The number of ended runs by the lower-case name of their ``End``."""
         return self._end_counts
 
+    @property
+    def crash_count(self):
+        """The number of times that the endpoint ended without notice."""
+        return self._crash_count
+
     @property
     def endpoint(self):
         """The newest ``EndpointReport``, or None."""
@@ -217,7 +225,7 @@
                 previous is not None and previous.endpoint_id == report.endpoint_id
             )
             unlisted = self._unlisted_runs() if is_same_id else []
-            self.declare_endpoint_lost("a new lifetime of the endpoint", kept=unlisted)
+            self._endpoint_ended("a new lifetime of the endpoint", kept=unlisted)
             for run in unlisted:
                 self._stop_unconfirmed(run)
             if unlisted:
@@ -237,10 +245,36 @@
             self._refuse_waiting_starts("draining")
         return is_new_lifetime
 
-    def declare_endpoint_lost(self, reason, kept=()):
-        """End all runs at the endpoint as lost, since its lifetime has ended.
+    def endpoint_not_listening(self):
+        """Handle proof that the endpoint's process has ended: a refused connection."""
+        self._endpoint_ended("nothing listens at the endpoint")
+
+    def _endpoint_ended(self, reason, kept=()):
+        """Handle proof that the endpoint's process has ended.
+
+        It has crashed if it had not announced its end and was not lost before. The
+        runs in ``kept`` are not ended.
+        """
+        keys = [run.start.key for run in self._runs.values() if may_be_at_endpoint(run)]
+        if (self._is_reconciled or keys) and not self._endpoint.draining:
+            self._record_crash(reason, keys)
+        self._declare_endpoint_lost(reason, kept)
+
+    def _record_crash(self, reason, keys):
+        self._crash_count += 1
+        log.warning(
+            "endpoint crashed",
+            endpoint=self._endpoint.endpoint_id,
+            born_ms=self._endpoint.born_ms,
+            why=reason,
+            runs=len(keys),
+            tasks=[key.task for key in keys[:MAX_LOGGED_TASKS]],
+        )
+
+    def _declare_endpoint_lost(self, reason, kept=()):
+        """End all runs at the endpoint as lost, except those in ``kept``.
 
-        The runs in ``kept`` are not ended. Waiting starts are refused.
+        Waiting starts are refused.
         """
         for key, run in list(self._runs.items()):
             if may_be_at_endpoint(run) and run not in kept:
@@ -306,7 +340,7 @@
                 log.warning("start not answered", task=key.task, run=key.run)
                 self._stop_unconfirmed(run)
             case Rejected(Rejection.NOT_LISTENING):
-                self.declare_endpoint_lost("nothing listens at the endpoint")
+                self.endpoint_not_listening()
             case Rejected(Rejection.OTHER_LIFETIME):
                 self._finish(key, End.NOT_STARTED, "other_lifetime")
             case Rejected(Rejection.FENCE, clock_ms):
@@ -329,7 +363,7 @@
                     self._needs_inventory or run.phase is Phase.UNCONFIRMED
                 )
             case Rejected(Rejection.NOT_LISTENING):
-                self.declare_endpoint_lost("nothing listens at the endpoint")
+                self.endpoint_not_listening()
             case Rejected(Rejection.FENCE):
                 self.raise_fence()
 
@@ -564,7 +598,7 @@
     def _check_endpoint_lease(self):
         """Declare the endpoint lost once its lease has certainly expired."""
         if self._lease.is_expired:
-            self.declare_endpoint_lost("no answer for longer than the lease")
+            self._declare_endpoint_lost("no answer for longer than the lease")
 
     def _expire_runs(self, now_ms):
         is_owner_alive = {}
--- a/plantainhitch/explain.py
+++ b/plantainhitch/explain.py
@@ -21,6 +21,7 @@
 RUN_EVENTS = frozenset(
     {RunEvent.PLACED, RunEvent.NOT_COMPLETED, RunEvent.ENDED_AT_AGENT}
 )
+ENDPOINT_CRASHED = "endpoint crashed"
 JOB_OUTCOMES = frozenset(
     {"job completed", "job not completed", "job refused", "job not supported"}
 )
@@ -75,6 +76,7 @@
         for task in sorted({_task(line) for line in job_lines} - {""}):
             task_lines = [line for line in job_lines if _task(line) == task]
             explanation.sentences.append(_task_sentence(task, task_lines))
+        explanation.sentences.extend(_crash_sentences(job, job_lines))
         explanation.missing.extend(_find_gaps(job_lines, lines))
         return explanation
 
@@ -97,7 +99,19 @@
 
 
 def _concerns(line, job):
-    return line.fields.get("job") == job or _task(line).startswith(f"{job}.")
+    return (
+        line.fields.get("job") == job
+        or _task(line).startswith(f"{job}.")
+        or bool(_crashed_tasks(job, line))
+    )
+
+
+def _crashed_tasks(job, line):
+    """Return the job's tasks that an endpoint may have been running as it crashed."""
+    if line.event != ENDPOINT_CRASHED:
+        return []
+    tasks = line.fields.get("tasks", ())
+    return [task for task in tasks if task.startswith(f"{job}.")]
 
 
 def _task(line):
@@ -139,7 +153,8 @@
                     f"{_time_of_day(line)} {line.source} was told that run "
                     f"{values['run']} on {values['agent']} ended as {values['end']} "
                     f"({_reason(values)}) after {values['run_ms']} ms, with "
-                    f"{values['failures']} earlier failures"
+                    f"{values['failures']} earlier failures and {values['lost_runs']} "
+                    "lost runs"
                 )
             case RunEvent.ENDED_AT_AGENT:
                 clauses.append(
@@ -152,6 +167,16 @@
     return f"{task}: " + "; ".join(clauses)
 
 
+def _crash_sentences(job, lines):
+    for line in lines:
+        if tasks := _crashed_tasks(job, line):
+            yield (
+                f"{_time_of_day(line)} {line.source}: the endpoint crashed "
+                f"({_reason(line.fields)}) with {line.fields['runs']} runs, "
+                f"among them {', '.join(tasks)}"
+            )
+
+
 def _time_of_day(line):
     return line.time.rpartition("T")[2]
 
--- a/plantainhitch/run_metrics.py
+++ b/plantainhitch/run_metrics.py
@@ -13,6 +13,7 @@
     text = TextMetrics("plantainhitch_agent_")
     text.gauges("runs", "phase", phases)
     text.counters("run_ends_total", "end", controller.end_counts)
+    text.counter("endpoint_crashes_total", controller.crash_count)
     text.gauge("ready", int(controller.is_ready))
     text.gauge("endpoint_silent", int(controller.lease.is_suspect))
     text.gauge("used_cpu_millis", controller.used_room.cpu_millis)
--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -125,6 +125,21 @@
         self.assertEqual(ExitCode.USAGE, code)
         self.assertIn("none.log", err)
 
+    def test_crashes_of_endpoints_with_tasks_of_the_job_are_named(self):
+        crashed = {
+            "time": "2026-12-04T10:54:53.900",
+            "message": "endpoint crashed",
+            "process": "agent-2",
+            "why": "nothing listens at the endpoint",
+            "runs": 2,
+            "tasks": [TASK, "other.0.0.0"],
+        }
+        path = self.write("agent.log", crashed)
+        code, text, _ = self.run_command(JOB, path)
+        self.assertEqual(ExitCode.OK, code)
+        self.assertIn("crashed (nothing listens at the endpoint) with 2 runs", text)
+        self.assertIn(TASK, text)
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tests/test_run_controller.py
+++ b/tests/test_run_controller.py
@@ -408,6 +408,23 @@
         )
         self.assertFalse(self.controller.is_ready)
 
+    def test_an_endpoint_that_ends_without_notice_has_crashed(self):
+        self.controller.endpoint_not_listening()
+        self.controller.endpoint_not_listening()
+        self.assertEqual(1, self.controller.crash_count)
+
+    def test_an_endpoint_that_ends_as_announced_or_is_silent_has_not_crashed(self):
+        self.start_runs(run_start())
+        self.clock.advance(LEASE_MS + 200)
+        self.controller.next_orders()
+        self.controller.handle_heartbeat(heartbeat(born_ms=2))
+        self.deliver_inventory(born_ms=2)
+        self.controller.handle_heartbeat(
+            heartbeat(born_ms=2, sequence=2, draining=True)
+        )
+        self.controller.endpoint_not_listening()
+        self.assertEqual(0, self.controller.crash_count)
+
     def test_a_start_that_the_next_lifetime_may_have_accepted_is_stopped(self):
         """Guards against a run left at a restarted endpoint; seed 18 of the soak test.
 
