Reproduce the fault of tasks that crash endpoints without a network

The simulated fleet can now crash endpoints: a deadly task takes its endpoint down 60 ms after its start for 3.2 s.

--- a/tests/fleet_sim.py
+++ b/tests/fleet_sim.py
@@ -7,6 +7,7 @@
 
 import heapq
 import random
+from collections import Counter
 from dataclasses import dataclass, field
 
 from plantainhitch.clock import ManualClock
@@ -27,6 +28,8 @@
     EndpointReport,
     Inventory,
     NoAnswer,
+    Rejected,
+    Rejection,
 )
 from plantainhitch.state.jobs import JobSpec, Room, StepSpec
 from plantainhitch.state.members import Member
@@ -39,6 +42,11 @@
 LEASE_MS = 1_000
 POOL = "pool"
 ZONES = 4
+# A deadly task crashes its endpoint this long after its start. The agent finds out
+# CRASH_NOTICED_MS later, and the endpoint is back after ENDPOINT_DOWN_MS.
+CRASH_DELAY_MS = 60
+CRASH_NOTICED_MS = 20
+ENDPOINT_DOWN_MS = 3_200
 CALLER_TIMEOUT_MS = 60_000
 
 
@@ -78,6 +86,27 @@
         )
 
 
+@dataclass(frozen=True)
+class DeadlyJobs:
+    """A period in which a share of the jobs of a kind have one deadly task.
+
+    A deadly task crashes each endpoint that starts it. ``starts_at_ms`` counts from
+    the start of the simulation.
+    """
+
+    kind: str
+    share: float
+    starts_at_ms: int
+    duration_ms: int
+
+    def may_include(self, now_ms, name):
+        """Return whether jobs of a kind that are submitted now may be deadly."""
+        return (
+            name == self.kind
+            and self.starts_at_ms <= now_ms < self.starts_at_ms + self.duration_ms
+        )
+
+
 @dataclass
 class Answer:
     """The outcome of one job.
@@ -90,6 +119,7 @@
     submitted_ms: int
     objective_ms: float
     work_core_ms: float
+    is_deadly: bool = False
     outcome: object = None
     ended_ms: int = 0
 
@@ -155,16 +185,45 @@
         self.running = {}
         self.unacknowledged_ends = []
         self.end_count = 0
+        self.born_ms = 1
+        self.is_down = False
         self.peak_millis = 0
         self.lost_answer_share = 0.0
         self._no_inventory_until_ms = 0
+        self._last_status = None
         self.capacity = Room(cpu_millis, 65_536, 0)
+        self._number = number
+        self._begin_lifetime()
+        self._renew_lease()
+        self._tick()
+
+    def crash(self):
+        """End the endpoint with all its runs; a new lifetime begins later."""
+        if self.is_down:
+            return
+        self.is_down = True
+        for start, _, _ in self.running.values():
+            self.sim.crashes_by_task[start.key.task] += 1
+        self.running.clear()
+        self.unacknowledged_ends.clear()
+        self.end_count = 0
+        self.sim.call_later(CRASH_NOTICED_MS, self._notice_crash)
+        self.sim.call_later(ENDPOINT_DOWN_MS, self._begin_lifetime)
+
+    def _notice_crash(self):
+        self.controller.endpoint_not_listening()
+        self.execute_orders()
+
+    def _begin_lifetime(self):
+        self.is_down = False
+        self.born_ms += 1
+        endpoint_id = f"e-{self._number}-{self.born_ms}"
         self.controller.handle_heartbeat(
-            EndpointReport(f"e-{number}", 1, 1, POOL, False, self.capacity, kind="a")
+            EndpointReport(
+                endpoint_id, self.born_ms, 1, POOL, False, self.capacity, kind="a"
+            )
         )
         self.send_inventory()
-        self._renew_lease()
-        self._tick()
 
     def _tick(self):
         self.sim.call_later(AGENT_TICK_MS, self._tick)
@@ -187,7 +246,9 @@
             for e in self.unacknowledged_ends
             if e.number > self.controller.last_end_number
         )
-        self.controller.handle_inventory(Inventory(now_ms + 1, 1, active, ended))
+        self.controller.handle_inventory(
+            Inventory(now_ms + 1, self.born_ms, active, ended)
+        )
         self.unacknowledged_ends = [
             e
             for e in self.unacknowledged_ends
@@ -202,6 +263,11 @@
             )
         for order in self.controller.next_orders():
             match order:
+                case StartOrder(start) if self.is_down:
+                    refused = Rejected(Rejection.NOT_LISTENING)
+                    self.controller.handle_start_result(start.key, refused)
+                case StopOrder() if self.is_down:
+                    self.controller.endpoint_not_listening()
                 case StartOrder(start):
                     self._start_run(start)
                 case StopOrder(key):
@@ -214,6 +280,13 @@
     def _start_run(self, start):
         work_ms = self.sim.true_work_ms(start) * self.slowness
         self.running[start.key] = (start, self.sim.clock.now_ms(), work_ms)
+        self.sim.record_start(start)
+        if self.sim.is_deadly(start):
+            born_ms = self.born_ms
+            self.sim.call_later(
+                CRASH_DELAY_MS, lambda: self.born_ms == born_ms and self.crash()
+            )
+            work_ms = CALLER_TIMEOUT_MS
         used = sum(s.room.cpu_millis for s, _, _ in self.running.values())
         self.peak_millis = max(self.peak_millis, used)
         if self.is_answer_lost():
@@ -242,7 +315,7 @@
 
     def _report_inventory(self):
         now_ms = self.sim.clock.now_ms()
-        if now_ms < self._no_inventory_until_ms:
+        if now_ms < self._no_inventory_until_ms or self.is_down:
             return
         if self.is_answer_lost():
             # The agent waits for it that long before it asks again.
@@ -254,6 +327,11 @@
 
     def _send_reports(self):
         controller = self.controller
+        status = controller.status()
+        if status != self._last_status:
+            self._last_status = status
+            for link in self.links.values():
+                link.send(status)
         owner_in_turn = self.report_pacer.next_owner(
             controller.free_room, self.capacity.cpu_millis
         )
@@ -281,6 +359,7 @@
     seed: int = 1
     spread: float = 0.4
     entry_weights: list | None = None
+    deadly: DeadlyJobs | None = None
     answers: list = field(default_factory=list)
 
     def __post_init__(self):
@@ -290,6 +369,12 @@
         self._due_entries = set()
         self._event_count = 0
         self._true_work_by_job = {}
+        # By task: how many endpoints crashed while it ran there, and how often it was
+        # started after three of them.
+        self.crashes_by_task = Counter()
+        self.starts_after_three_crashes = Counter()
+        self._deadly_tasks = set()
+        self._begin_ms = self.clock.now_ms()
         self._job_number = 0
         self.agents = [
             SimAgent(self, number, slowness, cpu)
@@ -317,6 +402,15 @@
         job_id, _, _, index = start.key.task.split(".")
         return self._true_work_by_job[job_id][int(index)]
 
+    def is_deadly(self, start):
+        """Return whether a task crashes its endpoint."""
+        return start.key.task in self._deadly_tasks
+
+    def record_start(self, start):
+        """Count a start of a task under which three endpoints have crashed."""
+        if self.crashes_by_task[start.key.task] >= 3:
+            self.starts_after_three_crashes[start.key.task] += 1
+
     def simulate(self, length_ms, bursts=(), settle_ms=15_000):
         """Submit jobs for ``length_ms``, then run until all have been answered.
 
@@ -357,6 +451,11 @@
         work_core_ms = sum(task_work_ms) * kind.cpu_millis / 1_000
         answer = Answer(kind, self.clock.now_ms(), objective_ms, work_core_ms)
         self.answers.append(answer)
+        elapsed_ms = self.clock.now_ms() - self._begin_ms
+        if self.deadly and self.deadly.may_include(elapsed_ms, kind.route.name):
+            answer.is_deadly = self.rng.random() < self.deadly.share
+            if answer.is_deadly:
+                self._deadly_tasks.add(spec.task_name(0, self.rng.randrange(count)))
 
         def record_outcome(outcome):
             answer.outcome = outcome
@@ -374,13 +473,15 @@
     def attainment(self, name=None, since_ms=0, until_ms=1 << 60):
         """Return the weighted mean score of the jobs of a kind, None for all.
 
-        Only jobs submitted from ``since_ms`` until ``until_ms`` count. The times count
+        Only jobs that can be done and were submitted from ``since_ms`` until
+        ``until_ms`` count. The times count
         from 1 s on the simulation's clock, where it starts.
         """
         selected = [
             answer
             for answer in self.answers
             if (name is None or answer.kind.route.name == name)
+            and not answer.is_deadly
             and since_ms <= answer.submitted_ms - 1_000 < until_ms
         ]
         total_weight = sum(answer.kind.weight for answer in selected)
