Report a start whose connection was refused as not started

Callers saw nothing of it by itself; a job whose only start met a closed port was told 'may have run' instead of 'never ran'. Cause: the agent ended such a start together with the runs of the crashed endpoint as LOST.

Ruled out: a start on an open connection, which is 'no answer' and still counts as possibly begun.

--- a/plantainhitch/coordination/runs/run_controller.py
+++ b/plantainhitch/coordination/runs/run_controller.py
@@ -340,6 +340,7 @@
                 log.warning("start not answered", task=key.task, run=key.run)
                 self._stop_unconfirmed(run)
             case Rejected(Rejection.NOT_LISTENING):
+                self._finish(key, End.NOT_STARTED, "not_listening")
                 self.endpoint_not_listening()
             case Rejected(Rejection.OTHER_LIFETIME):
                 self._finish(key, End.NOT_STARTED, "other_lifetime")
