Count the crashes of a task, and fail its job once they prove it the cause

Cause: a run that ended with its endpoint was LOST like one of a silent agent, counted for nothing, and its task was placed again at once, without a limit. Class of fault: a retry without a budget for an end that the work itself can cause.

An agent now reports each crash (the lifetime that ended without notice, and all runs that it may have had) to every entry that is linked, and again on each new link. Entries count crashes by lifetime and task. A count proves nothing as sound tasks share it: after two crashes a job runs isolated, which the agent enforces (no run of another job at the endpoint). Two crashes, one of them without another job, prove a task; its job is failed at once. The counts survive the owner's death, a resubmission at another linked entry and a restart of the agent without a write.

Ruled out: proof by the number of crashes alone (sound tasks had up to eight). Not kept without a store write: the count of an owner that dies where neither its successor nor a linked entry heard of the crash.

--- a/plantainhitch/coordination/jobs/candidates.py
+++ b/plantainhitch/coordination/jobs/candidates.py
@@ -34,7 +34,8 @@
 
     ``size_ms`` is the expected size of a task. A start of ``rank`` leaves
     ``reserved_share`` of each endpoint's processor free for more urgent work, and
-    waits for room at most ``max_wait_ms``.
+    waits for room at most ``max_wait_ms``. If ``is_isolated``, an endpoint qualifies
+    once it has no run of another job.
     """
 
     task: Task
@@ -42,6 +43,7 @@
     rank: float
     reserved_share: float
     max_wait_ms: int
+    is_isolated: bool = False
 
     @property
     def step_spec(self):
@@ -130,11 +132,7 @@
             requirements.task, self._assigned_counts.get(agent, 0)
         ):
             return None
-        reserved_millis = requirements.reserved_share * agent.status.capacity.cpu_millis
-        ahead_millis = self._assigned_millis.get(agent, 0) + reserved_millis
-        wait_ms = agent.expected_wait_ms(
-            requirements.step_spec.room, requirements.rank, ahead_millis
-        )
+        wait_ms = self._expected_wait_ms(agent)
         if wait_ms is None or wait_ms > requirements.max_wait_ms:
             return None
         candidate = Candidate(agent, wait_ms, self._expected_run_ms(agent))
@@ -142,6 +140,22 @@
         bucket = math.floor(candidate.ends_in_ms / self._bucket_ms)
         return bucket, agent.is_cross_zone, self._item_count, candidate
 
+    def _expected_wait_ms(self, agent):
+        """Return how long one more task would wait at an agent, None for too long."""
+        requirements = self._requirements
+        room, capacity = requirements.step_spec.room, agent.status.capacity
+        assigned_millis = self._assigned_millis.get(agent, 0)
+        if not requirements.is_isolated:
+            reserved_millis = requirements.reserved_share * capacity.cpu_millis
+            return agent.expected_wait_ms(
+                room, requirements.rank, assigned_millis + reserved_millis
+            )
+        if assigned_millis + room.cpu_millis > capacity.cpu_millis:
+            return None
+        # The agent keeps other starts back until the endpoint is empty.
+        wait_ms = agent.expected_wait_ms(capacity, requirements.rank)
+        return requirements.max_wait_ms if wait_ms is None else wait_ms
+
     def _expected_run_ms(self, agent):
         step = self._requirements.step_spec
         return self._requirements.size_ms * agent.slowness * agent.locality_factor(step)
--- a/plantainhitch/coordination/jobs/entry_node.py
+++ b/plantainhitch/coordination/jobs/entry_node.py
@@ -196,9 +196,9 @@
             self._inbox.post(e.TimerTicked())
 
     def _post_agent_event(self, event):
-        """Post an event of a link; a report without ends doesn't wake the scheduler."""
+        """Post an event of a link; a report without news doesn't wake the scheduler."""
         match event:
-            case e.AgentMessageReceived(message=m.RunReports(ends=[])):
+            case e.AgentMessageReceived(message=m.RunReports(ends=[], crashes=[])):
                 self._inbox.post_without_waking(event)
             case _:
                 self._inbox.post(event)
--- a/plantainhitch/coordination/jobs/job.py
+++ b/plantainhitch/coordination/jobs/job.py
@@ -55,6 +55,8 @@
     caller_deadline_ms: int
     tasks: list[list[Task]] = field(default_factory=list)
     has_run: bool = False
+    # Whether its tasks may run only where no other job has a run.
+    is_isolated: bool = False
     task_sizes_ms: tuple[float, ...] = ()
     objective_ms: float = 0.0
     # Indexes of the steps that wait for earlier steps.
@@ -140,6 +142,11 @@
                 self._blocked.remove(step_index)
                 self._ready.update(dict.fromkeys(self.tasks[step_index]))
 
+    def all_tasks(self):
+        """Yield the tasks of all steps."""
+        for step_tasks in self.tasks:
+            yield from step_tasks
+
     def ready_tasks(self):
         """Return the tasks that wait for placement."""
         return list(self._ready)
--- a/plantainhitch/coordination/jobs/placement.py
+++ b/plantainhitch/coordination/jobs/placement.py
@@ -11,6 +11,8 @@
 # messages take between entry and agent. A longer wait binds the task to an endpoint on
 # an old forecast, which delayed short jobs considerably.
 AGENT_WAIT_MS = 30
+# How long an isolated start may wait until its endpoint has no run of another job.
+ISOLATION_WAIT_MS = 2_000
 # Answers that take longer than this many objectives are of no use to callers.
 TOO_LATE_FACTOR = 3
 # Share of a job's ready tasks that must find room before any of them starts.
@@ -103,7 +105,8 @@
 
         Empty if a job that has not started finds room for too few of its tasks.
         """
-        return self._select(job, rank, job.due_ms - self._now_ms)
+        due_in_ms = None if job.is_isolated else job.due_ms - self._now_ms
+        return self._select(job, rank, due_in_ms)
 
     def select_late(self, job):
         """Return pairs like ``select``, for a job that won't meet its objective.
@@ -115,8 +118,9 @@
     def _select(self, job, rank, due_in_ms):
         """Return pairs of a task and its ``Candidate``.
 
-        ``due_in_ms`` is the time until the job is due. If it is None, only room that
-        is free now counts, and the expected completion is not considered.
+        ``due_in_ms`` is the time until the job is due. If it is None, the expected
+        completion is not considered, and only room that is free now counts, unless
+        the job is isolated.
         """
         tasks = job.ready_tasks()
         assigned_millis, candidates, selected = {}, {}, []
@@ -148,18 +152,23 @@
 
     def _requirements(self, task, rank, due_in_ms):
         job = task.job
+        if job.is_isolated:
+            max_wait_ms = ISOLATION_WAIT_MS
+        else:
+            max_wait_ms = AGENT_WAIT_MS if due_in_ms is not None else 0
         return StepRequirements(
             task=task,
             size_ms=job.task_sizes_ms[task.step_index],
             rank=rank,
             reserved_share=self._demand.ranks.reserved_share(job.route.name),
-            max_wait_ms=AGENT_WAIT_MS if due_in_ms is not None else 0,
+            max_wait_ms=max_wait_ms,
+            is_isolated=job.is_isolated,
         )
 
     def _candidates(self, task, requirements, assigned_millis):
         """Return the ``Candidates`` of a step; empty if known to have no room."""
         step = task.step_spec
-        if step.max_per_endpoint:
+        if step.max_per_endpoint or requirements.is_isolated:
             return Candidates(self._view.agents, requirements, assigned_millis)
         key = (
             task.job.route.name,
--- a/plantainhitch/coordination/jobs/scheduler.py
+++ b/plantainhitch/coordination/jobs/scheduler.py
@@ -13,11 +13,12 @@
 from ...protocol import messages as m
 from ...state.endpoints import End, Rejection
 from ..runs.run_controller import STALLED_REASON
+from .containment import Containment
 from .demand import Demand
 from .fleet import Fleet
 from .job import Job
 from .outcomes import Ended, GaveUp, JobState, NeverRan, describe
-from .placement import AGENT_WAIT_MS, Placement
+from .placement import AGENT_WAIT_MS, ISOLATION_WAIT_MS, Placement
 from .retry_slots import NO_ENDPOINT_RETRY_MS, RetrySlots
 
 # Outcomes kept for callers that submit a job again because the answer was lost; at the
@@ -65,6 +66,7 @@
             rng=rng or random.Random(),
         )
         self._retry_slots = RetrySlots(clock)
+        self._containment = Containment()
         self._checked_ms = 0
         self._full_pass_ms = 0
         # Jobs with tasks that became ready after the last pass; a dict without values.
@@ -139,6 +141,7 @@
         self._jobs[job.job_id] = job
         self._newly_ready[job] = None
         self._callbacks_by_job[job.job_id] = [on_end]
+        self._contain(job)
 
     def detach_caller(self, job_id, on_end, reason):
         """Remove a caller that has left; cancel the job if no other caller waits."""
@@ -182,7 +185,9 @@
         if isinstance(message, m.EndpointStatus) and message.ready:
             self._remove_predecessors(agent)
         match message:
-            case m.RunReports(ends=ends):
+            case m.RunReports(ends=ends, crashes=crashes):
+                for crash in crashes:
+                    self._endpoint_crashed(crash)
                 for end in ends:
                     self._run_ended(agent, end)
             case m.QueueLoads(loads):
@@ -263,6 +268,8 @@
             log.warning("runs lost", agent=agent.name, runs=len(tasks), why=why)
         for task in tasks:
             self._requeue(task, agent)
+        for task in tasks:
+            self._run_lost(task)
         if agent.link is not None:
             agent.link.close(why)  # the next link starts with a resync
         self._fleet.remove(agent)
@@ -270,10 +277,35 @@
 
     def _requeue(self, task, agent):
         agent.remove_task(task)
-        task.lost_runs += 1
         task.job.has_run = True  # its run may have started
         self._mark_ready(task)
 
+    def _endpoint_crashed(self, crash):
+        """Handle a crash; runs of other entries count for jobs submitted here later."""
+        for job_id in self._containment.record(crash):
+            if (job := self._jobs.get(job_id)) is not None:
+                self._contain(job)
+
+    def _contain(self, job):
+        """Fail a job that is proven to crash endpoints, or isolate it if it may."""
+        if self._containment.is_deadly(job):
+            log.warning("job crashes its endpoints", job=job.job_id)
+            self._stop_runs(job)
+            self._finish_job(job, Ended(JobState.FAILED))
+        elif not job.is_isolated and self._containment.needs_isolation(job):
+            job.is_isolated = True
+            log.info("job isolated", job=job.job_id, queue=job.route.name)
+
+    def _run_lost(self, task):
+        task.lost_runs += 1
+        job = task.job
+        if job.job_id not in self._jobs:
+            return  # it ended when another of its runs was found to be lost
+        if self._containment.is_exhausted(task):
+            self._cancel_job(job, "too many runs were lost with their endpoints")
+        else:
+            self._contain(job)
+
     def _run_ended(self, agent, end):
         task = agent.tasks.get(end.key.task)
         if task is None or task.run_number != end.key.run:
@@ -282,8 +314,6 @@
             task.checkpoint = end.checkpoint
         job = task.job
         job.has_run = job.has_run or end.end is not End.NOT_STARTED
-        if end.end is End.LOST:
-            task.lost_runs += 1
         if end.end is not End.DONE:
             self._events.write(
                 "run not completed",
@@ -295,6 +325,7 @@
                 run_ms=end.run_ms,
                 failures=task.failures,
                 lost_runs=task.lost_runs,
+                crashes=self._containment.crash_count(task),
             )
         agent.remove_task(task)
         match end.end:
@@ -318,6 +349,8 @@
             task.avoided_agents = (*task.avoided_agents, agent.incarnation)
             self._fleet.record_failure(agent)
         self._mark_ready(task)
+        if end.end in (End.LOST, End.LAPSED):
+            self._run_lost(task)
 
     def _mark_ready(self, task):
         task.job.mark_ready(task)
@@ -449,10 +482,11 @@
                 payload=task.job.spec.payload,
                 room=task.step_spec.room,
                 estimate_ms=round(candidate.run_ms),
-                wait_ms=AGENT_WAIT_MS,
+                wait_ms=(ISOLATION_WAIT_MS if task.job.is_isolated else AGENT_WAIT_MS),
                 queue=task.job.route.name,
                 checkpoint=task.checkpoint,
                 slack_ms=due_in_ms,
                 is_late=is_late,
+                is_isolated=task.job.is_isolated,
             )
         )
--- a/plantainhitch/coordination/runs/agent_node.py
+++ b/plantainhitch/coordination/runs/agent_node.py
@@ -343,8 +343,8 @@
     def _send_new_reports(self):
         """Send a changed status to all owners, and reports to those due for one.
 
-        A report is due to owners with unsent ends, and to the next owner in the
-        rotation of ``ReportPacer``.
+        A report is due to owners with unsent ends or crashes, and to the next owner in
+        the rotation of ``ReportPacer``.
         """
         controller = self._controller
         status = controller.status()
@@ -358,7 +358,7 @@
         owner_to_report = self._report_pacer.next_owner(
             controller.free_room, capacity_millis
         )
-        due = controller.owners.incarnations_with_unsent_ends() & self._links.keys()
+        due = controller.owners.incarnations_with_unsent_events() & self._links.keys()
         if owner_to_report is not None:
             due.add(owner_to_report)
         if due:
--- a/plantainhitch/coordination/runs/forecast.py
+++ b/plantainhitch/coordination/runs/forecast.py
@@ -60,6 +60,24 @@
             pace(runs),
         )
 
+    @classmethod
+    def from_isolated_runs(cls, runs, capacity_millis, ranks, now_ms):
+        """Return the forecast of an endpoint with runs that need isolation.
+
+        Its whole processor becomes free when all runs have ended, and nothing before.
+        """
+        remaining_ms = max(
+            (_remaining_ms(run, now_ms) for run in runs if may_be_at_endpoint(run)),
+            default=0,
+        )
+        expected_free_millis = tuple(
+            capacity_millis if remaining_ms <= horizon_ms else 0
+            for horizon_ms in m.FORECAST_HORIZONS_MS
+        )
+        return cls(
+            Room(), expected_free_millis, waiting_by_rank(runs, ranks), pace(runs)
+        )
+
 
 def free_at_horizons(runs, free_millis, now_ms):
     """Return the processor expected to be free at each of ``FORECAST_HORIZONS_MS``.
--- a/plantainhitch/coordination/runs/owners.py
+++ b/plantainhitch/coordination/runs/owners.py
@@ -5,14 +5,18 @@
 beyond what the stamp allows.
 """
 
+import collections
 from dataclasses import dataclass, field
 
 from ...protocol import messages as m
+from ...state.crashes import EndpointCrash
 
 # A run is stopped when its owner has not been heard from for this long: longer than
 # three heartbeats and a retransmission, and shorter than the 1.3 s after which callers
 # resubmit a job whose entry is gone.
 OWNER_LEASE_MS = 900
+# Crashes of the endpoint that are kept for owners that link later.
+MAX_KEPT_CRASHES = 20
 
 
 @dataclass(slots=True)
@@ -21,7 +25,8 @@
 
     ``orders_seen`` is the number of its last ``RunOrders``, and ``loads`` are those of
     its queues. ``unacknowledged`` holds pairs of a report's number and the ends in it,
-    oldest first, until the owner acknowledges the report.
+    oldest first, until the owner acknowledges the report. ``unsent_crashes`` are the
+    crashes of the endpoint that were not reported on its present link.
     """
 
     lease_expiry_ms: int = 0
@@ -31,6 +36,7 @@
     loads: list[m.QueueLoad] = field(default_factory=list)
     unsent_ends: list[m.RunEnd] = field(default_factory=list)
     unacknowledged: list[tuple[int, list[m.RunEnd]]] = field(default_factory=list)
+    unsent_crashes: list[EndpointCrash] = field(default_factory=list)
 
 
 class Owners:
@@ -39,6 +45,7 @@
     def __init__(self, clock):
         self._clock = clock
         self._owners = {}
+        self._recent_crashes = collections.deque(maxlen=MAX_KEPT_CRASHES)
 
     @property
     def linked_incarnations(self):
@@ -57,9 +64,14 @@
         return owner
 
     def link_opened(self, incarnation):
-        """Record a new link; ends not yet acknowledged will be sent again."""
+        """Record a new link.
+
+        Ends that were not acknowledged will be sent again, and all recent crashes: an
+        owner that starts later must not take their tasks for new ones.
+        """
         owner = self.get_or_create(incarnation)
         owner.is_linked = True
+        owner.unsent_crashes = list(self._recent_crashes)
         resent = [end for _, ends in owner.unacknowledged for end in ends]
         owner.unacknowledged.clear()
         owner.unsent_ends[:0] = resent
@@ -69,6 +81,13 @@
         """Record that the link has closed."""
         self.get_or_create(incarnation).is_linked = False
 
+    def record_crash(self, crash):
+        """Record an ``EndpointCrash`` to be reported to all owners that are linked."""
+        self._recent_crashes.append(crash)
+        for owner in self._owners.values():
+            if owner.is_linked:
+                owner.unsent_crashes.append(crash)
+
     def record_frame(self, incarnation, echo_ms, ack):
         """Renew the lease by a frame's echo and drop the reports it acknowledges."""
         owner = self.get_or_create(incarnation)
@@ -81,12 +100,12 @@
         owner = self._owners.get(incarnation)
         return owner is not None and owner.lease_expiry_ms >= self._clock.now_ms()
 
-    def incarnations_with_unsent_ends(self):
-        """Return a set of the owners for which ends are waiting to be reported."""
+    def incarnations_with_unsent_events(self):
+        """Return a set of the owners to which ends or crashes are to be reported."""
         return {
             incarnation
             for incarnation, owner in self._owners.items()
-            if owner.unsent_ends
+            if owner.unsent_ends or owner.unsent_crashes
         }
 
     def total_loads(self):
@@ -125,3 +144,8 @@
         if ends:
             owner.unacknowledged.append((owner.last_report_number, ends))
         return owner.last_report_number, ends
+
+    def take_unsent_crashes(self, owner):
+        """Return the crashes to send in the owner's next report."""
+        crashes, owner.unsent_crashes = owner.unsent_crashes, []
+        return crashes
--- a/plantainhitch/coordination/runs/run.py
+++ b/plantainhitch/coordination/runs/run.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass
 
 from ...protocol import messages as m
-from ...state.jobs import RunKey
+from ...state.jobs import RunKey, job_id_of
 
 
 class Phase(enum.Enum):
@@ -47,6 +47,11 @@
     last_progress_ms: int = 0
     is_listed: bool = False
 
+    @property
+    def job_id(self):
+        """The id of the job that the run's task belongs to."""
+        return job_id_of(self.start.key.task)
+
     @property
     def ms_per_percent(self):
         """The time in ms in which the run is expected to progress by one percent."""
--- a/plantainhitch/coordination/runs/run_controller.py
+++ b/plantainhitch/coordination/runs/run_controller.py
@@ -11,6 +11,7 @@
 
 from ... import logs
 from ...protocol import messages as m
+from ...state.crashes import CrashedRun, EndpointCrash
 from ...state.endpoints import (
     Accepted,
     End,
@@ -24,6 +25,7 @@
 from ...state.queue_ranks import QueueRanks
 from .endpoint_lease import EndpointLease
 from .forecast import Forecast
+from .isolation import Isolation
 from .owners import Owners
 from .run import Phase, Run, StartOrder, StopOrder, may_be_at_endpoint
 
@@ -67,6 +69,8 @@
         self._events = logs.EventLog(log, clock)
         self._runs = {}
         self._used_room = Room()
+        # How many of the runs need isolation.
+        self._isolated_count = 0
         self._last_check_ms = 0
         self._recent_ends = OrderedDict()
         self._end_counts = Counter()
@@ -144,8 +148,11 @@
 
     @property
     def free_room(self):
-        """The ``Room`` that no run takes up; starts may be waiting for it."""
-        if self._endpoint is None:
+        """The ``Room`` that no run takes up; starts may be waiting for it.
+
+        There is none while a run needs isolation.
+        """
+        if self._endpoint is None or self._isolated_count:
             return Room()
         return self._endpoint.capacity - self.used_room
 
@@ -182,6 +189,7 @@
         owner = self._owners.get_or_create(incarnation)
         number, ends = self._owners.take_unsent_ends(owner)
         forecast = forecast or self.forecast()
+        crashes = self._owners.take_unsent_crashes(owner)
         return m.RunReports(
             number,
             owner.orders_seen,
@@ -190,14 +198,18 @@
             forecast.expected_free_millis,
             forecast.waiting_by_rank,
             forecast.pace,
+            crashes,
         )
 
     def forecast(self):
         """Return the present ``Forecast`` of the endpoint."""
-        runs = self._runs.values()
-        return Forecast.from_runs(
-            runs, self.free_room, self._ranks, self._clock.now_ms()
-        )
+        runs, now_ms = self._runs.values(), self._clock.now_ms()
+        if self._isolated_count and self._endpoint is not None:
+            capacity_millis = self._endpoint.capacity.cpu_millis
+            return Forecast.from_isolated_runs(
+                runs, capacity_millis, self._ranks, now_ms
+            )
+        return Forecast.from_runs(runs, self.free_room, self._ranks, now_ms)
 
     # Event handlers
 
@@ -255,20 +267,28 @@
         It has crashed if it had not announced its end and was not lost before. The
         runs in ``kept`` are not ended.
         """
-        keys = [run.start.key for run in self._runs.values() if may_be_at_endpoint(run)]
-        if (self._is_reconciled or keys) and not self._endpoint.draining:
-            self._record_crash(reason, keys)
+        runs = tuple(
+            CrashedRun(run.start.key.task, run.start.queue)
+            for run in self._runs.values()
+            if may_be_at_endpoint(run)
+        )
+        if (self._is_reconciled or runs) and not self._endpoint.draining:
+            self._record_crash(reason, runs)
         self._declare_endpoint_lost(reason, kept)
 
-    def _record_crash(self, reason, keys):
+    def _record_crash(self, reason, runs):
+        endpoint = self._endpoint
         self._crash_count += 1
+        if runs:
+            crash = EndpointCrash(endpoint.endpoint_id, endpoint.born_ms, runs)
+            self._owners.record_crash(crash)
         log.warning(
             "endpoint crashed",
-            endpoint=self._endpoint.endpoint_id,
-            born_ms=self._endpoint.born_ms,
+            endpoint=endpoint.endpoint_id,
+            born_ms=endpoint.born_ms,
             why=reason,
-            runs=len(keys),
-            tasks=[key.task for key in keys[:MAX_LOGGED_TASKS]],
+            runs=len(runs),
+            tasks=[run.task for run in runs[:MAX_LOGGED_TASKS]],
         )
 
     def _declare_endpoint_lost(self, reason, kept=()):
@@ -443,6 +463,7 @@
         now_ms = self._clock.now_ms()
         run = Run(incarnation, start, now_ms + start.wait_ms, now_ms + start.slack_ms)
         self._runs[key] = run
+        self._isolated_count += start.is_isolated
         if not self._owners.is_alive(incarnation):
             self._finish(key, End.NOT_STARTED, "stale order")
             return
@@ -475,6 +496,10 @@
             return "not ready"
         if not self._endpoint.capacity.can_fit(run.start.room):
             return "too large"
+        if run.start.is_isolated:
+            return ""  # waits for the endpoint to become empty
+        if self._isolated_count and Isolation(self._runs.values()).excludes(run):
+            return "reserved for a run that needs isolation"
         return "" if self._is_room_expected(run) else "no room soon"
 
     def _is_room_expected(self, new_run):
@@ -621,15 +646,23 @@
             run.start.key.task for run in self._runs.values() if may_be_at_endpoint(run)
         }
         used_by_queue = self._used_by_queue()
+        isolation = Isolation(self._runs.values())
         for run in sorted(waiting, key=self._priority):
             start = run.start
             reserved = self._ranks.reserved_cpu_millis(
                 start.queue, capacity.cpu_millis, used_by_queue
             )
             millis_left = free.cpu_millis - start.room.cpu_millis
-            has_room = free.can_fit(start.room) and millis_left >= reserved
-            if has_room and start.key.task not in tasks_at_endpoint:
+            has_room = free.can_fit(start.room) and (
+                millis_left >= reserved or start.is_isolated
+            )
+            if (
+                has_room
+                and start.key.task not in tasks_at_endpoint
+                and isolation.may_begin(run)
+            ):
                 run.phase = Phase.STARTING
+                isolation.record_begin(run)
                 tasks_at_endpoint.add(start.key.task)
                 self._used_room += start.room
                 run.started_ms = now_ms
@@ -660,6 +693,7 @@
 
     def _finish(self, key, end, reason="", checkpoint=""):
         run = self._runs.pop(key)
+        self._isolated_count -= run.start.is_isolated
         if may_be_at_endpoint(run):
             self._used_room -= run.start.room
         run_ms = self._clock.now_ms() - run.started_ms if run.started_ms else 0
--- a/plantainhitch/protocol/messages.py
+++ b/plantainhitch/protocol/messages.py
@@ -8,6 +8,7 @@
 from typing import NamedTuple
 
 from ..outcomes import Outcome
+from ..state.crashes import EndpointCrash
 from ..state.endpoints import End
 from ..state.jobs import Room, RunKey
 
@@ -182,7 +183,8 @@
     The start may wait up to ``wait_ms`` at the agent for room, in the order of
     ``QueueRanks``. ``is_late`` is True if its job can no longer end in time, and
     ``slack_ms`` is the time until the job is due. ``estimate_ms`` is the expected run
-    time at the endpoint.
+    time at the endpoint. If ``is_isolated``, the run must not be at the endpoint
+    together with a run of another job.
     """
 
     key: RunKey
@@ -194,6 +196,7 @@
     checkpoint: str = ""
     slack_ms: int = 0
     is_late: bool = False
+    is_isolated: bool = False
 
 
 @dataclass(slots=True)
@@ -232,7 +235,9 @@
     ``expected_free_millis`` the processor expected to be free at each of
     ``FORECAST_HORIZONS_MS``, ``waiting_by_rank`` pairs of a rank and the processor
     that its waiting starts need, and ``pace`` the progress of runs as a multiple of
-    the expected progress. Processor is in thousandths of a core.
+    the expected progress. Processor is in thousandths of a core. ``crashes`` are those
+    of the endpoint that were not reported on this link before, also those in which the
+    receiver had no run.
     """
 
     number: int
@@ -242,6 +247,7 @@
     expected_free_millis: tuple[int, ...] = ()
     waiting_by_rank: tuple[tuple[float, int], ...] = ()
     pace: float = 1.0
+    crashes: list[EndpointCrash] = field(default_factory=list)
 
 
 @dataclass(slots=True)
--- a/plantainhitch/protocol/run_codec.py
+++ b/plantainhitch/protocol/run_codec.py
@@ -1,5 +1,6 @@
 """Encoding of the messages about runs, and of the other messages of job scheduling."""
 
+from ..state.crashes import CrashedRun, EndpointCrash
 from ..state.endpoints import End
 from ..state.jobs import Room, RunKey
 from . import messages as m
@@ -88,10 +89,14 @@
         ):
             item.rank = rank
             item.cpuMillis = cpu_millis
-    if not reports.ends:
-        return
-    items = target.init("ends", len(reports.ends))
-    for item, end in zip(items, reports.ends, strict=True):
+    if reports.ends:
+        _write_ends(target.init("ends", len(reports.ends)), reports.ends)
+    if reports.crashes:
+        _write_crashes(target.init("crashes", len(reports.crashes)), reports.crashes)
+
+
+def _write_ends(items, ends):
+    for item, end in zip(items, ends, strict=True):
         item.task, item.run = end.key
         item.end = end.end.value
         item.reason = end.reason
@@ -99,6 +104,15 @@
         item.runMs = end.run_ms
 
 
+def _write_crashes(items, crashes):
+    for item, crash in zip(items, crashes, strict=True):
+        item.endpointId = crash.endpoint_id
+        item.bornMs = crash.born_ms
+        rows = item.init("runs", len(crash.runs))
+        for row, run in zip(rows, crash.runs, strict=True):
+            row.task, row.queue = run
+
+
 def _read_reports(source):
     ends = [
         m.RunEnd(
@@ -118,9 +132,15 @@
         tuple(source.soon),
         tuple((item.rank, item.cpuMillis) for item in source.waiting),
         source.pace,
+        [_read_crash(item) for item in source.crashes],
     )
 
 
+def _read_crash(source):
+    runs = tuple(CrashedRun(item.task, item.queue) for item in source.runs)
+    return EndpointCrash(source.endpointId, source.bornMs, runs)
+
+
 def _write_status(target, status):
     target.endpointId = status.endpoint_id
     target.bornMs = status.born_ms
@@ -156,6 +176,7 @@
     item.queue = start.queue
     item.slackMs = start.slack_ms
     item.late = start.is_late
+    item.isolated = start.is_isolated
     if start.checkpoint:
         item.checkpoint = start.checkpoint
 
@@ -171,6 +192,7 @@
         checkpoint=item.checkpoint,
         slack_ms=item.slackMs,
         is_late=item.late,
+        is_isolated=item.isolated,
     )
 
 
--- a/plantainhitch/protocol/wire.capnp
+++ b/plantainhitch/protocol/wire.capnp
@@ -123,6 +123,7 @@
   checkpoint @7 :Text;
   slackMs @8 :Int32;      # among equal ranks the least slack starts first
   late @9 :Bool;          # the job can no longer end in time
+  isolated @10 :Bool;     # must not run beside a run of another job
 }
 
 struct RunStop {
@@ -155,6 +156,18 @@
   soon @4 :List(Int32);   # expected free processor at each of FORECAST_HORIZONS_MS
   waiting @5 :List(WaitingRoom);
   pace @6 :Float32;
+  crashes @7 :List(EndpointCrash); # not sent before on this link
+}
+
+struct EndpointCrash {
+  endpointId @0 :Text;
+  bornMs @1 :UInt64;
+  runs @2 :List(CrashedRun);
+}
+
+struct CrashedRun {
+  task @0 :Text;
+  queue @1 :Text;
 }
 
 struct WaitingRoom {
--- /dev/null
+++ b/plantainhitch/state/crashes.py
@@ -0,0 +1,97 @@
+"""Crashes of endpoints, and how many of them each task was running in.
+
+A crash proves something against a task only in one case: if no other job had a run at
+the endpoint. Sound tasks run beside one that crashes its endpoints, so their counts
+can be as high as its own.
+"""
+
+from collections import OrderedDict
+from dataclasses import dataclass
+from typing import NamedTuple
+
+from .jobs import job_id_of
+
+# A task is proven to crash its endpoints after this many crashes, at least one of them
+# without a run of another job at the endpoint.
+PROOF_CRASHES = 2
+# From this many crashes on, a task may run only where no other job has a run.
+ISOLATION_CRASHES = 2
+# Crashes remembered, for jobs that are submitted again at another entry.
+MAX_KEPT_CRASHES = 500
+
+
+class CrashedRun(NamedTuple):
+    """A run that an endpoint may have been executing when it crashed."""
+
+    task: str
+    queue: str
+
+
+@dataclass(frozen=True, slots=True)
+class EndpointCrash:
+    """The end of one lifetime of an endpoint without notice.
+
+    ``endpoint_id`` and ``born_ms`` identify the lifetime.
+    """
+
+    endpoint_id: str
+    born_ms: int
+    runs: tuple[CrashedRun, ...]
+
+    @property
+    def lifetime(self):
+        """The key of the lifetime that ended."""
+        return self.endpoint_id, self.born_ms
+
+    @property
+    def has_single_job(self):
+        """Whether all runs belong to one job."""
+        return len({job_id_of(run.task) for run in self.runs}) == 1
+
+
+class CrashHistory:
+    """The crashes that became known last, and the counts of their tasks."""
+
+    def __init__(self, max_crashes=MAX_KEPT_CRASHES):
+        self._max_crashes = max_crashes
+        self._crashes = OrderedDict()
+        # By task: all crashes, and those without a run of another job.
+        self._counts = {}
+        self._single_job_counts = {}
+
+    def record(self, crash):
+        """Record an ``EndpointCrash``; return False if it was known."""
+        if crash.lifetime in self._crashes:
+            return False
+        self._crashes[crash.lifetime] = crash
+        self._add(crash, 1)
+        if len(self._crashes) > self._max_crashes:
+            _, oldest = self._crashes.popitem(last=False)
+            self._add(oldest, -1)
+        return True
+
+    def count(self, task):
+        """Return the number of crashes in which a task may have been running."""
+        return self._counts.get(task, 0)
+
+    def is_proven(self, task):
+        """Return whether a task is proven to crash its endpoints."""
+        return self.count(task) >= PROOF_CRASHES and task in self._single_job_counts
+
+    def needs_isolation(self, task):
+        """Return whether a task may run only where no other job has a run."""
+        return self.count(task) >= ISOLATION_CRASHES
+
+    def _add(self, crash, change):
+        for run in crash.runs:
+            _add_to_count(self._counts, run.task, change)
+            if crash.has_single_job:
+                _add_to_count(self._single_job_counts, run.task, change)
+
+
+def _add_to_count(counts, task, change):
+    count = counts.get(task, 0) + change
+    if count:
+        counts[task] = count
+    else:
+        del counts[task]
--- a/plantainhitch/state/jobs.py
+++ b/plantainhitch/state/jobs.py
@@ -8,6 +8,11 @@
 from typing import NamedTuple
 
 
+def job_id_of(task_name):
+    """Return the id of the job that a task belongs to."""
+    return task_name.partition(".")[0]
+
+
 class RunKey(NamedTuple):
     """Key of a run: the task's name and the number of this start of the task."""
 
--- a/tests/fleet_sim.py
+++ b/tests/fleet_sim.py
@@ -338,7 +338,7 @@
         for incarnation, link in self.links.items():
             if (
                 incarnation == owner_in_turn
-                or controller.owners.get_or_create(incarnation).unsent_ends
+                or incarnation in controller.owners.incarnations_with_unsent_events()
             ):
                 self.report_pacer.record_sent(incarnation, controller.free_room)
                 link.send(controller.next_report(incarnation))
--- a/tests/test_codec.py
+++ b/tests/test_codec.py
@@ -4,8 +4,13 @@
 
 from plantainhitch.outcomes import Failed, NotRun, Reason, Succeeded, Unknown
 from plantainhitch.protocol import codec, messages as m
+from plantainhitch.state.crashes import CrashedRun, EndpointCrash
+from plantainhitch.state.endpoints import End
+from plantainhitch.state.jobs import Room, RunKey
 
 KEY = m.TaskKey(b"i" * 40, 3, 1)
+RUN = RunKey("00000000000000aa.0.0.1", 2)
+CRASH = EndpointCrash("e-1", 1_790_000_000_000, (CrashedRun(RUN.task, "queue"),))
 WAITING = [m.Waiting("render", 2), m.Waiting("sync", 1)]
 
 SAMPLES = [
@@ -30,6 +35,28 @@
     m.Heartbeat(),
     m.Call(9, "submit", b"i" * 40, 100, b"{}"),
     m.Reply(9, 200, b"{}"),
+    m.RunOrders(
+        3,
+        [
+            m.RunStart(RUN, "payload", Room(1_600, 64, 0), 120, 30, "queue", "cp", -7),
+            m.RunStart(RUN, "", Room(), is_late=True, is_isolated=True),
+        ],
+        [RUN],
+        [RUN],
+        True,
+    ),
+    m.RunReports(
+        5,
+        3,
+        [m.RunEnd(RUN, End.LOST, "no answer", "cp", 40)],
+        Room(8_000, 1_024, 1),
+        (1, 2, 3),
+        ((0.25, 1_600),),
+        0.5,
+        [CRASH],
+    ),
+    m.EndpointStatus("e-1", 7, "pool", True, False, Room(16_000, 64, 0), "a", "r1-3"),
+    m.QueueLoads([m.QueueLoad("queue", 0.25, 300)]),
 ]
 
 
