Place jobs that were running in a crash apart from each other

An entry now places such jobs on different endpoints where there is a choice, and does not let them wait for it.

The first new test fails without the change (all four jobs again on fewer endpoints).

--- a/plantainhitch/coordination/jobs/containment.py
+++ b/plantainhitch/coordination/jobs/containment.py
@@ -30,6 +30,10 @@
         """Return how many endpoints have crashed while a ``Task`` ran there."""
         return self._history.count(task.name)
 
+    def is_suspect(self, job):
+        """Return whether a task of a job was running when an endpoint crashed."""
+        return any(self._history.count(task.name) for task in job.all_tasks())
+
     def is_deadly(self, job):
         """Return whether a task of a job is proven to crash its endpoints."""
         return any(self._history.is_proven(task.name) for task in job.all_tasks())
--- a/plantainhitch/coordination/jobs/fleet.py
+++ b/plantainhitch/coordination/jobs/fleet.py
@@ -80,6 +80,12 @@
         """Whether the endpoint gets single probe runs only, after repeated failures."""
         return self.held_until_ms > 0
 
+    def has_suspect_beside(self, job):
+        """Return whether a run here is of another job that was running in a crash."""
+        return any(
+            task.job.is_suspect and task.job is not job for task in self.tasks.values()
+        )
+
     def fits(self, step):
         """Return whether the endpoint's labels and capacity allow a task of a step."""
         status = self.status
--- a/plantainhitch/coordination/jobs/placement.py
+++ b/plantainhitch/coordination/jobs/placement.py
@@ -130,9 +130,7 @@
                 candidates[task.step_index] = self._candidates(
                     task, requirements, assigned_millis
                 )
-            candidate = candidates[task.step_index].take_best(
-                task.avoided_agents, due_in_ms
-            )
+            candidate = self._take_best(task, candidates[task.step_index], due_in_ms)
             if candidate is None:
                 break
             selected.append((task, candidate))
@@ -140,6 +138,25 @@
             return []
         return selected
 
+    def _take_best(self, task, candidates, due_in_ms):
+        """Return the ``Candidate`` of a task, or None.
+
+        Where there is a choice, jobs that were running in a crash are kept apart:
+        another crash then speaks against one of them only, and loses the others
+        nothing.
+        """
+        avoided, job = task.avoided_agents, task.job
+        if job.is_suspect and not job.is_isolated:
+            suspects_at = [
+                agent.incarnation
+                for agent in self._view.agents
+                if agent.has_suspect_beside(job)
+            ]
+            candidate = candidates.take_best((*avoided, *suspects_at), due_in_ms)
+            if candidate is not None:
+                return candidate
+        return candidates.take_best(avoided, due_in_ms)
+
     def _min_tasks_to_start(self, tasks):
         """Return how many of a job's ready tasks must find room before any starts."""
         step = tasks[0].step_spec
--- a/plantainhitch/coordination/jobs/scheduler.py
+++ b/plantainhitch/coordination/jobs/scheduler.py
@@ -292,7 +292,9 @@
             log.warning("job crashes its endpoints", job=job.job_id)
             self._stop_runs(job)
             self._finish_job(job, Ended(JobState.FAILED))
-        elif not job.is_isolated and self._containment.needs_isolation(job):
+            return
+        job.is_suspect = self._containment.is_suspect(job)
+        if not job.is_isolated and self._containment.needs_isolation(job):
             job.is_isolated = True
             log.info("job isolated", job=job.job_id, queue=job.route.name)
 
--- a/tests/test_crash_proofs.py
+++ b/tests/test_crash_proofs.py
@@ -203,6 +203,32 @@
         self.end_run(agent, start)
         self.assertEqual(Ended(JobState.COMPLETED), self.outcomes[JOB])
 
+    def test_jobs_that_were_running_in_a_crash_are_not_placed_together_again(self):
+        # All runs of a crashed endpoint were placed together on the next one, so that
+        # the sound ones were lost again, and their counts said nothing.
+        for name in (b"three", b"four"):
+            self.join(name)
+        jobs = [f"{number:016x}" for number in range(4)]
+        starts = [self.submit(job)[0] for job in jobs]
+        crashed = crash(1, *(start.key.task for _, start in starts))
+        self.report_crash(crashed)
+        for agent, start in starts:
+            ends = [m.RunEnd(start.key, End.LOST, "nothing listens")]
+            self.report(agent, ends=ends)
+        self.clock.advance(10)
+        self.assertEqual(4, len({agent for agent, _ in self.starts()}))
+
+    def test_jobs_that_were_running_in_a_crash_need_not_wait_to_be_apart(self):
+        # A crash without a deadly task is more common, and must not delay its jobs.
+        jobs = [f"{number:016x}" for number in range(4)]
+        starts = [self.submit(job)[0] for job in jobs]
+        self.report_crash(crash(1, *(start.key.task for _, start in starts)))
+        for agent, start in starts:
+            ends = [m.RunEnd(start.key, End.LOST, "nothing listens")]
+            self.report(agent, ends=ends)
+        self.clock.advance(10)
+        self.assertEqual(4, len(self.starts()))
+
     def test_an_endpoint_is_not_held_back_for_a_crash(self):
         ((agent, start),) = self.submit()
         for number in range(2):
