Contain a queue whose tasks crash endpoints in a part of its pool

With each deadly task failed after two or three crashes, a flood of them still took most endpoints down, and the callers of all other kinds with them. Cause: each new job of the same kind met the whole fleet as if nothing were known. Class of fault: no bulkhead between kinds of work that share endpoints.

A queue is contained when a crash speaks against it alone: tasks that were in a crash before and had run too shortly for a coincidence, or a proven task. Agents pass contained queues on, also to entries that start later, and nothing is reserved for them elsewhere.

--- a/plantainhitch/coordination/jobs/demand.py
+++ b/plantainhitch/coordination/jobs/demand.py
@@ -79,8 +79,11 @@
         self._reported_ms = now_ms
         return True
 
-    def loads(self, fleet_cpu_millis):
-        """Return this entry's ``QueueLoads``, as shares of the fleet's processor."""
+    def loads(self, fleet_cpu_millis, contained_ms):
+        """Return this entry's ``QueueLoads``, as shares of the fleet's processor.
+
+        ``contained_ms`` has, by queue, for how long it stays contained.
+        """
         self._decay()
         return m.QueueLoads(
             [
@@ -88,6 +91,7 @@
                     queue,
                     self.load(queue) / max(fleet_cpu_millis, 1),
                     round(self._slack_ms_by_queue[queue]),
+                    contained_ms.get(queue, 0),
                 )
                 for queue in self._work_by_queue
             ]
--- a/plantainhitch/coordination/runs/agent_node.py
+++ b/plantainhitch/coordination/runs/agent_node.py
@@ -234,6 +234,8 @@
                 controller.owners.link_opened(incarnation)
                 self._links[incarnation] = link
                 link.send(controller.status())
+                if loads := controller.owners.total_loads():
+                    link.send(m.QueueLoads(loads))
                 self._send_report(incarnation, controller.forecast())
             case OwnerUnlinked(incarnation, link):
                 if self._links.get(incarnation) is link:
--- a/plantainhitch/coordination/runs/run_controller.py
+++ b/plantainhitch/coordination/runs/run_controller.py
@@ -267,8 +267,9 @@
         It has crashed if it had not announced its end and was not lost before. The
         runs in ``kept`` are not ended.
         """
+        now_ms = self._clock.now_ms()
         runs = tuple(
-            CrashedRun(run.start.key.task, run.start.queue)
+            CrashedRun(run.start.key.task, run.start.queue, now_ms - run.started_ms)
             for run in self._runs.values()
             if may_be_at_endpoint(run)
         )
@@ -325,7 +326,7 @@
 
         Returns a ``QueueLoads`` with the sum over all owners that are alive.
         """
-        self._owners.get_or_create(incarnation).loads = loads
+        self._owners.record_loads(incarnation, loads)
         total = self._owners.total_loads()
         self._ranks = QueueRanks(total)
         return m.QueueLoads(total)
--- a/plantainhitch/protocol/wire.capnp
+++ b/plantainhitch/protocol/wire.capnp
@@ -163,11 +163,13 @@
   endpointId @0 :Text;
   bornMs @1 :UInt64;
   runs @2 :List(CrashedRun);
+  ageMs @3 :UInt32;       # since the crash was noticed, when sent
 }
 
 struct CrashedRun {
   task @0 :Text;
   queue @1 :Text;
+  runMs @2 :UInt32;       # from the order to start it to the crash
 }
 
 struct WaitingRoom {
@@ -192,4 +194,5 @@
   queue @0 :Text;
   share @1 :Float64;      # of the fleet's processor
   slackMs @2 :UInt32;
+  containedMs @3 :UInt32; # how long its tasks run in a part of the fleet only
 }
--- a/plantainhitch/state/crashes.py
+++ b/plantainhitch/state/crashes.py
@@ -21,22 +21,28 @@
 
 
 class CrashedRun(NamedTuple):
-    """A run that an endpoint may have been executing when it crashed."""
+    """A run that an endpoint may have been executing when it crashed.
+
+    ``run_ms`` is the time from the order to start it until the crash was noticed.
+    """
 
     task: str
     queue: str
+    run_ms: int = 0
 
 
 @dataclass(frozen=True, slots=True)
 class EndpointCrash:
     """The end of one lifetime of an endpoint without notice.
 
-    ``endpoint_id`` and ``born_ms`` identify the lifetime.
+    ``endpoint_id`` and ``born_ms`` identify the lifetime, and ``age_ms`` is how long
+    ago its end was noticed when the crash was reported.
     """
 
     endpoint_id: str
     born_ms: int
     runs: tuple[CrashedRun, ...]
+    age_ms: int = 0
 
     @property
     def lifetime(self):
