Test an endpoint whose capacity shrinks and grows while it runs

The users' new rule: a start must not bring an endpoint over its capacity, also after it has shrunk, and what is being stopped counts. Each heartbeat carries the capacity, and the controller and the entries already used the newest one, so no code changes; the tests bring it about: shrink below what runs, stop during a shrink, growth for a waiting start, late heartbeats, drawn changes, and at the entry jobs that fit nowhere any more.

Not covered: an agent that restarts while the store still has the larger capacity; it uses that until the next heartbeat.

--- a/tests/test_job_scheduler.py
+++ b/tests/test_job_scheduler.py
@@ -289,6 +289,43 @@
         self.assertEqual(Ended(JobState.COMPLETED), outcome)
 
 
+class ChangingCapacityTests(SchedulerCase):
+    """Endpoints whose capacity shrinks and grows during their lifetime."""
+
+    def resize(self, *agents, cpu_millis):
+        for name in agents:
+            capacity = Room(cpu_millis, 1_000, 0)
+            status = m.EndpointStatus(
+                f"e-{name.decode()}", 1, "pool", True, capacity=capacity
+            )
+            self.scheduler.handle_agent_message(name, status)
+            self.report(name, capacity)
+
+    def test_a_shrunk_endpoint_gets_no_task_that_no_longer_fits(self):
+        self.resize(b"one", cpu_millis=500)
+        ((agent, _),) = self.submit()
+        self.assertEqual(b"two", agent)
+
+    def test_an_endpoint_that_has_grown_gets_tasks_that_fit_now(self):
+        step = StepSpec(1, Room(6_000, 10, 0), 200)
+        self.resize(b"one", cpu_millis=8_000)
+        ((agent, _),) = self.submit(steps=[step])
+        self.assertEqual(b"one", agent)
+
+    def test_a_job_that_fits_nowhere_any_more_is_refused_before_its_deadline(self):
+        # It waited for room when all endpoints shrank.
+        for name in (b"one", b"two"):
+            self.report(name, Room(0, 1_000, 0))
+        self.assertEqual([], self.submit(steps=[StepSpec(1, Room(3_000, 10, 0), 200)]))
+        self.resize(b"one", b"two", cpu_millis=1_000)
+        for _ in range(4):
+            self.clock.advance(500)
+            for name in (b"one", b"two"):
+                self.report(name, Room(1_000, 1_000, 0))
+            self.assertEqual([], self.starts())
+        self.assertIsInstance(self.outcomes["00000000000000aa"], NeverRan)
+
+
 class LossTests(SchedulerCase):
     """Silent, dead or replaced agents: at most one run of a task at a time."""
 
--- a/tests/test_run_controller.py
+++ b/tests/test_run_controller.py
@@ -1,5 +1,6 @@
 """The run controller of an agent, without an endpoint or links."""
 
+import random
 import unittest
 
 from plantainhitch.clock import ManualClock
@@ -490,6 +491,106 @@
         self.assertEqual(0, self.controller.last_end_number)
 
 
+class ChangingCapacityTests(RunControllerCase):
+    """An endpoint whose capacity shrinks and grows during its lifetime."""
+
+    def setUp(self):
+        super().setUp()
+        self.sequences = iter(range(2, 100))
+
+    def resize(self, cpu_millis):
+        """Deliver a heartbeat with another capacity; return the orders it leads to."""
+        capacity = Room(cpu_millis, 1_000, 0)
+        report = heartbeat(sequence=next(self.sequences), capacity=capacity)
+        self.assertFalse(self.controller.handle_heartbeat(report))
+        return self.controller.next_orders()
+
+    def test_nothing_starts_over_a_capacity_that_has_shrunk(self):
+        # Such an endpoint starts whatever it is told to, beyond its capacity.
+        first, second = run_start("a.0.0.0"), run_start("b.0.0.0")
+        self.start_runs(first, second)
+        self.assertEqual([], self.resize(1_500))
+        self.assertEqual([], self.send_orders(run_start("c.0.0.0", wait_ms=5_000)))
+        self.deliver_inventory(ended=[EndedRun(1, first.key, End.DONE, "")])
+        self.assertEqual([], self.controller.next_orders())
+        self.assertEqual(second.room, self.controller.used_room)
+
+    def test_a_run_that_is_being_stopped_counts_against_a_shrunk_capacity(self):
+        first = run_start("a.0.0.0", cpu=2_000)
+        self.start_runs(first)
+        self.resize(2_500)
+        self.send_orders(stops=[first.key])
+        waiting = run_start("b.0.0.0", wait_ms=100)
+        self.assertEqual([], self.send_orders(waiting))
+        self.deliver_inventory(ended=[EndedRun(1, first.key, End.STOPPED, "")])
+        self.assertEqual([StartOrder(waiting)], self.controller.next_orders())
+
+    def test_runs_go_on_when_the_capacity_shrinks_below_them(self):
+        start = run_start(cpu=3_000)
+        self.start_runs(start)
+        self.assertEqual([], self.resize(1_000))
+        self.assertLess(self.controller.free_room.cpu_millis, 0)
+        self.deliver_inventory(ended=[EndedRun(1, start.key, End.DONE, "")])
+        self.assertEqual({start.key: End.DONE}, self.reported_ends())
+        self.assertEqual(1_000, self.controller.free_room.cpu_millis)
+
+    def test_a_waiting_start_begins_when_the_capacity_grows_again(self):
+        self.start_runs(run_start("a.0.0.0"))
+        self.resize(1_000)
+        waiting = run_start("b.0.0.0", wait_ms=100)
+        self.assertEqual([], self.send_orders(waiting))
+        self.assertEqual([StartOrder(waiting)], self.resize(2_000))
+
+    def test_a_start_larger_than_the_shrunk_capacity_is_refused_at_once(self):
+        self.resize(500)
+        start = run_start(wait_ms=5_000)
+        self.assertEqual([], self.send_orders(start))
+        self.assertEqual({start.key: End.NOT_STARTED}, self.reported_ends())
+
+    def test_a_late_heartbeat_does_not_bring_back_the_larger_capacity(self):
+        late = heartbeat(sequence=1)
+        self.resize(1_000)
+        self.controller.handle_heartbeat(late)
+        self.assertEqual(1_000, self.controller.status().capacity.cpu_millis)
+
+    def test_owners_are_told_of_each_change(self):
+        before = self.controller.status()
+        self.resize(1_000)
+        self.assertNotEqual(before, self.controller.status())
+        self.resize(4_000)
+        self.assertEqual(before, self.controller.status())
+
+    def test_drawn_changes_never_lead_to_a_start_over_the_capacity(self):
+        rng = random.Random(22)
+        at_endpoint, number = {}, 0
+        for step in range(600):
+            capacity_millis = rng.choice((0, 1_000, 2_500, 4_000, 6_000))
+            orders = self.resize(capacity_millis) if rng.random() < 0.1 else []
+            if not orders and rng.random() < 0.6:
+                start = run_start(f"j{step}.0.0.0", cpu=rng.choice((300, 900, 1_700)))
+                orders = self.send_orders(start)
+            if at_endpoint and rng.random() < 0.4:
+                key = rng.choice(list(at_endpoint))
+                del at_endpoint[key]
+                number += 1
+                self.deliver_inventory(
+                    at_endpoint, [EndedRun(number, key, End.DONE, "")]
+                )
+                orders += self.controller.next_orders()
+            for order in orders:
+                if isinstance(order, StartOrder):
+                    start = order.start
+                    at_endpoint[start.key] = start.room.cpu_millis
+                    self.controller.handle_start_result(start.key, Accepted(1))
+                    capacity = self.controller.endpoint.capacity
+                    self.assertLessEqual(sum(at_endpoint.values()), capacity.cpu_millis)
+            self.clock.advance(10)
+            self.renew_owner_lease()
+            self.controller.lease.record_renewal()
+            self.deliver_inventory(at_endpoint)
+        self.assertGreater(number, 50)
+
+
 class ReportTests(RunControllerCase):
     """Reports to owners, also over a new link, and resyncs."""
 
