Report a run of a crashed lifetime as lost, not as never started

Callers could be told 503 'never ran' for a job of which a run had begun: an endpoint that crashes and restarts under the same id within a few ms leaves runs that no inventory had listed. They are stopped in the new lifetime, and were then reported as NOT_STARTED because the new lifetime lists them neither as running nor as ended; but the old one may have begun them, and had accepted them here.

The test that expected NOT_STARTED for a run that the old lifetime had accepted was wrong and now expects LOST; it fails without the change. Ruled out: starts without an answer within one lifetime, whose end the endpoint lists if they began.

--- a/plantainhitch/coordination/runs/run_controller.py
+++ b/plantainhitch/coordination/runs/run_controller.py
@@ -239,6 +239,7 @@
             unlisted = self._unlisted_runs() if is_same_id else []
             self._endpoint_ended("a new lifetime of the endpoint", kept=unlisted)
             for run in unlisted:
+                run.is_of_earlier_lifetime = True
                 self._stop_unconfirmed(run)
             if unlisted:
                 self._lease.record_renewal()  # the orders to start them had a lease
@@ -614,7 +615,9 @@
             case Phase.STOPPING | Phase.UNCONFIRMED:
                 stop_clock_ms = run.stop_accepted_clock_ms
                 if stop_clock_ms is not None and clock_ms > stop_clock_ms:
-                    self._finish(key, End.NOT_STARTED, run.stop_reason or "no answer")
+                    may_have_begun = run.is_of_earlier_lifetime
+                    end = End.LOST if may_have_begun else End.NOT_STARTED
+                    self._finish(key, end, run.stop_reason or "no answer")
             case Phase.RUNNING:
                 # Listed neither as running nor as ended. This is only seen when the
                 # answers to the start and to an inventory arrive out of order, so the
