Soak with jobs that crash endpoints and with capacities that change

Two faults more: jobs whose tasks crash each endpoint that starts them, and endpoints whose capacity shrinks and grows. New checks: no task is started three times after three crashes, no sound job is failed for crashes beside it, no start goes over a capacity that shrank longer ago than the contact time and a heartbeat.

--- a/plantainhitch/standins/run_endpoint.py
+++ b/plantainhitch/standins/run_endpoint.py
@@ -1,6 +1,7 @@
 """Stand-in for an endpoint of the users' platform: runs, leases, inventories.
 
-It executes nothing: a run takes the time in ms given by its job's payload. Faults:
+It executes nothing: a run takes the time in ms given by its job's payload, and crashes
+the endpoint after ``CRASH_DELAY_S`` if the payload is ``DEADLY_PAYLOAD``. Faults:
 ``fail_all`` ends each run as failed, ``unanswered_starts`` is the number of next
 start orders that are applied after ``LATE_ORDER_S`` without an answer, and ``crash``
 discards all state and begins a new lifetime.
@@ -16,6 +17,8 @@
 MAX_LEASE_MS = 1_000
 DEFAULT_RUN_MS = 50
 LATE_ORDER_S = 0.3
+DEADLY_PAYLOAD = "deadly"
+CRASH_DELAY_S = 0.05
 _POLL_INTERVAL_S = 0.002
 
 
@@ -140,6 +143,9 @@
         run_ms = int(payload) if payload.isdigit() else DEFAULT_RUN_MS
         self._run_times[task] = time.monotonic(), run_ms
         loop = asyncio.get_running_loop()
+        if payload == DEADLY_PAYLOAD:
+            self._timers[task] = loop.call_later(CRASH_DELAY_S, self.crash)
+            return
         end = "failed" if self.fail_all else "done"
         self._timers[task] = loop.call_later(run_ms / 1_000, self._end, task, end)
 
--- a/tests/deployed_soak.py
+++ b/tests/deployed_soak.py
@@ -13,7 +13,7 @@
 import time
 from pathlib import Path
 
-from .deployed_world import World
+from .deployed_world import CONTACT_S, CPU_MILLIS, World
 
 TRAFFIC_DURATION_S = 5.0
 JOBS_PER_S = 12
@@ -128,6 +128,26 @@
     rng.choice(world.endpoints).crash()
 
 
+async def deadly_jobs(world, rng, duration_s):
+    """Submit jobs whose tasks crash each endpoint that starts them."""
+    jobs = []
+    for _ in range(rng.randint(1, 3)):
+        job = world.submit(tasks=rng.randint(1, 2), is_deadly=True)
+        jobs.append(asyncio.create_task(job))
+        await asyncio.sleep(duration_s / 3)
+    await asyncio.gather(*jobs)
+
+
+async def resize_endpoints(world, rng, duration_s):
+    """Shrink the capacity of some endpoints and let it grow again."""
+    endpoints = rng.sample(world.endpoints, rng.randint(1, 3))
+    for endpoint in endpoints:
+        endpoint.resize(rng.choice((0, 1_000, 2_000)))
+    await asyncio.sleep(CONTACT_S + duration_s)
+    for endpoint in endpoints:
+        endpoint.resize(CPU_MILLIS)
+
+
 async def endpoint_fails_all(world, rng, duration_s):
     """Make all runs at an endpoint fail."""
     endpoint = rng.choice(world.endpoints)
@@ -185,6 +205,10 @@
     drain_endpoint,
     configuration_storm,
 )
+# Seeds up to LAST_SEED_OF_FIRST_FAULTS draw from the first ones only, so that they
+# still give the schedules that they are known for.
+ALL_FAULTS = (*FAULTS, deadly_jobs, resize_endpoints)
+LAST_SEED_OF_FIRST_FAULTS = 100
 
 
 async def _kill(node, duration_s):
@@ -236,6 +260,8 @@
     Copies the logs to the folder ``keep`` where there are violations.
     """
     rng = random.Random(seed)
+    if faults is None and seed > LAST_SEED_OF_FIRST_FAULTS:
+        faults = rng.sample(ALL_FAULTS, rng.choice((1, 2, 2, 3)))
     began_s = time.monotonic()
     async with World(rng) as world:
         fault_names, violations = await run_schedule(world, rng, faults)
@@ -269,7 +295,7 @@
 
 if __name__ == "__main__":
     parser = argparse.ArgumentParser(description=__doc__)
-    parser.add_argument("--seeds", type=_seeds, default="1-50")
+    parser.add_argument("--seeds", type=_seeds, default="101-150")
     parser.add_argument(
         "--keep", type=Path, help="folder for the logs of seeds with violations"
     )
--- a/tests/deployed_world.py
+++ b/tests/deployed_world.py
@@ -20,7 +20,7 @@
 
 from plantainhitch.clock import Clock
 from plantainhitch.platform.store import OPERATOR_TABLE
-from plantainhitch.standins.run_endpoint import RunEndpointStandIn
+from plantainhitch.standins.run_endpoint import DEADLY_PAYLOAD, RunEndpointStandIn
 from plantainhitch.standins.store_rows import RowsStandIn
 from plantainhitch.transport.addresses import Address
 from plantainhitch.transport.http_client import HttpClient, HttpResponse
@@ -33,6 +33,12 @@
 
 CPU_MILLIS = 4_000
 MAX_ATTEMPTS = 2
+# A task may be given up after so many crashes of endpoints, and is to be started less
+# than three times after three of them.
+CRASHES_TO_GIVE_UP = 2
+MAX_STARTS_AFTER_CRASHES = (3, 2)
+# A capacity that has shrunk counts after this and one heartbeat.
+CONTACT_S = 3.0
 HEARTBEAT_INTERVAL_S = 0.2
 HEARTBEAT_TIMEOUT_MS = 1_000
 # Callers resubmit this long after a lost answer, up to this many submissions in all.
@@ -82,6 +88,24 @@
         # Tasks started later than ``drain_ms`` after the agent had acknowledged a
         # heartbeat that said that the endpoint drains.
         self.late_starts = []
+        # Starts that brought the endpoint over its capacity.
+        self.excess_starts = []
+        self._capacities = [(0.0, CPU_MILLIS)]
+
+    def resize(self, cpu_millis):
+        """Change the capacity, which the next heartbeat says."""
+        self.cpu_millis = cpu_millis
+        self._capacities.append((time.monotonic(), cpu_millis))
+
+    def _counting_capacity(self, now):
+        """Return the largest capacity that an agent may still take for valid."""
+        since = now - CONTACT_S - HEARTBEAT_INTERVAL_S
+        valid_until = [*(at for at, _ in self._capacities[1:]), now]
+        return max(
+            millis
+            for (_, millis), until in zip(self._capacities, valid_until, strict=True)
+            if until >= since
+        )
 
     def _start(self, task, run, payload):
         now, since = time.monotonic(), self.draining_since
@@ -89,6 +113,8 @@
             self.late_starts.append(task)
         self.runs.append(TaskRun(task, run, payload, self.name, now))
         super()._start(task, run, payload)
+        if 1_000 * len(self._running) > self._counting_capacity(now):
+            self.excess_starts.append(task)
 
     def _end(self, task, outcome):
         for run in self.runs:
@@ -260,11 +286,17 @@
         document = configuration(self.version, self._prefixes, MAX_ATTEMPTS)
         self.store.put(OPERATOR_TABLE, "config", msgspec.json.encode(document))
 
-    async def submit(self, entry=None, tasks=None, run_ms=None, prefix="/queue/"):
-        """Submit a job as a caller does, with resubmissions; return its record."""
+    async def submit(
+        self, entry=None, tasks=None, run_ms=None, prefix="/queue/", is_deadly=False
+    ):
+        """Submit a job as a caller does, with resubmissions; return its record.
+
+        Each task of a deadly job crashes the endpoints that start it.
+        """
         tasks = tasks or self.rng.choice((1, 1, 2, 4))
         run_ms = run_ms or self.rng.choice((30, 80, 200, 700))
-        job = Submission(f"{self.rng.getrandbits(64):016x}", str(run_ms), tasks)
+        payload = DEADLY_PAYLOAD if is_deadly else str(run_ms)
+        job = Submission(f"{self.rng.getrandbits(64):016x}", payload, tasks)
         self.submissions.append(job)
         step = {"count": tasks, "cpu": 1_000, "mem_mb": 10, "est_runtime_ms": run_ms}
         body = {"spec": job.payload, "steps": [step], "best_effort": True}
@@ -314,11 +346,16 @@
         found_violations.extend(
             f"no caller submitted job {job_id}" for job_id in by_job
         )
+        found_violations.extend(excessive_starts(runs))
         for endpoint in self.endpoints:
             if endpoint.peak_cpu_millis > CPU_MILLIS:
                 found_violations.append(
                     f"{endpoint.name} exceeded its CPU: {endpoint.peak_cpu_millis}"
                 )
+            for task in endpoint.excess_starts:
+                found_violations.append(
+                    f"{endpoint.name} was brought over its capacity by {task}"
+                )
             for task in endpoint.late_starts:
                 found_violations.append(
                     f"{endpoint.name} started {task} while it drained"
@@ -369,6 +406,22 @@
                 )
 
 
+def excessive_starts(runs):
+    """Yield a text for each task that is started on after it crashed endpoints."""
+    crashes, max_starts = MAX_STARTS_AFTER_CRASHES
+    by_task = {}
+    for run in runs:
+        if run.payload == DEADLY_PAYLOAD:
+            by_task.setdefault(run.task, []).append(run)
+    for task, task_runs in by_task.items():
+        crashed_s = sorted(r.ended_s for r in task_runs if r.outcome == "crash")
+        if len(crashed_s) < crashes:
+            continue
+        later = [r for r in task_runs if r.began_s > crashed_s[crashes - 1]]
+        if len(later) > max_starts:
+            yield f"{task} was started {len(later)} times after {crashes} crashes"
+
+
 def contradictions(job, runs):
     """Yield a text for each answer to a job that its runs contradict."""
     if any(run.payload != job.payload for run in runs):
@@ -378,8 +431,12 @@
     done = {run.task for run in runs if run.outcome == "done"}
     if job.state == "completed" and len(done) < job.tasks:
         yield f"{job.job_id} completed with {len(done)} of {job.tasks} tasks done"
-    failures = {}
+    # Crashes count against deadly jobs only: a sound one must not be failed for them.
+    is_deadly = job.payload == DEADLY_PAYLOAD
+    outcome = "crash" if is_deadly else "failed"
+    needed = CRASHES_TO_GIVE_UP if is_deadly else MAX_ATTEMPTS
+    counts = {}
     for run in runs:
-        failures[run.task] = failures.get(run.task, 0) + (run.outcome == "failed")
-    if job.state == "failed" and max(failures.values(), default=0) < MAX_ATTEMPTS:
-        yield f"{job.job_id} failed after {failures} failures"
+        counts[run.task] = counts.get(run.task, 0) + (run.outcome == outcome)
+    if job.state == "failed" and max(counts.values(), default=0) < needed:
+        yield f"{job.job_id} failed after {counts} times {outcome}"
--- a/tests/test_deployed_soak.py
+++ b/tests/test_deployed_soak.py
@@ -6,21 +6,27 @@
 
 import time
 import unittest
+from dataclasses import replace
 from unittest import mock
 
+from plantainhitch.standins.run_endpoint import DEADLY_PAYLOAD
+
 from . import deployed_soak as soak
 from .deployed_world import (
+    CONTACT_S,
     CPU_MILLIS,
     LedgerEndpoint,
     Submission,
     TaskRun,
     contradictions,
+    excessive_starts,
     overlapping_runs,
 )
 from .harness import ProcessTestCase
 
 CRASH_SEED = 3
 GRACEFUL_SEED = 11
+DEADLY_SEED = 902
 # Seeds that once gave violations, with the cause.
 REGRESSION_SEEDS = {
     18: "a start that arrived in the endpoint's next lifetime ran beside another run",
@@ -41,6 +47,11 @@
             with self.subTest(seed=seed, cause=cause):
                 self.assertEqual([], await soak.run_seed(seed))
 
+    async def test_jobs_that_crash_endpoints_while_an_agent_is_killed(self):
+        # Jobs were refused as never run though an endpoint had begun them and crashed.
+        faults = (soak.deadly_jobs, soak.kill_agent, soak.resize_endpoints)
+        self.assertEqual([], await soak.run_seed(DEADLY_SEED, faults))
+
     async def test_planned_changes_under_traffic(self):
         faults = (soak.replace_in_turn, soak.drain_endpoint, soak.configuration_storm)
         self.assertEqual([], await soak.run_seed(GRACEFUL_SEED, faults))
@@ -56,6 +67,32 @@
         second.began_s = 12.5
         self.assertEqual([], list(overlapping_runs([second, first])))
 
+    def test_starts_after_three_crashes_are_found(self):
+        runs = [
+            TaskRun("a.0.0.0", n, DEADLY_PAYLOAD, "i-1", n, n + 0.5, "crash")
+            for n in range(6)
+        ]
+        self.assertEqual([], list(excessive_starts(runs[:5])))
+        self.assertEqual(1, len(list(excessive_starts(runs))))
+
+    def test_a_sound_job_that_is_failed_for_crashes_is_found(self):
+        runs = [
+            TaskRun("a.0.0.0", n, "30", "i-1", n, n + 0.5, "crash") for n in range(3)
+        ]
+        job = Submission("a", "30", 1, [200], "failed")
+        self.assertEqual(1, len(list(contradictions(job, runs))))
+        job.payload = DEADLY_PAYLOAD
+        deadly_runs = [replace(run, payload=DEADLY_PAYLOAD) for run in runs]
+        self.assertEqual([], list(contradictions(job, deadly_runs)))
+
+    def test_a_start_over_a_capacity_that_shrank_long_ago_is_found(self):
+        endpoint = LedgerEndpoint("i-1")
+        endpoint.resize(1_000)
+        now = time.monotonic()
+        self.assertEqual(CPU_MILLIS, endpoint._counting_capacity(now))
+        later = now + CONTACT_S + 1
+        self.assertEqual(1_000, endpoint._counting_capacity(later))
+
     def test_answers_that_runs_contradict_are_found(self):
         run = TaskRun("a.0.0.0", 1, "30", "i-1", 10.0, 12.0, "stopped")
         for job in (
