--- a/plantainhitch/coordination/key_sweep.py
+++ b/plantainhitch/coordination/key_sweep.py
@@ -50,7 +50,7 @@
                     break
                 case Success(changes):
                     cursor = self._cursor_after(changes)
-            deletable = [row for row in changes.rows if self._is_deletable(row, cursor)]
+            deletable = self._deletable_rows(changes.rows, cursor)
             if deletable and not await self._delete(deletable, cursor):
                 break
             deleted += len(deletable)
@@ -90,11 +90,25 @@
         binding = read_binding(row.value)
         return binding is not None and not self._is_past_retention(binding)
 
-    def _is_deletable(self, row, cursor):
-        binding = read_binding(row.value)
-        if binding is None or row.revision > cursor:
-            return False
-        return self._is_past_retention(binding)
+    def _deletable_rows(self, rows, cursor):
+        """Return the rows up to ``cursor`` that are past their retention.
+
+        The age of an unreadable row is not known. It is past its retention if a row
+        that was written after it is.
+        """
+        deletable, unreadable = [], []
+        for row in rows:
+            if row.revision > cursor:
+                break
+            if row.value is None or row.key == CURSOR_KEY:
+                continue
+            binding = read_binding(row.value)
+            if binding is None:
+                unreadable.append(row)
+            elif self._is_past_retention(binding):
+                deletable.extend((*unreadable, row))
+                unreadable.clear()
+        return deletable
 
     def _is_past_retention(self, binding):
         age_ms = self._clock.wall_ms() - binding.bound_ms
--- a/tests/test_keys.py
+++ b/tests/test_keys.py
@@ -129,7 +129,18 @@
         self.assertEqual(readable, Success(Binding(b"b", DIGEST, True)))
         self.clock.advance(10 * RETENTION_MS)
         sweeper = KeySweeper(self.platform, self.clock)
-        self.assertEqual(await sweeper.sweep(), 1)
+        self.assertEqual(await sweeper.sweep(), 2)
+        rebound = await self.binder.bind("bad", DIGEST, b"c")
+        self.assertEqual(rebound, Success(Binding(b"c", DIGEST, True)))
+
+    async def test_an_unreadable_row_is_kept_until_a_later_row_has_expired(self):
+        # Nothing else tells its age, and the key may still be retained.
+        writes = [Write(key_hash("bad"), b"{bad")]
+        await self.platform.write(TABLE_KEYS, writes)
+        self.clock.advance(RETENTION_MS)
+        await self.binder.bind("k", DIGEST, b"b")
+        self.clock.advance(CLOCK_SKEW_MARGIN_MS + 1)
+        self.assertEqual(0, await KeySweeper(self.platform, self.clock).sweep())
 
 
 class RaceTest(unittest.IsolatedAsyncioTestCase):
