--- a/plantainhitch/coordination/key_sweep.py
+++ b/plantainhitch/coordination/key_sweep.py
@@ -1,10 +1,10 @@
 """Deletes the rows of keys whose retention has ended.
 
 Rows of keys are written once, so the table's change order is the order of their age,
-and a sweep stops at the first row that is still retained. The revision that sweeps
-have reached, the cursor, is stored in a row of the same table. Any number of entries
-may sweep at once: the deletions are conditional, and an older cursor only causes
-repeated work.
+and a sweep stops at the first row that is, or may be, still retained. The revision
+that sweeps have reached, the cursor, is stored in a row of the same table. Any number
+of entries may sweep at once: the deletions are conditional, and an older cursor only
+causes repeated work.
 """
 
 import msgspec
@@ -49,8 +49,7 @@
                 case Failure(_):
                     break
                 case Success(changes):
-                    cursor = self._cursor_after(changes)
-            deletable = self._deletable_rows(changes.rows, cursor)
+                    deletable, cursor = self._split(changes)
             if deletable and not await self._delete(deletable, cursor):
                 break
             deleted += len(deletable)
@@ -80,26 +79,14 @@
                 return True
         return False
 
-    def _cursor_after(self, changes):
-        """Return the revision before the first row that is still retained."""
-        retained = (row.revision for row in changes.rows if self._is_retained(row))
-        first = next(retained, None)
-        return changes.revision if first is None else first - 1
-
-    def _is_retained(self, row):
-        binding = read_binding(row.value)
-        return binding is not None and not self._is_past_retention(binding)
-
-    def _deletable_rows(self, rows, cursor):
-        """Return the rows up to ``cursor`` that are past their retention.
+    def _split(self, changes):
+        """Return the rows to delete, and the revision up to which all are swept.
 
         The age of an unreadable row is not known. It is past its retention if a row
         that was written after it is.
         """
         deletable, unreadable = [], []
-        for row in rows:
-            if row.revision > cursor:
-                break
+        for row in changes.rows:
             if row.value is None or row.key == CURSOR_KEY:
                 continue
             binding = read_binding(row.value)
@@ -108,7 +95,11 @@
             elif self._is_past_retention(binding):
                 deletable.extend((*unreadable, row))
                 unreadable.clear()
-        return deletable
+            else:
+                first_kept = unreadable[0] if unreadable else row
+                return deletable, first_kept.revision - 1
+        cursor = unreadable[0].revision - 1 if unreadable else changes.revision
+        return deletable, cursor
 
     def _is_past_retention(self, binding):
         age_ms = self._clock.wall_ms() - binding.bound_ms
--- a/tests/test_keys.py
+++ b/tests/test_keys.py
@@ -140,7 +140,10 @@
         self.clock.advance(RETENTION_MS)
         await self.binder.bind("k", DIGEST, b"b")
         self.clock.advance(CLOCK_SKEW_MARGIN_MS + 1)
-        self.assertEqual(0, await KeySweeper(self.platform, self.clock).sweep())
+        sweeper = KeySweeper(self.platform, self.clock)
+        self.assertEqual(0, await sweeper.sweep())
+        self.clock.advance(RETENTION_MS)
+        self.assertEqual(2, await sweeper.sweep())
 
 
 class RaceTest(unittest.IsolatedAsyncioTestCase):
