Count only endpoints that are present towards the limit of those held back

Endpoints that had left stayed in the outlier detector for ever: its 'remove' had no caller. Once a third of the remembered endpoints were held back, no further one was, however it failed. The dispatcher now tells the detector when the last agent of an endpoint is gone; a held back endpoint that returns is still held back. Test: a second endpoint that fails all its tasks after the first has left; it fails without the change.

--- a/plantainhitch/coordination/dispatcher.py
+++ b/plantainhitch/coordination/dispatcher.py
@@ -199,6 +199,8 @@
             return
         agent.is_linked = False
         self._agents_changed()
+        if not any(a.endpoint == agent.endpoint for a in self._agents.values()):
+            self._outlier_detector.endpoint_left(agent.endpoint)
         tasks, agent.in_flight = list(agent.in_flight.values()), {}
         for task in tasks:
             self._resolve_attempt(task, Unknown(Reason.ENDPOINT_LOST))
--- a/plantainhitch/coordination/health.py
+++ b/plantainhitch/coordination/health.py
@@ -17,6 +17,8 @@
 FIRST_PROBE_INTERVAL_MS = 1_000
 MAX_PROBE_INTERVAL_MS = 30_000
 MAX_HELD_BACK_SHARE = 1 / 3
+# Held back endpoints that are remembered after they have left.
+MAX_ABSENT = 1_000
 
 
 @dataclass(slots=True)
@@ -36,6 +38,8 @@
         self._clock = clock
         self._fleet_failure_rate = 0.0
         self._health_by_endpoint = {}
+        # Held back endpoints that have left, the earliest first.
+        self._held_back_absent = {}
 
     @property
     def held_back_count(self):
@@ -46,12 +50,21 @@
         """Return the ``EndpointHealth`` of an endpoint."""
         health = self._health_by_endpoint.get(endpoint)
         if health is None:
-            health = self._health_by_endpoint[endpoint] = EndpointHealth()
+            health = self._held_back_absent.pop(endpoint, None) or EndpointHealth()
+            self._health_by_endpoint[endpoint] = health
         return health
 
-    def remove(self, endpoint):
-        """Drop the record of an endpoint that has left."""
-        self._health_by_endpoint.pop(endpoint, None)
+    def endpoint_left(self, endpoint):
+        """Record that an endpoint has left or died.
+
+        It no longer counts towards the limit. If it was held back and returns, it is
+        still held back.
+        """
+        health = self._health_by_endpoint.pop(endpoint, None)
+        if health is not None and health.is_held_back:
+            self._held_back_absent[endpoint] = health
+            while len(self._held_back_absent) > MAX_ABSENT:
+                del self._held_back_absent[next(iter(self._held_back_absent))]
 
     def record_result(self, endpoint, failed):
         """Record the success or failure of one task at an endpoint."""
@@ -71,8 +84,8 @@
 
         ``in_flight`` is the number of tasks in flight there.
         """
-        health = self._health_by_endpoint.get(endpoint)
-        if health is None or not health.is_held_back:
+        health = self.health_of(endpoint)
+        if not health.is_held_back:
             return True
         return in_flight == 0 and self._clock.now_ms() >= health.next_probe_ms
 
--- a/tests/test_dispatcher.py
+++ b/tests/test_dispatcher.py
@@ -293,6 +293,28 @@
             self.dispatcher.outlier_detector.health_of("ep-b").is_held_back
         )
 
+    def test_a_held_back_endpoint_that_left_does_not_count_towards_the_limit(self):
+        # Endpoints that had left used up the limit, so that later ones that failed all
+        # their tasks were not held back any more.
+        detector = self.dispatcher.outlier_detector
+        self.link(slots=100)
+        self.link(OTHER_AGENT, slots=100)
+        for _ in range(10):
+            detector.record_result("ep-a", failed=True)
+        self.dispatcher.agent_gone(AGENT)
+        self.assertEqual(0, detector.held_back_count)
+        for _ in range(10):
+            detector.record_result("ep-b", failed=True)
+        self.assertTrue(detector.health_of("ep-b").is_held_back)
+
+    def test_a_held_back_endpoint_that_returns_is_still_held_back(self):
+        detector = self.dispatcher.outlier_detector
+        self.link(slots=100)
+        for _ in range(10):
+            detector.record_result("ep-a", failed=True)
+        self.dispatcher.agent_gone(AGENT)
+        self.assertFalse(detector.may_start("ep-a", 0))
+
     def test_class_that_fits_no_endpoint_is_not_run(self):
         large_class = ClassDefinition("render", 500, accelerators=1)
         self.dispatcher.set_document(
