Close an entry's key binder with it

A call that waits for its key when the entry closes was never answered, and the write of the key went on in a task that nobody awaited: 'aclose' did not know the binder. The call is now refused (without saying 'not run', as the write may take effect). The new test fails without the change.

--- a/plantainhitch/coordination/entry.py
+++ b/plantainhitch/coordination/entry.py
@@ -98,12 +98,13 @@
         self._dialers = {}
         self._tasks = set()
         self._peers = PeerCaller(self._hello, clock)
+        self._key_binder = KeyBinder(platform, clock)
         self._router = CallRouter(
             member.incarnation,
             self._inbox,
             self._membership,
             self._peers,
-            KeyBinder(platform, clock),
+            self._key_binder,
             OwnerLookup(self._membership, clock),
         )
         self._server = PeerServer(
@@ -185,8 +186,9 @@
         await self._server.serve(link)
 
     async def aclose(self):
-        """Deregister, close all links and cancel all tasks."""
+        """Deregister, refuse calls that wait for a key, close links, cancel tasks."""
         await self._membership.deregister()
+        await self._key_binder.aclose()
         for link in self._core.links.values():
             link.close("stopping")
         self._server.close()
--- a/tests/test_entry_drain.py
+++ b/tests/test_entry_drain.py
@@ -11,7 +11,8 @@
 from plantainhitch.clock import Clock
 from plantainhitch.coordination import entry
 from plantainhitch.protocol import calls, messages as m
-from plantainhitch.standins.table import MemoryPlatform
+from plantainhitch.protocol.errors import Refusal
+from plantainhitch.standins.table import Faults, MemoryPlatform
 from plantainhitch.state.classes import ClassDefinition, ClassDocument
 from plantainhitch.state.ids import IdIssuer
 from plantainhitch.state.members import Member
@@ -39,7 +40,8 @@
         member = Member(
             m.ROLE_ENTRY, issuer.incarnation, "e", "z", "r", "", address, address
         )
-        self.node = entry.EntryNode(member, issuer, clock, MemoryPlatform(clock))
+        self.platform = MemoryPlatform(clock)
+        self.node = entry.EntryNode(member, issuer, clock, self.platform)
         self.node.configuration.adopt_if_newer(DOCUMENT)
         self.stop = asyncio.Event()
         self.run_task = asyncio.create_task(self.node.run(self.stop))
@@ -70,6 +72,21 @@
         with patch_object(entry.EntryNode, "_drain", drain_without_waiting):
             self.assertTrue(await self.stop_while_a_job_waits())
 
+    async def test_a_call_that_waits_for_its_key_is_refused_at_the_close(self):
+        # The write of the key went on after the close, and the call was never answered.
+        await asyncio.sleep(EARLY_END_CHECK_S)
+        self.platform.set_faults(Faults(delay_ms=60_000))
+        call = asyncio.create_task(
+            self.node.handle_call(calls.SubmitWithKey("key", JOB))
+        )
+        await asyncio.sleep(EARLY_END_CHECK_S)
+        self.platform.set_faults(Faults())
+        await self.node.aclose()
+        done, _ = await asyncio.wait([call], timeout=EARLY_END_CHECK_S)
+        self.assertTrue(done)
+        self.assertIsInstance(call.result(), Refusal)
+        self.assertFalse(call.result().not_run)
+
     async def test_new_work_is_refused_as_not_run(self):
         opened = await self.node.handle_call(calls.OpenIds(2))
         pending_id, late_id = opened.ids
