--- a/plantainhitch/state/attempts.py
+++ b/plantainhitch/state/attempts.py
@@ -28,7 +28,6 @@
 
     key: TaskKey
     entry: bytes
-    seen_ms: int
     report: Report | None = None
     ended_ms: int = 0
     acknowledged: bool = False
@@ -74,7 +73,7 @@
         """Record and return a new attempt; raise ValueError if it is known."""
         if key in self._attempts:
             raise ValueError(f"attempt already recorded: {key}")
-        attempt = Attempt(key, entry, self._clock.now_ms())
+        attempt = Attempt(key, entry)
         self._attempts[key] = attempt
         return attempt
 
--- a/plantainhitch/state/estimates.py
+++ b/plantainhitch/state/estimates.py
@@ -88,7 +88,3 @@
             class_name, RunningMean(float(run_ms))
         )
         own.observe(run_ms)
-
-    def remove_endpoint(self, endpoint):
-        """Remove the estimates of an endpoint that has left."""
-        self._endpoints.pop(endpoint, None)
