--- a/plantainhitch/coordination/runs/run.py
+++ b/plantainhitch/coordination/runs/run.py
@@ -55,6 +55,11 @@
         """The id of the job that the run's task belongs to."""
         return job_id_of(self.start.key.task)
 
+    @property
+    def has_begun(self):
+        """Whether the endpoint is known to have begun the run."""
+        return self.phase is Phase.RUNNING or self.is_listed
+
     @property
     def ms_per_percent(self):
         """The time in ms in which the run is expected to progress by one percent."""
--- a/plantainhitch/protocol/wire.capnp
+++ b/plantainhitch/protocol/wire.capnp
@@ -170,6 +170,7 @@
   task @0 :Text;
   queue @1 :Text;
   runMs @2 :UInt32;       # from the order to start it to the crash
+  uncertain @3 :Bool;     # not known to have begun, or stopped just before
 }
 
 struct WaitingRoom {
--- a/plantainhitch/state/crashes.py
+++ b/plantainhitch/state/crashes.py
@@ -1,8 +1,8 @@
 """Crashes of endpoints, and how many of them each task was running in.
 
 A crash proves something against a task only in one case: if no other job had a run at
-the endpoint. Sound tasks run beside one that crashes its endpoints, so their counts
-can be as high as its own.
+the endpoint, or just before. Sound tasks run beside one that crashes its endpoints, so
+their counts can be as high as its own.
 """
 
 from collections import OrderedDict
@@ -11,8 +11,8 @@
 
 from .jobs import job_id_of
 
-# A task is proven to crash its endpoints after this many crashes, at least one of them
-# without a run of another job at the endpoint.
+# A task is proven to crash its endpoints after this many crashes without a run of
+# another job at the endpoint.
 PROOF_CRASHES = 2
 # From this many crashes on, a task may run only where no other job has a run.
 ISOLATION_CRASHES = 2
@@ -21,14 +21,17 @@
 
 
 class CrashedRun(NamedTuple):
-    """A run that an endpoint may have been executing when it crashed.
+    """A run that may have to do with the crash of an endpoint.
 
-    ``run_ms`` is the time from the order to start it until the crash was noticed.
+    ``run_ms`` is the time from the order to start it until the crash was noticed. If
+    ``was_running`` is False, it is not known to have begun, or it was stopped just
+    before: it may have caused the crash, which does not count against its task.
     """
 
     task: str
     queue: str
     run_ms: int = 0
+    was_running: bool = True
 
 
 @dataclass(frozen=True, slots=True)
@@ -77,12 +80,12 @@
         return True
 
     def count(self, task):
-        """Return the number of crashes in which a task may have been running."""
+        """Return the number of crashes in which a task was running."""
         return self._counts.get(task, 0)
 
     def is_proven(self, task):
         """Return whether a task is proven to crash its endpoints."""
-        return self.count(task) >= PROOF_CRASHES and task in self._single_job_counts
+        return self._single_job_counts.get(task, 0) >= PROOF_CRASHES
 
     def needs_isolation(self, task):
         """Return whether a task may run only where no other job has a run."""
@@ -90,6 +93,8 @@
 
     def _add(self, crash, change):
         for run in crash.runs:
+            if not run.was_running:
+                continue
             _add_to_count(self._counts, run.task, change)
             if crash.has_single_job:
                 _add_to_count(self._single_job_counts, run.task, change)
