Contain a queue on a probable cause, and fail a job on a proof only

To contain a queue can be undone, to fail a job can't; so a task in two crashes, one of them without another job, is a probable cause, which contains its queue, explains crashes and releases others, as the proof did before.

--- a/plantainhitch/coordination/jobs/scheduler.py
+++ b/plantainhitch/coordination/jobs/scheduler.py
@@ -230,7 +230,7 @@
         """Yield the messages that report this entry's queue loads to each agent."""
         linked = [agent for agent in self._fleet.agents.values() if agent.is_ready]
         by_pool = {}
-        contained_ms = self._containment.proven_ms()
+        contained_ms = self._containment.probable_ms()
         for agent in linked:
             pool = agent.status.pool
             if pool not in by_pool:
--- a/plantainhitch/state/crashes.py
+++ b/plantainhitch/state/crashes.py
@@ -87,6 +87,13 @@
         """Return whether a task is proven to crash its endpoints."""
         return self._single_job_counts.get(task, 0) >= PROOF_CRASHES
 
+    def is_probable(self, task):
+        """Return whether a task probably crashes its endpoints.
+
+        It was running in several crashes, one of them without another job.
+        """
+        return self.count(task) >= PROOF_CRASHES and task in self._single_job_counts
+
     def needs_isolation(self, task):
         """Return whether a task may run only where no other job has a run."""
         return self.count(task) >= ISOLATION_CRASHES
--- a/tests/test_crash_proofs.py
+++ b/tests/test_crash_proofs.py
@@ -54,7 +54,9 @@
 
     def test_two_crashes_without_other_jobs_prove_a_task(self):
         self.history.record(crash(1, "a.0.0.0", "b.0.0.0"))
+        self.assertFalse(self.history.is_probable("a.0.0.0"))
         self.history.record(crash(2, "a.0.0.0", "a.0.0.1"))
+        self.assertTrue(self.history.is_probable("a.0.0.0"))
         self.assertFalse(self.history.is_proven("a.0.0.0"))
         self.history.record(crash(3, "a.0.0.0"))
         self.assertTrue(self.history.is_proven("a.0.0.0"))
