Separate waiting starts, crash suspects, jobs and pending orders from their users

WaitingStarts selects the starts that begin, CrashSuspects names the runs of a crash, JobRegistry keeps jobs, callers and outcomes, and PendingOrders collects the orders of a round.

The wire gets the fields that the next parts agree on: evacuated zones, priority and offered work of queues, sizes of starts, speed and failures of endpoints, and how long an endpoint stays cold. Nothing reads them yet; the round trip of all is tested.

--- a/plantainhitch/coordination/jobs/scheduler.py
+++ b/plantainhitch/coordination/jobs/scheduler.py
@@ -6,8 +6,6 @@
 """
 
 import random
-from collections import OrderedDict
-from dataclasses import dataclass, field
 
 from ... import logs
 from ...protocol import messages as m
@@ -17,13 +15,12 @@
 from .demand import Demand
 from .fleet import Fleet
 from .job import Job
-from .outcomes import Ended, GaveUp, JobState, NeverRan, describe
+from .job_registry import JobRegistry
+from .outcomes import Ended, GaveUp, JobState, NeverRan
+from .pending_orders import PendingOrders
 from .placement import AGENT_WAIT_MS, ISOLATION_WAIT_MS, Placement
 from .retry_slots import NO_ENDPOINT_RETRY_MS, RetrySlots
 
-# Outcomes kept for callers that submit a job again because the answer was lost; at the
-# load of the sites this covers half a minute at each entry.
-MAX_RECENT_OUTCOMES = 2_000
 # Interval of the checks of agents' leases and callers' deadlines; callers wait for
 # hundreds of ms.
 CHECK_INTERVAL_MS = 20
@@ -34,16 +31,6 @@
 log = logs.get_logger("jobs")
 
 
-@dataclass(slots=True)
-class _PendingOrders:
-    """Orders for one agent, collected until the end of the round."""
-
-    starts: list = field(default_factory=list)
-    stops: list = field(default_factory=list)
-    expected_runs: list = field(default_factory=list)
-    is_resync: bool = False
-
-
 class Scheduler:
     """The jobs that an entry owns, and the placement of their tasks.
 
@@ -57,7 +44,11 @@
     ):
         self._clock = clock
         self._events = logs.EventLog(log, clock)
-        self._on_outcome = on_outcome or (lambda queue, outcome, took_ms: None)
+        self._registry = JobRegistry(
+            clock,
+            self._events,
+            on_outcome or (lambda queue, outcome, took_ms: None),
+        )
         self._fleet = Fleet(
             clock,
             lease_ms,
@@ -70,12 +61,8 @@
         self._full_pass_ms = 0
         # Jobs with tasks that became ready after the last pass; a dict without values.
         self._newly_ready = {}
-        self._jobs = {}
-        # By job id: the ``on_end`` callbacks of the callers that wait for the job.
-        self._callbacks_by_job = {}
-        self._recent_outcomes = OrderedDict()
-        # By agent: the orders that the next round sends.
-        self._orders = {}
+        self._jobs = self._registry.jobs
+        self._orders = PendingOrders()
         self._demand = Demand(clock)
         self._containment = Containment(clock, self._fleet, self._demand)
         self._placement = Placement(clock, self._fleet, self._demand)
@@ -109,14 +96,7 @@
         job that is in progress or has recently ended is not run again; the caller gets
         its outcome. ``caller_timeout_ms`` is how long the caller waits.
         """
-        ended = self._recent_outcomes.get(spec.job_id)
-        if ended is not None:
-            self._events.write("job submitted again", job=spec.job_id, state="ended")
-            on_end(ended)
-            return
-        if spec.job_id in self._jobs:
-            self._events.write("job submitted again", job=spec.job_id, state="active")
-            self._callbacks_by_job[spec.job_id].append(on_end)
+        if self._registry.attach_if_known(spec.job_id, on_end):
             return
         now_ms = self._clock.now_ms()
         job = Job.from_spec(spec, route, now_ms, caller_timeout_ms)
@@ -134,22 +114,16 @@
             retry_after_s = self._retry_slots.reserve(
                 route.name, NO_ENDPOINT_RETRY_MS, 0
             )
-            outcome = NeverRan(reason, retry_after_s)
-            self._on_outcome(route.name, outcome, 0)
-            on_end(outcome)
+            self._registry.refuse(job, NeverRan(reason, retry_after_s), on_end)
             return
-        self._jobs[job.job_id] = job
+        self._registry.add(job, on_end)
         self._newly_ready[job] = None
-        self._callbacks_by_job[job.job_id] = [on_end]
         self._contain(job)
 
     def detach_caller(self, job_id, on_end, reason):
         """Remove a caller that has left; cancel the job if no other caller waits."""
-        job = self._jobs.get(job_id)
-        callbacks = self._callbacks_by_job.get(job_id, ())
-        if on_end in callbacks:
-            callbacks.remove(on_end)
-        if job is not None and not callbacks:
+        job = self._registry.detach(job_id, on_end)
+        if job is not None:
             self._cancel_job(job, reason)
 
     # Events from agents
@@ -158,9 +132,7 @@
         """Handle a new link to an agent: the next orders name all its runs."""
         agent = self._fleet.add_link(hello, link)
         log.info("agent linked", agent=agent.name, runs=len(agent.tasks))
-        pending = self._orders_for(agent)
-        pending.is_resync = True
-        pending.expected_runs.extend(task.key for task in agent.tasks.values())
+        self._orders.add_resync(agent)
 
     def agent_unlinked(self, incarnation, link):
         """Handle the end of a link; the agent's runs stay until the leases expire."""
@@ -202,24 +174,7 @@
         """
         self._check_deadlines()
         self._place_tasks()
-        messages = []
-        for agent, pending in self._orders.items():
-            if agent.link is None:
-                continue
-            agent.last_order_number += 1
-            messages.append(
-                (
-                    agent,
-                    m.RunOrders(
-                        agent.last_order_number,
-                        pending.starts,
-                        pending.stops,
-                        pending.expected_runs,
-                        pending.is_resync,
-                    ),
-                )
-            )
-        self._orders.clear()
+        messages = self._orders.take_messages()
         if self._demand.begin_report_if_due():
             messages.extend(self._load_messages())
         return messages
@@ -251,9 +206,6 @@
                 return "no endpoint is large enough"
         return ""
 
-    def _orders_for(self, agent):
-        return self._orders.setdefault(agent, _PendingOrders())
-
     def _remove_predecessors(self, agent):
         """Remove earlier incarnations of an agent whose endpoint is ready.
 
@@ -279,7 +231,7 @@
         if agent.link is not None:
             agent.link.close(why)  # the next link starts with a resync
         self._fleet.remove(agent)
-        self._orders.pop(agent, None)
+        self._orders.discard(agent)
 
     def _requeue(self, task, agent):
         agent.remove_task(task)
@@ -401,29 +353,11 @@
             agent = self._fleet.get(task.agent)
             if agent is not None:
                 agent.remove_task(task)
-                self._orders_for(agent).stops.append(task.key)
+                self._orders.add_stop(agent, task.key)
 
     def _finish_job(self, job, outcome):
-        del self._jobs[job.job_id]
         self._newly_ready.pop(job, None)
-        took_ms = self._clock.now_ms() - job.arrived_ms
-        is_complete = outcome == Ended(JobState.COMPLETED)
-        self._events.write(
-            "job completed" if is_complete else "job not completed",
-            job=job.job_id,
-            queue=job.route.name,
-            outcome=describe(outcome),
-            took_ms=took_ms,
-            objective_ms=round(job.objective_ms),
-            waiting_jobs=len(self._jobs),
-        )
-        self._on_outcome(job.route.name, outcome, took_ms)
-        if isinstance(outcome, Ended):
-            self._recent_outcomes[job.job_id] = outcome
-            while len(self._recent_outcomes) > MAX_RECENT_OUTCOMES:
-                self._recent_outcomes.popitem(last=False)
-        for on_end in self._callbacks_by_job.pop(job.job_id):
-            on_end(outcome)
+        self._registry.finish(job, outcome)
 
     def _place_tasks(self):
         """Start the tasks that find room, in the order of the jobs' ranks.
@@ -488,7 +422,8 @@
             expected_run_ms=round(candidate.run_ms),
             due_in_ms=due_in_ms,
         )
-        self._orders_for(agent).starts.append(
+        self._orders.add_start(
+            agent,
             m.RunStart(
                 key=task.key,
                 payload=task.job.spec.payload,
@@ -500,5 +435,5 @@
                 slack_ms=due_in_ms,
                 is_late=is_late,
                 is_isolated=task.job.is_isolated,
-            )
+            ),
         )
--- a/plantainhitch/coordination/runs/run_controller.py
+++ b/plantainhitch/coordination/runs/run_controller.py
@@ -7,11 +7,10 @@
 late start.
 """
 
-from collections import Counter, OrderedDict, deque
+from collections import Counter, OrderedDict
 
 from ... import logs
 from ...protocol import messages as m
-from ...state.crashes import CrashedRun, EndpointCrash
 from ...state.endpoints import (
     Accepted,
     End,
@@ -22,12 +21,13 @@
     Rejection,
 )
 from ...state.jobs import Room
-from ...state.queue_ranks import QueueRanks
+from .crash_suspects import CrashSuspects
 from .endpoint_lease import EndpointLease
 from .forecast import Forecast
 from .isolation import Isolation
 from .owners import Owners
 from .run import Phase, Run, StartOrder, StopOrder, may_be_at_endpoint
+from .waiting_starts import WaitingStarts
 
 # The number of recent ends that are kept for owners that ask for them again.
 MAX_KEPT_ENDS = 2_000
@@ -42,9 +42,6 @@
 # stalled before the time in which it should have risen by this much.
 STALL_PERCENT = 5
 STALLED_REASON = "stalled"
-# A run that was stopped may still crash its endpoint for this long.
-CRASH_DELAY_MS = 500
-MAX_STOPPED_RUNS = 50
 # The most tasks that the log line of a crash names.
 MAX_LOGGED_TASKS = 100
 # The interval between checks of leases and wait deadlines, the shortest of which is
@@ -71,11 +68,11 @@
         self._owners = Owners(clock)
         self._events = logs.EventLog(log, clock)
         self._runs = {}
+        self._waiting_starts = WaitingStarts(self._runs)
         self._used_room = Room()
         # How many of the runs need isolation.
         self._isolated_count = 0
-        # The last runs that ended at the endpoint other than done, with their times.
-        self._stopped_runs = deque(maxlen=MAX_STOPPED_RUNS)
+        self._crash_suspects = CrashSuspects(clock)
         self._last_check_ms = 0
         self._recent_ends = OrderedDict()
         self._end_counts = Counter()
@@ -86,7 +83,6 @@
         self._last_inventory_ms = 0
         self._needs_inventory = False
         self._is_stopping = False
-        self._ranks = QueueRanks()
         self._orders = []
         # The last status, and the report and the readiness that it was built from.
         self._status = self._status_inputs = None
@@ -209,12 +205,11 @@
     def forecast(self):
         """Return the present ``Forecast`` of the endpoint."""
         runs, now_ms = self._runs.values(), self._clock.now_ms()
+        ranks = self._waiting_starts.ranks
         if self._isolated_count and self._endpoint is not None:
             capacity_millis = self._endpoint.capacity.cpu_millis
-            return Forecast.from_isolated_runs(
-                runs, capacity_millis, self._ranks, now_ms
-            )
-        return Forecast.from_runs(runs, self.free_room, self._ranks, now_ms)
+            return Forecast.from_isolated_runs(runs, capacity_millis, ranks, now_ms)
+        return Forecast.from_runs(runs, self.free_room, ranks, now_ms)
 
     # Event handlers
 
@@ -279,26 +274,17 @@
         self._declare_endpoint_lost(reason, kept)
 
     def _record_crash(self, reason, runs_at_endpoint):
-        endpoint, now_ms = self._endpoint, self._clock.now_ms()
         self._crash_count += 1
-        runs = [
-            *(_crashed_run(run, now_ms, run.has_begun) for run in runs_at_endpoint),
-            *(
-                _crashed_run(run, now_ms, was_running=False)
-                for ended_ms, run in self._stopped_runs
-                if now_ms - ended_ms <= CRASH_DELAY_MS
-            ),
-        ]
-        if runs:
-            crash = EndpointCrash(endpoint.endpoint_id, endpoint.born_ms, tuple(runs))
+        crash = self._crash_suspects.crash_of(self._endpoint, runs_at_endpoint)
+        if crash.runs:
             self._owners.record_crash(crash)
         log.warning(
             "endpoint crashed",
-            endpoint=endpoint.endpoint_id,
-            born_ms=endpoint.born_ms,
+            endpoint=crash.endpoint_id,
+            born_ms=crash.born_ms,
             why=reason,
-            runs=len(runs),
-            tasks=[run.task for run in runs[:MAX_LOGGED_TASKS]],
+            runs=len(crash.runs),
+            tasks=[run.task for run in crash.runs[:MAX_LOGGED_TASKS]],
         )
 
     def _declare_endpoint_lost(self, reason, kept=()):
@@ -312,7 +298,7 @@
         if self._is_reconciled:
             log.warning("endpoint lost", why=reason)
         self._is_reconciled = False
-        self._stopped_runs.clear()
+        self._crash_suspects.clear()
         self._last_end_number = 0
         self._lease.reset()
         self._refuse_waiting_starts("endpoint lost")
@@ -338,7 +324,7 @@
         """
         self._owners.record_loads(incarnation, loads)
         total = self._owners.total_loads()
-        self._ranks = QueueRanks(total)
+        self._waiting_starts.update_ranks(total)
         return m.QueueLoads(total)
 
     def may_send_start(self, key):
@@ -455,7 +441,9 @@
             self._retry_stops(now_ms)
             self._stop_stalled_runs(now_ms)
         if self.is_ready:
-            self._start_waiting_runs(now_ms)
+            capacity = self._endpoint.capacity
+            for run in self._waiting_starts.select(capacity, self._used_room):
+                self._begin(run, now_ms)
         orders, self._orders = self._orders, []
         return orders
 
@@ -511,22 +499,16 @@
             return ""  # waits for the endpoint to become empty
         if self._isolated_count and Isolation(self._runs.values()).excludes(run):
             return "reserved for a run that needs isolation"
-        return "" if self._is_room_expected(run) else "no room soon"
+        is_room_expected = self._waiting_starts.is_room_expected(run, self.forecast())
+        return "" if is_room_expected else "no room soon"
 
-    def _is_room_expected(self, new_run):
-        """Return whether room is expected to be free before the wait deadline.
-
-        The owner may have chosen this endpoint by an outdated report. If the start is
-        refused at once, the owner can place the run elsewhere without waiting.
-        """
-        priority = self._priority(new_run)
-        needed_millis = new_run.start.room.cpu_millis
-        for run in self._runs.values():
-            if run.phase is not Phase.WAITING or run is new_run:
-                continue
-            if self._priority(run) <= priority:
-                needed_millis += run.start.room.cpu_millis
-        return self.forecast().has_room_within(new_run.start.wait_ms, needed_millis)
+    def _begin(self, run, now_ms):
+        """Order the endpoint to start a run that waited for room."""
+        run.phase = Phase.STARTING
+        run.started_ms = now_ms
+        self._used_room += run.start.room
+        self._lease.record_renewal()
+        self._orders.append(StartOrder(run.start))
 
     def _stop_unnamed_runs(self, incarnation, orders):
         """Stop the runs of an owner that its resync does not name.
@@ -649,56 +631,6 @@
             elif run.phase is Phase.WAITING and now_ms > run.wait_deadline_ms:
                 self._finish(key, End.NOT_STARTED, "no room in time")
 
-    def _start_waiting_runs(self, now_ms):
-        waiting = [run for run in self._runs.values() if run.phase is Phase.WAITING]
-        if not waiting:
-            return
-        capacity = self._endpoint.capacity
-        free = capacity - self.used_room
-        tasks_at_endpoint = {
-            run.start.key.task for run in self._runs.values() if may_be_at_endpoint(run)
-        }
-        used_by_queue = self._used_by_queue()
-        isolation = Isolation(self._runs.values())
-        for run in sorted(waiting, key=self._priority):
-            start = run.start
-            reserved = self._ranks.reserved_cpu_millis(
-                start.queue, capacity.cpu_millis, used_by_queue
-            )
-            millis_left = free.cpu_millis - start.room.cpu_millis
-            has_room = free.can_fit(start.room) and (
-                millis_left >= reserved or start.is_isolated
-            )
-            if (
-                has_room
-                and start.key.task not in tasks_at_endpoint
-                and isolation.may_begin(run)
-            ):
-                run.phase = Phase.STARTING
-                isolation.record_begin(run)
-                tasks_at_endpoint.add(start.key.task)
-                self._used_room += start.room
-                run.started_ms = now_ms
-                free -= start.room
-                used_by_queue[start.queue] = (
-                    used_by_queue.get(start.queue, 0) + start.room.cpu_millis
-                )
-                self._lease.record_renewal()
-                self._orders.append(StartOrder(start))
-
-    def _priority(self, run):
-        """Return the sort key of waiting starts: by rank, then by due time."""
-        start = run.start
-        return self._ranks.rank(start.queue, start.is_late), run.due_ms
-
-    def _used_by_queue(self):
-        used = {}
-        for run in self._runs.values():
-            if may_be_at_endpoint(run):
-                queue = run.start.queue
-                used[queue] = used.get(queue, 0) + run.start.room.cpu_millis
-        return used
-
     def _refuse_waiting_starts(self, reason):
         for key, run in list(self._runs.items()):
             if run.phase is Phase.WAITING:
@@ -710,7 +642,7 @@
         if may_be_at_endpoint(run):
             self._used_room -= run.start.room
             if end is not End.DONE:
-                self._stopped_runs.append((self._clock.now_ms(), run))
+                self._crash_suspects.run_stopped(run)
         run_ms = self._clock.now_ms() - run.started_ms if run.started_ms else 0
         run_end = m.RunEnd(key, end, reason, checkpoint, run_ms)
         self._end_counts[end.name.lower()] += 1
@@ -729,8 +661,3 @@
                 run_ms=run_ms,
                 free_millis=self.free_room.cpu_millis,
             )
-
-
-def _crashed_run(run, now_ms, was_running):
-    start = run.start
-    return CrashedRun(start.key.task, start.queue, now_ms - run.started_ms, was_running)
--- a/plantainhitch/protocol/messages.py
+++ b/plantainhitch/protocol/messages.py
@@ -183,8 +183,9 @@
     The start may wait up to ``wait_ms`` at the agent for room, in the order of
     ``QueueRanks``. ``is_late`` is True if its job can no longer end in time, and
     ``slack_ms`` is the time until the job is due. ``estimate_ms`` is the expected run
-    time at the endpoint. If ``is_isolated``, the run must not be at the endpoint
-    together with a run of another job.
+    time at the endpoint, and ``size_ms`` that at an endpoint with a slowness of 1, 0 if
+    unknown. If ``is_isolated``, the run must not be at the endpoint together with a run
+    of another job.
     """
 
     key: RunKey
@@ -197,6 +198,7 @@
     slack_ms: int = 0
     is_late: bool = False
     is_isolated: bool = False
+    size_ms: int = 0
 
 
 @dataclass(slots=True)
@@ -237,7 +239,8 @@
     that its waiting starts need, and ``pace`` the progress of runs as a multiple of
     the expected progress. Processor is in thousandths of a core. ``crashes`` are those
     of the endpoint that were not reported on this link before, also those in which the
-    receiver had no run.
+    receiver had no run. ``slowness`` is that of the endpoint by ``slowness_samples``
+    runs of all owners, 0 if unknown. The last ``failures`` runs failed in a row.
     """
 
     number: int
@@ -248,6 +251,9 @@
     waiting_by_rank: tuple[tuple[float, int], ...] = ()
     pace: float = 1.0
     crashes: list[EndpointCrash] = field(default_factory=list)
+    slowness: float = 0.0
+    slowness_samples: int = 0
+    failures: int = 0
 
 
 @dataclass(slots=True)
@@ -266,13 +272,18 @@
 
     ``slack_ms`` is the time that its jobs can usually wait and still end in time.
     ``contained_ms`` is for how long the queue stays contained because a task of it
-    probably crashes endpoints, 0 if it is not.
+    probably crashes endpoints, 0 if it is not. Priority 0 is the most urgent.
+    ``offered_share`` is the work that arrived lately, as ``share`` is given, and
+    ``waiting_share`` the work that waits, in seconds of the whole fleet.
     """
 
     queue: str
     share: float
     slack_ms: int
     contained_ms: int = 0
+    priority: int = 0
+    offered_share: float = 0.0
+    waiting_share: float = 0.0
 
 
 @dataclass(slots=True)
@@ -287,7 +298,8 @@
     """Identity, capacity and readiness of an agent's endpoint, for runs of jobs.
 
     ``ready`` means that the endpoint accepts starts, and that no run of an earlier
-    lifetime of the endpoint or of the agent is still in progress.
+    lifetime of the endpoint or of the agent is still in progress. ``cold_left_ms`` is
+    how much longer the endpoint is slow after its start.
     """
 
     endpoint_id: str
@@ -299,6 +311,19 @@
     kind: str = ""
     rack: str = ""
     labels: tuple[str, ...] = ()
+    cold_left_ms: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class Evacuations:
+    """The availability zones in which no task is to be started.
+
+    Of several sets the one with the highest ``revision`` is in force, which is that of
+    the store when the set was read.
+    """
+
+    revision: int
+    zones: tuple[str, ...] = ()
 
 
 Message = (
@@ -318,6 +343,7 @@
     | EndpointStatus
     | QueueLoads
     | Introduction
+    | Evacuations
 )
 
 
--- a/plantainhitch/protocol/run_codec.py
+++ b/plantainhitch/protocol/run_codec.py
@@ -22,8 +22,14 @@
                 item.share = load.share
                 item.slackMs = load.slack_ms
                 item.containedMs = load.contained_ms
+                item.priority = load.priority
+                item.offeredShare = load.offered_share
+                item.waitingShare = load.waiting_share
         case m.Introduction(members):
             frame.introduction = members
+        case m.Evacuations(revision, zones):
+            target = frame.init("evacuations")
+            target.revision, target.zones = revision, list(zones)
         case _:
             raise TypeError(f"no frame field for message {message!r}")
 
@@ -43,15 +49,25 @@
         case "introduction":
             return m.Introduction([bytes(member) for member in frame.introduction])
         case "queueLoads":
-            return m.QueueLoads(
-                [
-                    m.QueueLoad(item.queue, item.share, item.slackMs, item.containedMs)
-                    for item in frame.queueLoads
-                ]
-            )
+            return m.QueueLoads([_read_load(item) for item in frame.queueLoads])
+        case "evacuations":
+            source = frame.evacuations
+            return m.Evacuations(source.revision, tuple(source.zones))
     raise ValueError(f"unknown message {which}")
 
 
+def _read_load(item):
+    return m.QueueLoad(
+        item.queue,
+        item.share,
+        item.slackMs,
+        item.containedMs,
+        item.priority,
+        item.offeredShare,
+        item.waitingShare,
+    )
+
+
 def _write_orders(target, orders):
     target.number = orders.number
     target.resync = orders.is_resync
@@ -82,6 +98,9 @@
     target.ordersSeen = reports.orders_seen
     target.soon = list(reports.expected_free_millis)
     target.pace = reports.pace
+    target.slowness = reports.slowness
+    target.slownessSamples = reports.slowness_samples
+    target.failures = reports.failures
     _write_room(target.free, reports.free)
     if reports.waiting_by_rank:
         items = target.init("waiting", len(reports.waiting_by_rank))
@@ -136,6 +155,9 @@
         tuple((item.rank, item.cpuMillis) for item in source.waiting),
         source.pace,
         [_read_crash(item) for item in source.crashes],
+        source.slowness,
+        source.slownessSamples,
+        source.failures,
     )
 
 
@@ -157,6 +179,7 @@
     target.kind = status.kind
     target.rack = status.rack
     target.labels = list(status.labels)
+    target.coldLeftMs = status.cold_left_ms
 
 
 def _read_status(source):
@@ -170,6 +193,7 @@
         kind=source.kind,
         rack=source.rack,
         labels=tuple(source.labels),
+        cold_left_ms=source.coldLeftMs,
     )
 
 
@@ -183,6 +207,7 @@
     item.slackMs = start.slack_ms
     item.late = start.is_late
     item.isolated = start.is_isolated
+    item.sizeMs = start.size_ms
     if start.checkpoint:
         item.checkpoint = start.checkpoint
 
@@ -199,6 +224,7 @@
         slack_ms=item.slackMs,
         is_late=item.late,
         is_isolated=item.isolated,
+        size_ms=item.sizeMs,
     )
 
 
--- a/plantainhitch/protocol/wire.capnp
+++ b/plantainhitch/protocol/wire.capnp
@@ -23,6 +23,7 @@
     endpoint @16 :EndpointStatus;
     queueLoads @17 :List(QueueLoad);
     introduction @18 :List(Data);   # member rows, as JSON
+    evacuations @19 :Evacuations;
   }
 }
 
@@ -124,6 +125,7 @@
   slackMs @8 :Int32;      # among equal ranks the least slack starts first
   late @9 :Bool;          # the job can no longer end in time
   isolated @10 :Bool;     # must not run beside a run of another job
+  sizeMs @11 :UInt32;     # the expected run time at a slowness of 1, 0 if unknown
 }
 
 struct RunStop {
@@ -157,6 +159,9 @@
   waiting @5 :List(WaitingRoom);
   pace @6 :Float32;
   crashes @7 :List(EndpointCrash); # not sent before on this link
+  slowness @8 :Float32;   # of the endpoint, by the runs of all owners; 0 if unknown
+  slownessSamples @9 :UInt16;
+  failures @10 :UInt16;   # consecutive failed runs, of all owners
 }
 
 struct EndpointCrash {
@@ -188,6 +193,7 @@
   kind @6 :Text;
   rack @7 :Text;
   labels @8 :List(Text);
+  coldLeftMs @9 :UInt32;  # how much longer the endpoint is slow after its start
 }
 
 # An entry sends its own loads to its agents; an agent sends the sums to its entries.
@@ -196,4 +202,13 @@
   share @1 :Float64;      # of the fleet's processor
   slackMs @2 :UInt32;
   containedMs @3 :UInt32; # how long its tasks run in a part of the fleet only
+  priority @4 :UInt16;    # 0 is the most urgent
+  offeredShare @5 :Float64; # the work that arrived lately, as share is given
+  waitingShare @6 :Float64; # the work that waits, in seconds of the whole fleet
+}
+
+# The availability zones in which no task is to be started.
+struct Evacuations {
+  revision @0 :UInt64;    # of the store when they were read; the highest is in force
+  zones @1 :List(Text);
 }
--- a/tests/test_codec.py
+++ b/tests/test_codec.py
@@ -44,7 +44,7 @@
         3,
         [
             m.RunStart(RUN, "payload", Room(1_600, 64, 0), 120, 30, "queue", "cp", -7),
-            m.RunStart(RUN, "", Room(), is_late=True, is_isolated=True),
+            m.RunStart(RUN, "", Room(), is_late=True, is_isolated=True, size_ms=90),
         ],
         [RUN],
         [RUN],
@@ -59,9 +59,16 @@
         ((0.25, 1_600),),
         0.5,
         [CRASH],
+        1.5,
+        12,
+        3,
+    ),
+    m.EndpointStatus(
+        "e-1", 7, "pool", True, False, Room(16_000, 64, 0), "a", "r1-3", ("a",), 250
     ),
-    m.EndpointStatus("e-1", 7, "pool", True, False, Room(16_000, 64, 0), "a", "r1-3"),
-    m.QueueLoads([m.QueueLoad("queue", 0.25, 300)]),
+    m.QueueLoads([m.QueueLoad("queue", 0.25, 300, 9, 2, 0.5, 0.125)]),
+    m.Evacuations(2**33, ("zone-a", "zone-b")),
+    m.Evacuations(8),
 ]
 
 
--- a/tests/test_crash_proofs.py
+++ b/tests/test_crash_proofs.py
@@ -4,9 +4,9 @@
 
 from plantainhitch.coordination.jobs.containment import MAX_LOST_RUNS
 from plantainhitch.coordination.jobs.outcomes import Ended, GaveUp, JobState
+from plantainhitch.coordination.runs.crash_suspects import CRASH_DELAY_MS
 from plantainhitch.coordination.runs.owners import OWNER_LEASE_MS
 from plantainhitch.coordination.runs.run import StartOrder, StopOrder
-from plantainhitch.coordination.runs.run_controller import CRASH_DELAY_MS
 from plantainhitch.protocol import messages as m
 from plantainhitch.state.crashes import CrashedRun, CrashHistory, EndpointCrash
 from plantainhitch.state.endpoints import Accepted, End, EndedRun
