--- a/tests/test_endpoint_client.py
+++ b/tests/test_endpoint_client.py
@@ -105,6 +105,8 @@
             writer.write(b"HTTP/1.1 200 OK\r\n" + lines + b"\r\n")
             with contextlib.suppress(ConnectionError):
                 await writer.drain()
+            # The writer outlives the test's event loop if nobody closes it.
+            writer.close()
 
         many = b"".join(b"h%d: %s\r\n" % (n, b"x" * 1_000) for n in range(100))
         self.lines = [b"Content-Length: 0\r\n", many + b"Content-Length: 0\r\n"]
