Start no tasks in availability zones that the operator evacuates

Operators had no means to take a zone out of service: only single endpoints drain.

Entries read the rows evacuate/ZONE of the operator's table with the watch of the configuration, and pass the set to peers and agents, on new links before anything else and again when the zones change. Entries leave agents of these zones out of their pool views; agents refuse new and waiting starts and check again before an order is sent. Jobs without a run are refused at once where no zone with endpoints is left.

A change from the feed causes a complete read, and only complete reads give sets: the store may drop history without notice, and a set that lacks a dropped change would have the same revision as the right one.

The protocol version in the hello is 2 now.

A value in the operator's table that isn't encoded as bytes made the whole answer unreadable, the configuration included. Such a value reads as empty now.

--- a/plantainhitch/commands/deployed_agent.py
+++ b/plantainhitch/commands/deployed_agent.py
@@ -35,7 +35,10 @@
     store = RowStore.from_deployment(deployment, clock)
     hello = m.Hello(m.ROLE_AGENT, member.incarnation, deployment.name, deployment.zone)
     controller = RunController(
-        clock, deployment.bounds.lease_ms, first_fence=clock.wall_ms()
+        clock,
+        deployment.bounds.lease_ms,
+        first_fence=clock.wall_ms(),
+        zone=deployment.zone,
     )
     node = RunAgentNode(
         hello,
--- a/plantainhitch/commands/deployed_entry.py
+++ b/plantainhitch/commands/deployed_entry.py
@@ -1,13 +1,14 @@
 """``plantainhitch deployed-entry``: run an entry on the users' platform."""
 
 from .. import logs
+from ..coordination.evacuation import EvacuationState
 from ..coordination.jobs.entry_node import JobEntryNode
 from ..coordination.jobs.peers import PEER_LINK_TIMING
 from ..coordination.jobs.route_watch import RouteWatch
 from ..coordination.jobs.scheduler import Scheduler
 from ..coordination.membership import Membership
 from ..job_metrics import JobMetrics
-from ..platform.configuration import RouteSource, decode as decode_routes
+from ..platform.configuration import OperatorSource, decode as decode_routes
 from ..platform.job_app import JobApp, ReadinessApp
 from ..platform.store import RowStore
 from ..protocol import messages as m
@@ -34,7 +35,9 @@
     signals = install_signals()
     store = RowStore.from_deployment(deployment, clock)
     routes = RouteWatch(
-        clock, RouteSource(store), lambda table: node.routes_changed(table)
+        clock,
+        OperatorSource(store, lambda evacuated: node.apply_evacuations(evacuated)),
+        lambda table: node.routes_changed(table),
     )
     membership = Membership(
         store, clock, region=deployment.region, on_change=lambda: node.members_changed()
@@ -47,6 +50,7 @@
         metrics.record_job,
         zone=deployment.zone,
         remote_factor=bounds.remote_factor,
+        evacuations=EvacuationState(clock),
     )
     node = JobEntryNode(
         deployment, member, clock, scheduler, routes, membership, decode_routes
--- a/plantainhitch/coordination/jobs/entry_node.py
+++ b/plantainhitch/coordination/jobs/entry_node.py
@@ -9,11 +9,12 @@
 from ... import logs
 from ...protocol import messages as m
 from .. import events as e
-from ..background import run_until_first_completed
+from ..background import run_until_first_completed, spawn
+from ..evacuation import ALL_EVACUATED_REASON
 from ..inbox import Inbox
 from .agent_connections import AgentConnections
 from .outcomes import GaveUp, NeverRan
-from .peers import Peers
+from .peers import Peers, evacuations_message
 
 TICK_MS = 25
 # Interval of the scheduler's rounds while a job waits, for which room may be free.
@@ -22,6 +23,9 @@
 # checks, one a second, have failed.
 INTAKE_AFTER_STOP_MS = 2_500
 DRAIN_POLL_MS = 20
+# After a change of the evacuated zones, their members are counted for the log this much
+# later: a process that has just started doesn't know them before.
+ZONE_REPORT_DELAY_MS = 3_000
 
 log = logs.get_logger("entry")
 
@@ -42,8 +46,16 @@
         self._scheduler = scheduler
         self._routes = routes
         self._membership = membership
+        self._evacuations = scheduler.evacuations
         self._peers = Peers(
-            clock, member, self._make_hello, membership, routes, decode_routes
+            clock,
+            member,
+            self._make_hello,
+            membership,
+            routes,
+            decode_routes,
+            self._evacuations,
+            self.apply_evacuations,
         )
         self._inbox = Inbox()
         self._connections = AgentConnections(
@@ -56,11 +68,16 @@
             self._post_agent_event,
         )
         self._stopping_since_ms = None
+        self._tasks = set()
 
     @property
     def ready(self):
         """Whether the load balancer should send callers here."""
-        return self._routes.table is not None and self._stopping_since_ms is None
+        return (
+            self._routes.table is not None
+            and self._evacuations.is_known
+            and self._stopping_since_ms is None
+        )
 
     @property
     def routes(self):
@@ -91,6 +108,24 @@
         """Announce a newer configuration to the peers; called by the ``RouteWatch``."""
         self._peers.announce_routes(table)
 
+    def apply_evacuations(self, evacuated):
+        """Put newer ``EvacuatedZones`` from the store or a peer into force.
+
+        Where the zones differ from those before, agents and peers are told.
+        """
+        state = self._evacuations
+        was_known, previous_zones = state.is_known, state.zones
+        if not state.apply(evacuated):
+            return
+        if was_known and evacuated.zones == previous_zones:
+            return
+        self._scheduler.evacuations_changed()
+        for agent in self._scheduler.fleet.agents.values():
+            self._send_evacuations(agent)
+        self._peers.announce_evacuations()
+        if evacuated.zones:
+            spawn(self._report_zones(), self._tasks)
+
     async def serve_link(self, link):
         """Serve a link from another entry, or from an agent that introduces itself."""
         await self._peers.serve_link(link)
@@ -149,6 +184,8 @@
             await run_until_first_completed(services)
         finally:
             self._connections.close()
+            for task in self._tasks:
+                task.cancel()
 
     async def aclose(self):
         """Close all links."""
@@ -180,6 +217,8 @@
                 scheduler.handle_agent_message(incarnation, message)
             case e.AgentLinked(hello=hello, link=link):
                 scheduler.agent_linked(hello, link)
+                # Before the first orders, which the next round returns.
+                self._send_evacuations(scheduler.fleet.get(hello.incarnation))
             case e.AgentUnlinked(incarnation, link):
                 scheduler.agent_unlinked(incarnation, link)
             case e.AgentGone(incarnation) | e.AgentConnectionRefused(incarnation):
@@ -189,6 +228,29 @@
             case _:
                 event()
 
+    def _send_evacuations(self, agent):
+        """Tell an agent, an ``AgentView``, the evacuated zones if they are known."""
+        message = evacuations_message(self._evacuations)
+        can_send = agent.link is not None and agent.reads_evacuations
+        if message is not None and can_send:
+            agent.link.send(message)
+
+    async def _report_zones(self):
+        """Log for each evacuated zone whether it has endpoints; see the delay."""
+        await self._clock.sleep_ms(ZONE_REPORT_DELAY_MS)
+        region, zones = self._member.region, self._evacuations.zones
+        agent_zones = [member.zone for member in self._membership.agents(region)]
+        entry_zones = [member.zone for member in self._membership.entries(region)]
+        for zone in sorted(zones):
+            if zone in agent_zones:
+                continue
+            if zone in entry_zones:
+                log.warning("the evacuated zone has no endpoints", zone=zone)
+            else:
+                log.warning("no process is known in the evacuated zone", zone=zone)
+        if agent_zones and zones.issuperset(agent_zones):
+            log.error(ALL_EVACUATED_REASON, zones=sorted(zones))
+
     async def _tick(self):
         while True:
             has_ready_tasks = self._scheduler.has_ready_tasks
--- a/plantainhitch/coordination/jobs/fleet.py
+++ b/plantainhitch/coordination/jobs/fleet.py
@@ -51,6 +51,8 @@
     number: int = 0
     # Whether traffic to the agent leaves the entry's availability zone.
     is_cross_zone: bool = False
+    # Whether the agent can read ``Evacuations``.
+    reads_evacuations: bool = False
     link: object = None
     status: m.EndpointStatus | None = None
     free_room: Room = Room()
@@ -180,11 +182,13 @@
 
     ``lease_ms`` is the length of an endpoint's lease, ``zone`` the entry's
     availability zone, and ``remote_factor`` the factor on the run time of tasks
-    outside the rack of their data. ``rng`` shuffles the agents of a pool.
+    outside the rack of their data. ``rng`` shuffles the agents of a pool. Agents in
+    zones that ``evacuations``, an ``EvacuationState``, covers are in no pool view.
     """
 
-    def __init__(self, clock, lease_ms, *, zone, remote_factor, rng):
+    def __init__(self, clock, lease_ms, *, zone, remote_factor, rng, evacuations):
         self._clock = clock
+        self._evacuations = evacuations
         self._zone = zone
         self._remote_factor = remote_factor
         self._rng = rng
@@ -216,6 +220,7 @@
             agent.remote_factor = self._remote_factor
             agent.is_cross_zone = hello.zone != self._zone
             self._agents[hello.incarnation] = agent
+        agent.reads_evacuations = hello.protocol_version >= m.EVACUATIONS_VERSION
         agent.attach_link(link)
         agent.last_contact_ms = self._clock.now_ms()
         agent.confirmed_dead_ms = None
@@ -252,6 +257,21 @@
             self._division = division
             self._pool_views.clear()
 
+    def evacuations_changed(self):
+        """Discard the pool views that were built for other evacuated zones."""
+        self._pool_views.clear()
+
+    def is_evacuated(self, pool):
+        """Return whether all known agents of a pool, one at least, are evacuated."""
+        if not self._evacuations.zones:
+            return False
+        zones = {
+            agent.zone
+            for agent in self._agents.values()
+            if agent.status is not None and agent.status.pool == pool
+        }
+        return bool(zones) and all(map(self._evacuations.covers, zones))
+
     def pool_view(self, pool, section=Section.WHOLE):
         """Return the ``PoolView`` of a section, at most ``POOL_VIEW_MAX_AGE_MS`` old.
 
@@ -329,11 +349,13 @@
         self._pool_views.clear()
 
     def _section_agents(self, pool, section):
-        """Return all known agents of a section, ready or not."""
+        """Return the agents of a section, ready or not, that aren't evacuated."""
         agents = [
             agent
             for agent in self._agents.values()
-            if agent.status is not None and agent.status.pool == pool
+            if agent.status is not None
+            and agent.status.pool == pool
+            and not self._evacuations.covers(agent.zone)
         ]
         if section is Section.WHOLE:
             return agents
--- a/plantainhitch/coordination/jobs/peers.py
+++ b/plantainhitch/coordination/jobs/peers.py
@@ -1,6 +1,6 @@
-"""Exchange of members and the newest configuration between entries.
+"""Exchange of members, evacuations and the newest configuration between entries.
 
-Both are kept in the store. While the store is unreachable, or reachable from some
+All are kept in the store. While the store is unreachable, or reachable from some
 machines only, a process that starts learns them from other processes: it dials the
 hosts named in its settings, and entries keep links to each other. An entry that can't
 read the store asks its peers for members.
@@ -12,12 +12,14 @@
 
 from ... import logs
 from ...protocol import messages as m
+from ...state.evacuations import EvacuatedZones
 from ...state.members import Member
 from ...transport.addresses import Address
 from ...transport.links import LinkTiming
 from ..agent_links import exchange_hellos
 from ..background import spawn
 from ..backoff import Backoff
+from ..evacuation import no_evacuations
 from ..introductions import open_link
 
 FIRST_REDIAL_MS = 200
@@ -47,16 +49,31 @@
 
     ``own`` is this process's ``Member``, and ``hello()`` returns its ``Hello``.
     ``routes`` is the ``RouteWatch``. ``decode_routes(document)`` returns a
-    ``RouteTable`` or raises ValueError.
+    ``RouteTable`` or raises ValueError. ``evacuations`` is the ``EvacuationState``, and
+    ``on_evacuations(EvacuatedZones)`` takes what a peer sends.
     """
 
-    def __init__(self, clock, own, hello, membership, routes, decode_routes):
+    def __init__(
+        self,
+        clock,
+        own,
+        hello,
+        membership,
+        routes,
+        decode_routes,
+        evacuations=None,
+        on_evacuations=None,
+    ):
         self._clock = clock
         self._own_member = own
         self._make_hello = hello
         self._membership = membership
         self._routes = routes
         self._decode_routes = decode_routes
+        self._evacuations = evacuations or no_evacuations(clock)
+        self._on_evacuations = on_evacuations or self._evacuations.apply
+        # The links of processes that can read ``Evacuations``.
+        self._evacuation_links = set()
         # By link: the incarnations that the peer is known to know.
         self._known_by_link = {}
         # By link: the newest configuration version that the peer has named.
@@ -103,6 +120,11 @@
             link.send(m.Configuration(table.version, b""))
         spawn(self._push_routes(table), self._tasks)
 
+    def announce_evacuations(self):
+        """Send the evacuated zones to all peers; called when the zones change."""
+        for link in self._evacuation_links:
+            link.send(evacuations_message(self._evacuations))
+
     async def run(self):
         """Ask peers for members while the store can't be read; never returns."""
         while True:
@@ -166,6 +188,11 @@
         self._known_by_link[link] = {hello.incarnation}
         self._version_by_link[link] = hello.configuration_version
         self._incarnation_by_link[link] = hello.incarnation
+        if hello.protocol_version >= m.EVACUATIONS_VERSION:
+            self._evacuation_links.add(link)
+            # Before the configuration, after which the peer accepts jobs.
+            if (message := evacuations_message(self._evacuations)) is not None:
+                link.send(message)
         self._introduce(link, self._membership.unstored_members())
         table = self._routes.table
         if table is not None and table.version > hello.configuration_version:
@@ -176,6 +203,7 @@
         finally:
             del self._known_by_link[link], self._version_by_link[link]
             del self._incarnation_by_link[link]
+            self._evacuation_links.discard(link)
             if address := self._address_of(hello.incarnation):
                 self._last_alive_ms[address] = self._clock.now_ms()
 
@@ -194,6 +222,8 @@
                 self._introduce(link, self._membership.present_members())
             case m.Introduction(members):
                 self._add_members(link, members)
+            case m.Evacuations(revision, zones):
+                self._on_evacuations(EvacuatedZones(revision, frozenset(zones)))
             case m.Configuration(version, document):
                 self._version_by_link[link] = max(version, self._version_by_link[link])
                 if document:
@@ -242,3 +272,10 @@
         if unknown:
             known_to_peer.update(member.incarnation for member in unknown)
             link.send(m.Introduction([member.to_json() for member in unknown]))
+
+
+def evacuations_message(state):
+    """Return the ``Evacuations`` of an ``EvacuationState``, None if it is unknown."""
+    if not state.is_known:
+        return None
+    return m.Evacuations(state.current.revision, tuple(sorted(state.zones)))
--- a/plantainhitch/coordination/jobs/scheduler.py
+++ b/plantainhitch/coordination/jobs/scheduler.py
@@ -10,6 +10,7 @@
 from ... import logs
 from ...protocol import messages as m
 from ...state.endpoints import End, Rejection
+from ..evacuation import ALL_EVACUATED_REASON, UNKNOWN_REASON, no_evacuations
 from ..runs.run_controller import STALLED_REASON
 from .containment import Containment
 from .demand import Demand
@@ -36,13 +37,23 @@
 
     ``lease_ms`` is the length of an endpoint's lease. ``on_outcome(queue, JobOutcome,
     took_ms)`` is called for each job. ``zone``, ``remote_factor`` and ``rng`` are as
-    for ``Fleet``.
+    for ``Fleet``. ``evacuations`` is the ``EvacuationState``; no zone is ever evacuated
+    if it is left out.
     """
 
     def __init__(
-        self, clock, lease_ms, on_outcome=None, *, zone="", remote_factor=1.0, rng=None
+        self,
+        clock,
+        lease_ms,
+        on_outcome=None,
+        *,
+        zone="",
+        remote_factor=1.0,
+        rng=None,
+        evacuations=None,
     ):
         self._clock = clock
+        self._evacuations = evacuations or no_evacuations(clock)
         self._events = logs.EventLog(log, clock)
         self._registry = JobRegistry(
             clock,
@@ -55,6 +66,7 @@
             zone=zone,
             remote_factor=remote_factor,
             rng=rng or random.Random(),
+            evacuations=self._evacuations,
         )
         self._retry_slots = RetrySlots(clock)
         self._checked_ms = 0
@@ -72,6 +84,11 @@
         """The entry's view of the agents."""
         return self._fleet
 
+    @property
+    def evacuations(self):
+        """The ``EvacuationState``."""
+        return self._evacuations
+
     @property
     def jobs(self):
         """The jobs by id, for reading only."""
@@ -126,6 +143,11 @@
         if job is not None:
             self._cancel_job(job, reason)
 
+    def evacuations_changed(self):
+        """Handle a change of the evacuated zones, which are in force from now on."""
+        self._fleet.evacuations_changed()
+        self._checked_ms = 0  # jobs that no endpoint is left for end in the next round
+
     # Events from agents
 
     def agent_linked(self, hello, link):
@@ -197,6 +219,10 @@
 
     def _refusal(self, job):
         """Return why a job can't be accepted, or an empty string."""
+        if not self._evacuations.is_known:
+            return UNKNOWN_REASON
+        if self._fleet.is_evacuated(job.route.pool):
+            return ALL_EVACUATED_REASON
         section = self._containment.section(job)
         agents = self._fleet.usable_agents(job.route.pool, section)
         if not agents:
@@ -340,6 +366,16 @@
                 self._cancel_job(
                     job, "endpoints crashed under it, and it is too late to try again"
                 )
+            elif self._evacuations.zones and not job.placed_tasks():
+                self._end_if_evacuated(job)
+
+    def _end_if_evacuated(self, job):
+        """End a job without a run if no endpoint is left for it."""
+        if self._fleet.is_evacuated(job.route.pool):
+            retry_after_s = self._retry_slots.reserve(
+                job.route.name, NO_ENDPOINT_RETRY_MS, 0
+            )
+            self._cancel_job(job, ALL_EVACUATED_REASON, retry_after_s)
 
     def _cancel_job(self, job, reason, retry_after_s=1):
         """Stop a job; its outcome is ``NeverRan`` if no task may have started."""
--- a/plantainhitch/coordination/runs/agent_node.py
+++ b/plantainhitch/coordination/runs/agent_node.py
@@ -18,6 +18,7 @@
     Rejected,
     Rejection,
 )
+from ...state.evacuations import EvacuatedZones
 from ...state.jobs import RunKey
 from ...transport import links
 from ..agent_links import exchange_hellos
@@ -253,6 +254,10 @@
                 self._controller.handle_orders(
                     incarnation, envelope.message, envelope.echo_ms
                 )
+            case m.Evacuations(revision, zones):
+                self._controller.handle_evacuations(
+                    EvacuatedZones(revision, frozenset(zones))
+                )
             case m.QueueLoads(loads):
                 total_loads = self._controller.handle_queue_loads(incarnation, loads)
                 if incarnation in self._links:
--- a/plantainhitch/coordination/runs/run_controller.py
+++ b/plantainhitch/coordination/runs/run_controller.py
@@ -21,6 +21,7 @@
     Rejection,
 )
 from ...state.jobs import Room
+from ..evacuation import ZONE_EVACUATED_REASON, EvacuationState
 from .crash_suspects import CrashSuspects
 from .endpoint_lease import EndpointLease
 from .forecast import Forecast
@@ -58,11 +59,14 @@
 
     The ``handle_`` methods take the orders of owners, and the heartbeats, results and
     inventories of the endpoint. ``next_orders`` returns the orders to send to the
-    endpoint, ``next_report`` the next report for an owner.
+    endpoint, ``next_report`` the next report for an owner. ``zone`` is the availability
+    zone of the endpoint.
     """
 
-    def __init__(self, clock, lease_ms, first_fence):
+    def __init__(self, clock, lease_ms, first_fence, zone=""):
         self._clock = clock
+        self._zone = zone
+        self._evacuations = EvacuationState(clock)
         self._lease = EndpointLease(clock, lease_ms)
         self._fence = first_fence
         self._owners = Owners(clock)
@@ -139,9 +143,15 @@
             and self._is_reconciled
             and not self._endpoint.draining
             and not self._is_stopping
+            and not self.is_evacuated
             and not self._lease.is_suspect
         )
 
+    @property
+    def is_evacuated(self):
+        """Whether the availability zone is evacuated, as far as owners have said."""
+        return self._evacuations.covers(self._zone)
+
     @property
     def used_room(self):
         """The ``Room`` of all runs that are, or may be, at the endpoint."""
@@ -327,6 +337,11 @@
         self._waiting_starts.update_ranks(total)
         return m.QueueLoads(total)
 
+    def handle_evacuations(self, evacuated):
+        """Record an owner's ``EvacuatedZones``; any owner may send the newest."""
+        if self._evacuations.apply(evacuated) and self.is_evacuated:
+            self._refuse_waiting_starts(ZONE_EVACUATED_REASON)
+
     def may_send_start(self, key):
         """Return whether the order to start a run may still be sent to the endpoint.
 
@@ -337,6 +352,7 @@
         return (
             run is not None
             and run.phase is Phase.STARTING
+            and not self.is_evacuated
             and self._owners.is_alive(run.owner)
         )
 
@@ -491,6 +507,8 @@
 
     def _start_refusal(self, run):
         """Return why a start is refused at once, or an empty string."""
+        if self.is_evacuated:
+            return ZONE_EVACUATED_REASON
         if not self.is_ready:
             return "not ready"
         if not self._endpoint.capacity.can_fit(run.start.room):
--- a/plantainhitch/job_metrics.py
+++ b/plantainhitch/job_metrics.py
@@ -45,6 +45,9 @@
         text.gauge("agents_ready", sum(agent.is_ready for agent in agents))
         text.gauge("agents_held_back", sum(agent.is_held_back for agent in agents))
         text.gauge("peers", node.peer_count)
+        zones = {agent.zone: 0 for agent in agents}
+        zones |= dict.fromkeys(scheduler.evacuations.zones, 1)
+        text.gauges("zone_evacuated", "zone", zones)
         text.gauges("slowness", "agent", {a.name: a.slowness for a in agents})
         text.gauges("runs", "agent", {a.name: len(a.tasks) for a in agents})
         return text.render()
--- a/plantainhitch/platform/configuration.py
+++ b/plantainhitch/platform/configuration.py
@@ -1,12 +1,17 @@
-"""Decodes the operator's configuration row into a ``RouteTable``."""
+"""Decodes the rows of the operator's table: the configuration and evacuations."""
 
 import msgspec
+from returns.result import Success
 
 from .. import logs
+from ..state.evacuations import EvacuatedZones
 from ..state.routes import Route, RouteTable
 
 # The key of the configuration row in the operator's table.
 CONFIGURATION_KEY = "config"
+# The keys of the rows whose presence evacuates an availability zone; the zone's name
+# follows.
+EVACUATION_PREFIX = "evacuate/"
 
 log = logs.get_logger("configuration")
 
@@ -74,19 +79,25 @@
     )
 
 
-class RouteSource:
-    """Reads route tables from the operator's row, for ``RouteWatch``."""
+class OperatorSource:
+    """Reads the operator's table, for ``RouteWatch``.
 
-    def __init__(self, store):
+    ``on_evacuations(EvacuatedZones)`` is called after each complete read, before the
+    read returns.
+    """
+
+    def __init__(self, store, on_evacuations):
         self._store = store
+        self._on_evacuations = on_evacuations
+        # The unreadable rows that were logged, as pairs of a key and a revision.
+        self._logged_rows = set()
 
     async def read(self):
         """Return Success((revision, RouteTable or None)), or a Failure.
 
         The table is None if there is no readable configuration.
         """
-        found = await self._store.operator_changes(0, 0)
-        return found.map(_newest_table)
+        return (await self._store.operator_changes(0, 0)).map(self._handle)
 
     async def wait(self, revision, wait_ms):
         """Wait up to ``wait_ms`` for changes since ``revision``.
@@ -94,7 +105,54 @@
         Returns the same as ``read``, with None if the configuration has not changed.
         """
         found = await self._store.operator_changes(revision, wait_ms)
-        return found.map(_newest_table)
+        match found:
+            case Success(changes) if not changes.is_complete and any(
+                row.key.startswith(EVACUATION_PREFIX) for row in changes.rows
+            ):
+                # The store may drop changes without notice, and a set to which only
+                # some of them were applied must not have the revision of the last.
+                found = await self._store.operator_changes(0, 0)
+        return found.map(self._handle)
+
+    def _handle(self, changes):
+        if changes.is_complete:
+            zones = frozenset(self._evacuated_zones(changes.rows))
+            self._on_evacuations(EvacuatedZones(changes.revision, zones))
+        return _newest_table(changes)
+
+    def _evacuated_zones(self, rows):
+        """Yield the zones that have a row; whatever its value, the row counts."""
+        for row in rows:
+            if not row.key.startswith(EVACUATION_PREFIX) or row.value is None:
+                continue
+            zone = row.key.removeprefix(EVACUATION_PREFIX)
+            if not zone:
+                self._log_unreadable(row, "it names no zone, and is ignored")
+                continue
+            if not _is_json(row.value):
+                self._log_unreadable(
+                    row, "its value is no JSON; it counts all the same"
+                )
+            yield zone
+
+    def _log_unreadable(self, row, why):
+        """Log an unreadable row once: the table is read again each second."""
+        if (row.key, row.revision) not in self._logged_rows:
+            self._logged_rows.add((row.key, row.revision))
+            log.error(
+                "unreadable evacuation row",
+                key=row.key,
+                revision=row.revision,
+                why=why,
+            )
+
+
+def _is_json(value):
+    try:
+        msgspec.json.decode(value)
+    except (msgspec.DecodeError, UnicodeDecodeError):
+        return False
+    return True
 
 
 def _newest_table(changes):
--- a/plantainhitch/platform/store.py
+++ b/plantainhitch/platform/store.py
@@ -40,6 +40,16 @@
     truncated: bool = False
 
 
+class _OperatorRowModel(_RowModel):
+    # Rows of the operator's table are written by hand as well. One with a value of
+    # another type must not make the others unreadable.
+    value: msgspec.Raw = msgspec.Raw(b"null")
+
+
+class _OperatorRowsModel(_RowsModel):
+    rows: list[_OperatorRowModel]
+
+
 class _WrittenModel(msgspec.Struct):
     ver: int
 
@@ -71,14 +81,17 @@
         If the store has discarded the history since ``since_revision``, all rows are
         returned. Rows that were deleted meanwhile are then missing from the result.
         """
-        return await self._changes(TABLE_PREFIX + table, since_revision, 0)
+        return await self._changes(TABLE_PREFIX + table, since_revision, 0, _RowsModel)
 
     async def operator_changes(self, since_revision, wait_ms):
         """Return Success(Changes) of the operator's table, or a Failure.
 
-        Waits up to ``wait_ms`` for a first change.
+        Waits up to ``wait_ms`` for a first change. The value of a row that is not
+        encoded as bytes is empty.
         """
-        return await self._changes(OPERATOR_TABLE, since_revision, wait_ms)
+        return await self._changes(
+            OPERATOR_TABLE, since_revision, wait_ms, _OperatorRowsModel
+        )
 
     async def write(self, table, writes):
         """See ``Platform.write``."""
@@ -115,21 +128,21 @@
         """Close the connections."""
         await self._http.aclose()
 
-    async def _changes(self, table, since_revision, wait_ms):
+    async def _changes(self, table, since_revision, wait_ms, model):
         if not since_revision:
-            return await self._read_all(table)
+            return await self._read_all(table, model)
         query = {"table": table, "after": since_revision, "wait_ms": wait_ms}
         answer = await self._get("/rows-feed", query, CALL_TIMEOUT_MS + wait_ms)
         if isinstance(answer, HttpResponse) and answer.status == 410:
-            return await self._read_all(table)
-        return _decode(answer, _RowsModel).map(_to_changes)
+            return await self._read_all(table, model)
+        return _decode(answer, model).map(_to_changes)
 
     async def _read_rows(self, table, key):
         query = {"table": table, "part": "", "from": key, "to": f"{key}\0"}
         answer = await self._get("/rows-get", query, CALL_TIMEOUT_MS)
         return _decode(answer, _RowsModel)
 
-    async def _read_all(self, table):
+    async def _read_all(self, table, model):
         """Return Success(Changes) with all rows of a table, or a Failure.
 
         The rows are read in pages of ``MAX_ROWS``.
@@ -140,7 +153,7 @@
             if first_key:
                 query["from"] = first_key
             answer = await self._get("/rows-get", query, CALL_TIMEOUT_MS)
-            result = _decode(answer, _RowsModel)
+            result = _decode(answer, model)
             if isinstance(result, Failure):
                 return result
             page = result.unwrap()
@@ -149,7 +162,7 @@
             revision = page.ver if revision is None else revision
             rows.extend(map(_to_row, page.rows))
             if not page.truncated or not page.rows:
-                return Success(Changes(revision, tuple(rows)))
+                return Success(Changes(revision, tuple(rows), is_complete=True))
             first_key = f"{page.rows[-1].key}\0"
 
     async def _get(self, path, query, timeout_ms):
@@ -166,12 +179,23 @@
 
 
 def _to_row(row):
-    is_deleted = row.tombstone or row.value is None
+    value = row.value
+    if isinstance(value, msgspec.Raw):
+        value = _decode_raw_value(value)
+    is_deleted = row.tombstone or value is None
     return Row(
-        row.key, None if is_deleted else row.value, ABSENT if is_deleted else row.ver
+        row.key, None if is_deleted else value, ABSENT if is_deleted else row.ver
     )
 
 
+def _decode_raw_value(raw):
+    """Return the bytes in a row's JSON value, empty if it is none, or None for null."""
+    try:
+        return msgspec.json.decode(raw, type=bytes | None)
+    except msgspec.DecodeError:
+        return b""
+
+
 def _to_changes(rows):
     return Changes(rows.ver, tuple(map(_to_row, rows.rows)))
 
--- a/plantainhitch/protocol/messages.py
+++ b/plantainhitch/protocol/messages.py
@@ -12,7 +12,10 @@
 from ..state.endpoints import End
 from ..state.jobs import Room, RunKey
 
-PROTOCOL_VERSION = 1
+# Version 2 added ``Evacuations``. A process of version 1 closes a link on which it
+# receives this message, so that it must not be sent there.
+PROTOCOL_VERSION = 2
+EVACUATIONS_VERSION = 2
 # Times after a report for which it forecasts the free processor of the endpoint.
 FORECAST_HORIZONS_MS = (25, 50, 100, 200, 400, 800)
 ROLE_ENTRY = "entry"
--- a/plantainhitch/run_metrics.py
+++ b/plantainhitch/run_metrics.py
@@ -15,6 +15,7 @@
     text.counters("run_ends_total", "end", controller.end_counts)
     text.counter("endpoint_crashes_total", controller.crash_count)
     text.gauge("ready", int(controller.is_ready))
+    text.gauge("zone_evacuated", int(controller.is_evacuated))
     text.gauge("endpoint_silent", int(controller.lease.is_suspect))
     text.gauge("used_cpu_millis", controller.used_room.cpu_millis)
     text.gauge("free_cpu_millis", controller.free_room.cpu_millis)
--- a/plantainhitch/transport/platform.py
+++ b/plantainhitch/transport/platform.py
@@ -42,10 +42,15 @@
 
 @dataclass(frozen=True, slots=True)
 class Changes:
-    """Rows changed since a revision, and the revision up to which they are listed."""
+    """Rows changed since a revision, and the revision up to which they are listed.
+
+    ``is_complete`` is True if the rows are all of the table, so that rows that are
+    missing don't exist.
+    """
 
     revision: int
     rows: tuple[Row, ...]
+    is_complete: bool = False
 
 
 class FaultKind(enum.Enum):
