Test evacuations with separate processes and in the soak

The rule has to hold for processes that can't read the store or were paused, which no test without processes shows.

tests.test_deployed_soak: the row appears while two of three entries and all agents are cut off from the store; an entry is paused from before the row until after the bound. The soak evacuates zones of two during its other faults from seed 1001 on; earlier seeds keep their schedules. violations() lists starts in an evacuated zone later than 5 s after its row.

--- a/plantainhitch/standins/store_rows.py
+++ b/plantainhitch/standins/store_rows.py
@@ -31,6 +31,10 @@
         """Write a row, as another client of the store would."""
         self._apply(puts=[{"table": table, "part": "", "key": key, "value": value}])
 
+    def remove(self, table, key):
+        """Delete a row, as another client of the store would."""
+        self._apply(remove=[{"table": table, "part": "", "key": key}])
+
     def get(self, table, key):
         """Return a row's value, or None if there is no such row."""
         row = self._rows.get((table, "", key))
--- a/tests/deployed_soak.py
+++ b/tests/deployed_soak.py
@@ -13,7 +13,7 @@
 import time
 from pathlib import Path
 
-from .deployed_world import CONTACT_S, CPU_MILLIS, World
+from .deployed_world import CONTACT_S, CPU_MILLIS, EVACUATE_S, World
 
 TRAFFIC_DURATION_S = 5.0
 JOBS_PER_S = 12
@@ -182,6 +182,19 @@
         await asyncio.sleep(duration_s / 5)
 
 
+async def evacuate_zones(world, rng, duration_s):
+    """Evacuate a zone or all zones, and one that doesn't exist by an unreadable row."""
+    count = rng.choice((1, 1, len(world.zones)))
+    zones = [*rng.sample(world.zones, count), "no-such-zone"]
+    values = (b"{}", {}, b"\xff")
+    for zone in zones:
+        world.evacuate(zone, rng.choice(values))
+        await asyncio.sleep(rng.uniform(0, 0.3))
+    await asyncio.sleep(EVACUATE_S + duration_s)
+    for zone in zones:
+        world.end_evacuation(zone)
+
+
 FAULTS = (
     kill_entry,
     kill_agent,
@@ -209,6 +222,9 @@
 # still give the schedules that they are known for.
 ALL_FAULTS = (*FAULTS, deadly_jobs, resize_endpoints)
 LAST_SEED_OF_FIRST_FAULTS = 100
+# Later seeds evacuate zones during all other faults, in a world of two zones.
+LAST_SEED_WITHOUT_EVACUATION = 1_000
+ZONES = ("z1", "z2")
 
 
 async def _kill(node, duration_s):
@@ -232,7 +248,8 @@
 async def run_schedule(world, rng, faults=None):
     """Run one schedule; return the names of its faults and the violations.
 
-    Draws the faults from ``rng`` where none are given.
+    Draws the faults from ``rng`` where none are given. The traffic lasts at least until
+    all zones are in service again.
     """
     faults = faults or rng.sample(FAULTS, rng.choice((1, 2, 2, 3)))
     jobs = []
@@ -243,7 +260,7 @@
 
     injections = [asyncio.create_task(inject_later(fault)) for fault in faults]
     end_s = time.monotonic() + TRAFFIC_DURATION_S
-    while time.monotonic() < end_s:
+    while time.monotonic() < end_s or world.is_evacuating:
         jobs.append(asyncio.create_task(world.submit()))
         await asyncio.sleep(rng.expovariate(JOBS_PER_S))
     await asyncio.gather(*injections)
@@ -262,8 +279,11 @@
     rng = random.Random(seed)
     if faults is None and seed > LAST_SEED_OF_FIRST_FAULTS:
         faults = rng.sample(ALL_FAULTS, rng.choice((1, 2, 2, 3)))
+        if seed > LAST_SEED_WITHOUT_EVACUATION:
+            faults.append(evacuate_zones)
+    zones = ZONES if faults and evacuate_zones in faults else ZONES[:1]
     began_s = time.monotonic()
-    async with World(rng) as world:
+    async with World(rng, zones=zones) as world:
         fault_names, violations = await run_schedule(world, rng, faults)
         answers = [job.statuses[-1] for job in world.submissions if job.statuses]
         answered_share = answers.count(200) / len(answers)
--- a/tests/deployed_world.py
+++ b/tests/deployed_world.py
@@ -19,6 +19,7 @@
 import msgspec
 
 from plantainhitch.clock import Clock
+from plantainhitch.platform.configuration import EVACUATION_PREFIX
 from plantainhitch.platform.store import OPERATOR_TABLE
 from plantainhitch.standins.run_endpoint import DEADLY_PAYLOAD, RunEndpointStandIn
 from plantainhitch.standins.store_rows import RowsStandIn
@@ -49,6 +50,8 @@
 RECOVERY_TIMEOUT_S = 12.0
 CONFIGURATION_APPLY_S = BOUNDS.configuration_ms / 1_000
 LINK_PORT = 7_700
+# Nothing starts in a zone from this long after its row was stored.
+EVACUATE_S = 5.0
 
 
 @dataclass(eq=False)
@@ -67,6 +70,15 @@
     outcome: str = ""
 
 
+@dataclass(eq=False)
+class Evacuation:
+    """The time for which a zone's row was in the store, in s of the monotonic clock."""
+
+    zone: str
+    began_s: float
+    ended_s: float | None = None
+
+
 @dataclass
 class Submission:
     """One job, and the HTTP status of each submission, 0 where no answer was read."""
@@ -81,8 +93,9 @@
 class LedgerEndpoint(RunEndpointStandIn):
     """An endpoint that records when each run began and ended."""
 
-    def __init__(self, name):
+    def __init__(self, name, zone="z1"):
         super().__init__(name, POOL, CPU_MILLIS)
+        self.zone = zone
         self.runs = []
         self.draining_since = None
         # Tasks started later than ``drain_ms`` after the agent had acknowledged a
@@ -136,8 +149,8 @@
     ``link`` forwards to its link address, ``store`` and ``endpoint`` from it to those.
     """
 
-    def __init__(self, role, name, folder):
-        self.role, self.name = role, name
+    def __init__(self, role, name, folder, zone):
+        self.role, self.name, self.zone = role, name, zone
         self.host = HOSTS.next_host()
         self.link = self.store = self.endpoint = None
         self.process = None
@@ -160,7 +173,7 @@
         self.store.target = str(store)
         lines = [
             f'node = "{self.name}"',
-            'zone = "z1"\nregion = "r1"',
+            f'zone = "{self.zone}"\nregion = "r1"',
             f'ip = "{self.host}"',
             f"port_range = [{LINK_PORT}, {LINK_PORT + 15}]",
             f"seeds = {msgspec.json.encode(seeds).decode()}",
@@ -222,22 +235,31 @@
 
 
 class World:
-    """Entries, agents, endpoints, the store and callers; use it in ``async with``."""
+    """Entries, agents, endpoints, the store and callers; use it in ``async with``.
 
-    def __init__(self, rng, entries=2, agents=4):
+    Entries and agents are distributed over ``zones`` in turn.
+    """
+
+    def __init__(self, rng, entries=2, agents=4, zones=("z1",)):
         self.rng = rng
+        self.zones = zones
+        self.evacuations = []
         self.store = RowsStandIn()
-        self.endpoints = [LedgerEndpoint(f"i-{n}") for n in range(agents)]
+        self.endpoints = [
+            LedgerEndpoint(f"i-{n}", zones[n % len(zones)]) for n in range(agents)
+        ]
         self.submissions = []
         self.problems = []
         self.version = 1
         self._folder = tempfile.TemporaryDirectory(prefix="plantainhitch-soak-")
         folder = Path(self._folder.name)
         self.entries = [
-            Node("deployed-entry", f"entry-{n}", folder) for n in range(entries)
+            Node("deployed-entry", f"entry-{n}", folder, zones[n % len(zones)])
+            for n in range(entries)
         ]
         self.agents = [
-            Node("deployed-agent", f"agent-{n}", folder) for n in range(agents)
+            Node("deployed-agent", f"agent-{n}", folder, zones[n % len(zones)])
+            for n in range(agents)
         ]
         self._servers = []
         self._tasks = []
@@ -286,6 +308,23 @@
         document = configuration(self.version, self._prefixes, MAX_ATTEMPTS)
         self.store.put(OPERATOR_TABLE, "config", msgspec.json.encode(document))
 
+    @property
+    def is_evacuating(self):
+        """Whether a zone is evacuated."""
+        return any(evacuation.ended_s is None for evacuation in self.evacuations)
+
+    def evacuate(self, zone, value=b"{}"):
+        """Write the row that evacuates a zone."""
+        self.store.put(OPERATOR_TABLE, EVACUATION_PREFIX + zone, value)
+        self.evacuations.append(Evacuation(zone, time.monotonic()))
+
+    def end_evacuation(self, zone):
+        """Remove the row of a zone."""
+        for evacuation in self.evacuations:
+            if evacuation.zone == zone and evacuation.ended_s is None:
+                evacuation.ended_s = time.monotonic()
+        self.store.remove(OPERATOR_TABLE, EVACUATION_PREFIX + zone)
+
     async def submit(
         self, entry=None, tasks=None, run_ms=None, prefix="/queue/", is_deadly=False
     ):
@@ -347,6 +386,7 @@
             f"no caller submitted job {job_id}" for job_id in by_job
         )
         found_violations.extend(excessive_starts(runs))
+        found_violations.extend(evacuated_starts(self.evacuations, self.endpoints))
         for endpoint in self.endpoints:
             if endpoint.peak_cpu_millis > CPU_MILLIS:
                 found_violations.append(
@@ -406,6 +446,21 @@
                 )
 
 
+def evacuated_starts(evacuations, endpoints):
+    """Yield a text for each start in an evacuated zone after the bound."""
+    for evacuation in evacuations:
+        forbidden_from_s = evacuation.began_s + EVACUATE_S
+        until_s = evacuation.ended_s or float("inf")
+        for endpoint in endpoints:
+            for run in endpoint.runs if endpoint.zone == evacuation.zone else ():
+                if forbidden_from_s < run.began_s < until_s:
+                    yield (
+                        f"{endpoint.name} started {run.task}, run {run.run}, "
+                        f"{run.began_s - evacuation.began_s:.2f} s after the "
+                        f"evacuation of its zone {evacuation.zone}"
+                    )
+
+
 def excessive_starts(runs):
     """Yield a text for each task that is started on after it crashed endpoints."""
     crashes, max_starts = MAX_STARTS_AFTER_CRASHES
--- a/tests/test_deployed_soak.py
+++ b/tests/test_deployed_soak.py
@@ -4,6 +4,8 @@
 violation is added to ``REGRESSION_SEEDS``, with the cause.
 """
 
+import asyncio
+import random
 import time
 import unittest
 from dataclasses import replace
@@ -15,10 +17,14 @@
 from .deployed_world import (
     CONTACT_S,
     CPU_MILLIS,
+    EVACUATE_S,
+    Evacuation,
     LedgerEndpoint,
     Submission,
     TaskRun,
+    World,
     contradictions,
+    evacuated_starts,
     excessive_starts,
     overlapping_runs,
 )
@@ -27,6 +33,7 @@
 CRASH_SEED = 3
 GRACEFUL_SEED = 11
 DEADLY_SEED = 902
+EVACUATION_SEED = 1_001
 # Seeds that once gave violations, with the cause.
 REGRESSION_SEEDS = {
     18: "a start that arrived in the endpoint's next lifetime ran beside another run",
@@ -56,6 +63,76 @@
         faults = (soak.replace_in_turn, soak.drain_endpoint, soak.configuration_storm)
         self.assertEqual([], await soak.run_seed(GRACEFUL_SEED, faults))
 
+    async def test_evacuations_during_crashes_and_outages(self):
+        faults = (soak.evacuate_zones, soak.kill_everything, soak.store_outage)
+        self.assertEqual([], await soak.run_seed(EVACUATION_SEED, faults))
+
+
+class EvacuationTests(ProcessTestCase):
+    """Evacuations that some processes can't learn from the store."""
+
+    async def evacuate_while(self, begin, end):
+        """Evacuate z2 after ``begin(world)``; return the world and its violations.
+
+        Jobs go to all entries until well after ``end(world)``, which is called after
+        the bound.
+        """
+        rng = random.Random(EVACUATION_SEED)
+        async with World(rng, entries=3, zones=soak.ZONES) as world:
+            jobs = []
+
+            async def submit_for(duration_s):
+                end_s = time.monotonic() + duration_s
+                while time.monotonic() < end_s:
+                    jobs.append(asyncio.create_task(world.submit()))
+                    await asyncio.sleep(0.08)
+
+            begin(world)
+            await submit_for(0.5)
+            world.evacuate("z2")
+            await submit_for(EVACUATE_S + 0.5)
+            end(world)
+            await submit_for(3)
+            ran_in_zone_1 = [r for e in world.endpoints[::2] for r in e.runs]
+            world.end_evacuation("z2")
+            await world.check_recovery("the evacuation")
+            await self.check_zone_is_used(world)
+            await asyncio.gather(*jobs)
+            self.assertTrue(ran_in_zone_1)
+            return world.violations()
+
+    async def check_zone_is_used(self, world):
+        """Submit jobs until a task starts in the zone that was evacuated."""
+        count = sum(len(endpoint.runs) for endpoint in world.endpoints[1::2])
+        async with asyncio.timeout(10):
+            while sum(len(e.runs) for e in world.endpoints[1::2]) == count:
+                await world.submit(tasks=4, run_ms=80)
+
+    async def test_the_store_is_unavailable_to_entries_and_agents(self):
+        # They learn it from the one entry that can read the row.
+        cut_off = []
+
+        def begin(world):
+            cut_off.extend([*world.entries[1:], *world.agents])
+            for node in cut_off:
+                node.store.cut()
+
+        def end(world):
+            for node in cut_off:
+                node.store.heal()
+
+        self.assertEqual([], await self.evacuate_while(begin, end))
+
+    async def test_an_entry_that_was_paused_over_the_bound(self):
+        # On resuming it places the jobs that callers sent meanwhile by old state.
+        self.assertEqual(
+            [],
+            await self.evacuate_while(
+                lambda world: world.entries[1].process.pause(),
+                lambda world: world.entries[1].process.resume(),
+            ),
+        )
+
 
 class CheckTests(unittest.TestCase):
     """The checks of the soak detect each kind of violation."""
@@ -75,6 +152,17 @@
         self.assertEqual([], list(excessive_starts(runs[:5])))
         self.assertEqual(1, len(list(excessive_starts(runs))))
 
+    def test_starts_in_an_evacuated_zone_after_the_bound_are_found(self):
+        endpoint = LedgerEndpoint("i-1", "a")
+        began_s = (EVACUATE_S, EVACUATE_S + 20, EVACUATE_S + 31)
+        endpoint.runs = [TaskRun("a.0.0.0", 1, "", "i-1", 1 + at) for at in began_s]
+        evacuation = Evacuation("a", 1.0)
+        self.assertEqual(2, len(list(evacuated_starts([evacuation], [endpoint]))))
+        evacuation.ended_s = EVACUATE_S + 31
+        self.assertEqual(1, len(list(evacuated_starts([evacuation], [endpoint]))))
+        evacuation.zone = "b"
+        self.assertEqual([], list(evacuated_starts([evacuation], [endpoint])))
+
     def test_a_sound_job_that_is_failed_for_crashes_is_found(self):
         runs = [
             TaskRun("a.0.0.0", n, "30", "i-1", n, n + 0.5, "crash") for n in range(3)
