Describe evacuations for operators; answer older sets of peers

An entry that reads a removed and rewritten row as unchanged sends nothing, while a peer may have told agents of the removal and then lost the store. An older set with other zones is therefore answered by the own one.

--- a/plantainhitch/coordination/jobs/entry_node.py
+++ b/plantainhitch/coordination/jobs/entry_node.py
@@ -55,7 +55,7 @@
             routes,
             decode_routes,
             self._evacuations,
-            self.apply_evacuations,
+            self._receive_evacuations,
         )
         self._inbox = Inbox()
         self._connections = AgentConnections(
@@ -120,9 +120,7 @@
         if was_known and evacuated.zones == previous_zones:
             return
         self._scheduler.evacuations_changed()
-        for agent in self._scheduler.fleet.agents.values():
-            self._send_evacuations(agent)
-        self._peers.announce_evacuations()
+        self._announce_evacuations()
         if evacuated.zones:
             spawn(self._report_zones(), self._tasks)
 
@@ -228,6 +226,22 @@
             case _:
                 event()
 
+    def _receive_evacuations(self, evacuated):
+        """Handle the set of a peer.
+
+        An older one with other zones is answered by the own set. The peer may have sent
+        it to agents, and this entry may not have sent them the own one, if it took a
+        removed and rewritten row for an unchanged one.
+        """
+        self.apply_evacuations(evacuated)
+        if evacuated.zones != self._evacuations.zones:
+            self._announce_evacuations()
+
+    def _announce_evacuations(self):
+        for agent in self._scheduler.fleet.agents.values():
+            self._send_evacuations(agent)
+        self._peers.announce_evacuations()
+
     def _send_evacuations(self, agent):
         """Tell an agent, an ``AgentView``, the evacuated zones if they are known."""
         message = evacuations_message(self._evacuations)
--- a/plantainhitch/coordination/jobs/scheduler.py
+++ b/plantainhitch/coordination/jobs/scheduler.py
@@ -121,12 +121,16 @@
         self._demand.observe(route.name, job.work_core_ms, job.slack_ms)
         reason = self._refusal(job)
         if reason:
+            fields = {}
+            if reason == ALL_EVACUATED_REASON:
+                fields["zones"] = sorted(self._evacuations.zones)
             self._events.write(
                 "job refused",
                 job=spec.job_id,
                 queue=route.name,
                 why=reason,
                 agents_usable=len(self._fleet.usable_agents(route.pool)),
+                **fields,
             )
             retry_after_s = self._retry_slots.reserve(
                 route.name, NO_ENDPOINT_RETRY_MS, 0
--- a/plantainhitch/explain.py
+++ b/plantainhitch/explain.py
@@ -124,6 +124,8 @@
             continue
         reason = line.fields.get("outcome") or line.fields.get("why", "")
         clauses = [f"{line.time} {line.source}: {line.event} ({reason})"]
+        if "zones" in line.fields:
+            clauses.append(f"evacuated: {', '.join(line.fields['zones'])}")
         if "took_ms" in line.fields:
             clauses.append(f"after {line.fields['took_ms']} ms")
         if "objective_ms" in line.fields:
--- a/tests/test_evacuation.py
+++ b/tests/test_evacuation.py
@@ -17,6 +17,7 @@
     EvacuationState,
 )
 from plantainhitch.coordination.events import AgentLinked
+from plantainhitch.coordination.jobs import entry_node
 from plantainhitch.coordination.jobs.entry_node import JobEntryNode
 from plantainhitch.coordination.jobs.outcomes import GaveUp, NeverRan
 from plantainhitch.coordination.jobs.scheduler import Scheduler
@@ -395,6 +396,40 @@
         self.assertEqual(count, len(link.sent))
         self.assertEqual(4, self.state.current.revision)
 
+    async def test_an_older_set_of_a_peer_is_answered_by_the_newer_one(self):
+        # The row of b was removed and written again between two reads of this entry,
+        # and the peer has told agents of the removal.
+        self.node.apply_evacuations(evacuated(3, "b"))
+        agent, peer = self.link_agent(b"one"), await self.link_peer()
+        self.node.apply_evacuations(evacuated(9, "b"))
+        peer.deliver(m.Evacuations(8, ()))
+        self.assertEqual(m.Evacuations(9, ("b",)), agent.sent[-1])
+        self.assertEqual(m.Evacuations(9, ("b",)), peer.sent[-1])
+        peer.deliver(m.Evacuations(9, ("b",)))
+        self.assertEqual(1, peer.sent.count(m.Evacuations(9, ("b",))))
+
+    async def test_missing_endpoints_and_zones_are_logged(self):
+        def member(role, zone):
+            return Member(role, zone.encode(), zone, zone, "r", "", zone, "")
+
+        self.membership.agents.return_value = [member(m.ROLE_AGENT, "a")]
+        self.membership.entries.return_value = [member(m.ROLE_ENTRY, "b")]
+        self.state.apply(evacuated(3, "a", "b", "c"))
+        with (
+            mock.patch.object(entry_node, "log") as log,
+            mock.patch.object(entry_node, "ZONE_REPORT_DELAY_MS", 0),
+        ):
+            await self.node._report_zones()
+        logged = {call.kwargs["zone"]: call.args[0] for call in log.warning.mock_calls}
+        self.assertEqual(
+            {
+                "b": "the evacuated zone has no endpoints",
+                "c": "no process is known in the evacuated zone",
+            },
+            logged,
+        )
+        log.error.assert_called_once_with(ALL_EVACUATED_REASON, zones=["a", "b", "c"])
+
     async def test_a_process_of_an_earlier_build_is_sent_none(self):
         # It would close the link, as it can't decode the message.
         self.node.apply_evacuations(evacuated(3, "b"))
--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -9,6 +9,7 @@
 
 from plantainhitch.commands.exit_codes import ExitCode
 from plantainhitch.commands.main import main
+from plantainhitch.coordination.evacuation import ALL_EVACUATED_REASON
 
 JOB = "0000000000000012"
 TASK = f"{JOB}.0.0.1"
@@ -75,6 +76,19 @@
             code = main(["explain", *words])
         return code, out.getvalue(), err.getvalue()
 
+    def test_an_evacuation_is_named_as_the_cause_of_a_refusal(self):
+        line = {
+            "time": "2026-12-04T10:54:53.858",
+            "logger": "jobs",
+            "message": "job refused",
+            "process": "entry-1",
+            "job": JOB,
+            "why": ALL_EVACUATED_REASON,
+            "zones": ["pl-central-a", "pl-central-b"],
+        }
+        _, out, _ = self.run_command(JOB, self.write("entry.log", line))
+        self.assertIn(f"({ALL_EVACUATED_REASON}), evacuated: pl-central-a, pl", out)
+
     def test_events_of_all_processes_are_in_order_of_time(self):
         entry = self.write("entry.log", NOT_COMPLETED, PLACED)
         agent = self.write("agent.log", ENDED)
