Test that agents refuse orders of entries without the store and peers

Neither the test of the paused entry nor the one of the unavailable store fails if agents ignore the set: there the entries know it.

Measured in a trial on a scratch copy whose agents ignore the set: the new test fails; in one where peers ignore it as well, the test of the unavailable store fails. Unchanged code: passed in 13 s.

--- a/tests/test_deployed_soak.py
+++ b/tests/test_deployed_soak.py
@@ -123,6 +123,20 @@
 
         self.assertEqual([], await self.evacuate_while(begin, end))
 
+    async def test_entries_without_the_store_and_peers_are_refused_by_agents(self):
+        # They never learn it and order starts in the zone until the end.
+        def begin(world):
+            for entry in world.entries:
+                entry.link.cut()
+            for entry in world.entries[1:]:
+                entry.store.cut()
+
+        def end(world):
+            for entry in world.entries:
+                entry.heal()
+
+        self.assertEqual([], await self.evacuate_while(begin, end))
+
     async def test_an_entry_that_was_paused_over_the_bound(self):
         # On resuming it places the jobs that callers sent meanwhile by old state.
         self.assertEqual(
