Let a fleet be made without a state of evacuations

tests.test_agent_subset makes one and failed with a TypeError (3 errors in an interrupted run of the suite). The argument is optional now, as that of the scheduler.

tests.test_agent_subset, test_evacuation, test_docs: 41 passed.

--- a/plantainhitch/coordination/jobs/fleet.py
+++ b/plantainhitch/coordination/jobs/fleet.py
@@ -6,6 +6,7 @@
 from ...protocol import messages as m
 from ...state.jobs import Room
 from ...state.queue_ranks import SAME_RANK_FACTOR
+from ..evacuation import no_evacuations
 from ..runs.endpoint_lease import CLOCK_DRIFT_FACTOR
 from ..runs.owners import OWNER_LEASE_MS
 from .sections import Division, Section, divide
@@ -183,12 +184,13 @@
     ``lease_ms`` is the length of an endpoint's lease, ``zone`` the entry's
     availability zone, and ``remote_factor`` the factor on the run time of tasks
     outside the rack of their data. ``rng`` shuffles the agents of a pool. Agents in
-    zones that ``evacuations``, an ``EvacuationState``, covers are in no pool view.
+    zones that ``evacuations``, an ``EvacuationState``, covers are in no pool view; no
+    zone is ever evacuated if it is left out.
     """
 
-    def __init__(self, clock, lease_ms, *, zone, remote_factor, rng, evacuations):
+    def __init__(self, clock, lease_ms, *, zone, remote_factor, rng, evacuations=None):
         self._clock = clock
-        self._evacuations = evacuations
+        self._evacuations = evacuations or no_evacuations(clock)
         self._zone = zone
         self._remote_factor = remote_factor
         self._rng = rng
