Measure links to additional agents in the model; don't build them

Each entry is linked to half of a fleet of 16 entries and 74 endpoints, whatever its callers offer, so a burst in one zone might be refused while other endpoints are free.

FleetSim gets bursts at a part of the entries, the number of zones, and values by zone.

--- a/tests/fleet_sim.py
+++ b/tests/fleet_sim.py
@@ -69,13 +69,15 @@
 class Burst:
     """A period with ``factor`` times the usual arrivals of a kind, None for all.
 
-    ``starts_at_ms`` counts from the start of the simulation.
+    ``starts_at_ms`` counts from the start of the simulation. ``entries`` has the
+    numbers of the entries whose callers send more, None for all.
     """
 
     starts_at_ms: int
     duration_ms: int
     factor: float
     kind: str | None = None
+    entries: frozenset[int] | None = None
 
     def is_active(self, now_ms, name):
         """Return whether the burst raises the arrival rate of a kind now."""
@@ -85,6 +87,11 @@
             and self.starts_at_ms <= now_ms < self.starts_at_ms + self.duration_ms
         )
 
+    def factor_at(self, entry):
+        """Return the factor on the arrivals at an entry while the burst is active."""
+        is_at_entry = self.entries is None or entry in self.entries
+        return self.factor if is_at_entry else 1.0
+
 
 @dataclass(frozen=True)
 class DeadlyJobs:
@@ -120,6 +127,7 @@
     objective_ms: float
     work_core_ms: float
     job_id: str = ""
+    entry: int = 0
     is_deadly: bool = False
     outcome: object = None
     ended_ms: int = 0
@@ -178,7 +186,7 @@
     def __init__(self, sim, number, slowness, cpu_millis):
         self.sim = sim
         self.name = f"agent-{number}"
-        self.zone = f"z{number % ZONES}"
+        self.zone = f"z{number % sim.zones}"
         self.slowness = slowness
         self.controller = RunController(sim.clock, LEASE_MS, first_fence=1)
         self.report_pacer = ReportPacer(sim.clock)
@@ -357,6 +365,7 @@
     kinds: list
     endpoints: list  # pairs of slowness and thousandths of a core
     entries: int = 4
+    zones: int = ZONES
     seed: int = 1
     spread: float = 0.4
     entry_weights: list | None = None
@@ -385,7 +394,7 @@
             Scheduler(
                 self.clock,
                 LEASE_MS,
-                zone=f"z{number % ZONES}",
+                zone=f"z{number % self.zones}",
                 rng=random.Random(number),
             )
             for number in range(self.entries)
@@ -435,8 +444,12 @@
                 break
         return self.answers
 
-    def submit(self, kind, entry=None):
-        """Submit one job of a kind and return its ``Answer``."""
+    def submit(self, kind, entry=None, weights=None):
+        """Submit one job of a kind and return its ``Answer``.
+
+        It goes to the scheduler ``entry``, or to an entry drawn by ``weights``, by
+        default ``entry_weights``.
+        """
         self._job_number += 1
         job_id = f"{self._job_number:016x}"
         count = max(
@@ -462,27 +475,31 @@
             answer.outcome = outcome
             answer.ended_ms = self.clock.now_ms() + STEP_MS
 
-        if self.entry_weights:
-            (number,) = self.rng.choices(range(self.entries), self.entry_weights)
+        weights = weights or self.entry_weights
+        if weights:
+            (number,) = self.rng.choices(range(self.entries), weights)
         else:
             number = self.rng.randrange(self.entries)
+        answer.entry = number
         scheduler = entry or self.schedulers[number]
         self._due_entries.add(number)
         scheduler.submit(spec, kind.route, CALLER_TIMEOUT_MS, record_outcome)
         return answer
 
-    def attainment(self, name=None, since_ms=0, until_ms=1 << 60):
+    def attainment(self, name=None, since_ms=0, until_ms=1 << 60, zone=None):
         """Return the weighted mean score of the jobs of a kind, None for all.
 
         Only jobs that can be done and were submitted from ``since_ms`` until
         ``until_ms`` count. The times count
-        from 1 s on the simulation's clock, where it starts.
+        from 1 s on the simulation's clock, where it starts. ``zone`` is the number of
+        a zone, if only the jobs at its entries count.
         """
         selected = [
             answer
             for answer in self.answers
             if (name is None or answer.kind.route.name == name)
             and not answer.is_deadly
+            and (zone is None or answer.entry % self.zones == zone)
             and since_ms <= answer.submitted_ms - 1_000 < until_ms
         ]
         total_weight = sum(answer.kind.weight for answer in selected)
@@ -497,23 +514,29 @@
 
     def _submit_arrivals(self, now_ms, bursts):
         for kind in self.kinds:
-            rate = kind.jobs_per_s
+            rate, weights = kind.jobs_per_s, None
             for burst in bursts:
-                if burst.is_active(now_ms, kind.route.name):
+                if not burst.is_active(now_ms, kind.route.name):
+                    continue
+                if burst.entries is None:
                     rate *= burst.factor
+                    continue
+                usual = weights or self.entry_weights or [1.0] * self.entries
+                weights = [w * burst.factor_at(n) for n, w in enumerate(usual)]
+                rate *= sum(weights) / sum(usual)
             expected_count = rate * STEP_MS / 1_000
             while expected_count > 0 and self.rng.random() < expected_count:
-                self.submit(kind)
+                self.submit(kind, weights=weights)
                 expected_count -= 1
 
     def _connect_subsets(self):
         """Link each entry to the agents that it selects, knowing all members."""
         entries = [
-            _member(m.ROLE_ENTRY, f"entry-{number}", number)
+            _member(m.ROLE_ENTRY, f"entry-{number}", number, self.zones)
             for number in range(self.entries)
         ]
         agents = {
-            _member(m.ROLE_AGENT, agent.name, number): agent
+            _member(m.ROLE_AGENT, agent.name, number, self.zones): agent
             for number, agent in enumerate(self.agents)
         }
         for number, scheduler in enumerate(self.schedulers):
@@ -558,9 +581,9 @@
             agent.link.send(message)
 
 
-def _member(role, name, number):
+def _member(role, name, number, zones):
     """Return a member; members are spread evenly over the zones."""
-    zone = f"z{number % ZONES}"
+    zone = f"z{number % zones}"
     return Member(role, name.encode(), name, zone, "region", "", f"{name}:1", "")
 
 
