Check an operator's configuration before it is sent

Entries put each readable configuration of a higher version in force, so a hidden path, a service that isn't listed or limits that contradict each other showed only in callers' errors.

--- a/plantainhitch/commands/main.py
+++ b/plantainhitch/commands/main.py
@@ -28,7 +28,9 @@
     "cancel": Command(
         "cancel", "cancel", "cancel the unfinished tasks of a submission"
     ),
-    "check": Command("check", "check", "validate a settings or class file"),
+    "check": Command(
+        "check", "check", "validate a settings, class or configuration file"
+    ),
     "classes": Command("classes", "Classes", "show, apply or list versions of classes"),
     "demo": Command("demo", "demo", "run the whole system in one process"),
     "deployed-agent": Command(
--- a/plantainhitch/platform/configuration.py
+++ b/plantainhitch/platform/configuration.py
@@ -11,7 +11,9 @@
 log = logs.get_logger("configuration")
 
 
-class _RouteModel(msgspec.Struct):
+class RouteModel(msgspec.Struct):
+    """A queue, and the requests that belong to it."""
+
     name: str
     host: str
     path_prefix: str
@@ -26,20 +28,26 @@
     advice: dict | None = None
 
 
-class _ServiceModel(msgspec.Struct):
+class ServiceModel(msgspec.Struct):
+    """A pool of endpoints."""
+
     name: str
     admission_check: bool = False
 
 
-class _LimitsModel(msgspec.Struct):
+class LimitsModel(msgspec.Struct):
+    """Limits that entries keep."""
+
     max_body_bytes: int = 1 << 20
 
 
-class _ConfigurationModel(msgspec.Struct):
+class ConfigurationModel(msgspec.Struct):
+    """The document in the configuration row."""
+
     version: int
-    routes: list[_RouteModel]
-    services: list[_ServiceModel] = []
-    limits: _LimitsModel = msgspec.field(default_factory=_LimitsModel)
+    routes: list[RouteModel]
+    services: list[ServiceModel] = []
+    limits: LimitsModel = msgspec.field(default_factory=LimitsModel)
 
 
 def decode(value):
@@ -47,7 +55,7 @@
 
     Raises ValueError (``msgspec.DecodeError`` is one) if the value is not readable.
     """
-    model = msgspec.json.decode(value, type=_ConfigurationModel)
+    model = msgspec.json.decode(value, type=ConfigurationModel)
     return RouteTable(
         version=model.version,
         routes=tuple(map(_to_route, model.routes)),
