Share endpoint performance between entries, and limit starts at cold endpoints

Each entry learnt speeds and failures by its own runs alone. An agent now measures run time per size of all runs at its endpoint, by progress as well as by ends, and reports slowness, samples and failures in a row. Owners are told at once of a change of speed or failures.

--- a/plantainhitch/coordination/jobs/placement.py
+++ b/plantainhitch/coordination/jobs/placement.py
@@ -46,6 +46,11 @@
             job.route.stretch * job.critical_path_ms() + job.route.target_ms
         )
 
+    def size_ms(self, task, agent):
+        """Return a task's expected run time at a slowness of 1 beside that agent."""
+        size_ms = task.job.task_sizes_ms[task.step_index]
+        return round(size_ms * agent.locality_factor(task.step_spec))
+
     def rank(self, job):
         """Return the rank of a job with ready tasks; lower ranks are placed first."""
         return self._demand.ranks.rank(job.route.name, self.is_demoted(job))
--- a/plantainhitch/coordination/jobs/scheduler.py
+++ b/plantainhitch/coordination/jobs/scheduler.py
@@ -322,7 +322,13 @@
         queue = task.job.route.name
         endpoint_id = agent.status.endpoint_id
         run_ms = round(end.run_ms / agent.locality_factor(task.step_spec))
-        self._fleet.speeds.observe(endpoint_id, queue, estimate_ms, run_ms)
+        self._fleet.speeds.observe(
+            endpoint_id,
+            queue,
+            estimate_ms,
+            run_ms,
+            self._fleet.current_slowness(agent) if agent.reported_samples else None,
+        )
 
     def _check_deadlines(self):
         now_ms = self._clock.now_ms()
@@ -435,5 +441,6 @@
                 slack_ms=due_in_ms,
                 is_late=is_late,
                 is_isolated=task.job.is_isolated,
+                size_ms=self._placement.size_ms(task, agent),
             ),
         )
--- a/plantainhitch/coordination/runs/agent_node.py
+++ b/plantainhitch/coordination/runs/agent_node.py
@@ -361,6 +361,8 @@
             controller.free_room, capacity_millis
         )
         due = controller.owners.incarnations_with_unsent_events() & self._links.keys()
+        if self._report_pacer.is_finding_due(controller.performance.revision):
+            due.update(self._links)
         if owner_to_report is not None:
             due.add(owner_to_report)
         if due:
--- a/plantainhitch/coordination/runs/report_pacer.py
+++ b/plantainhitch/coordination/runs/report_pacer.py
@@ -13,6 +13,8 @@
 # The interval is then longer by the factor.
 PLENTIFUL_SHARE = 0.5
 PLENTIFUL_INTERVAL_FACTOR = 4
+# The least time between two reports to all owners of how the endpoint performs.
+FINDING_INTERVAL_MS = 100
 
 
 class ReportPacer:
@@ -23,6 +25,8 @@
         # The free room and the time of the last report, by owner.
         self._last_reports = {}
         self._last_turn_ms = 0
+        self._last_revision = 0
+        self._last_finding_ms = -FINDING_INTERVAL_MS
 
     def record_sent(self, owner, free):
         """Record that a report with this free ``Room`` is sent to an owner."""
@@ -32,6 +36,22 @@
         """Remove an owner whose link has closed."""
         self._last_reports.pop(owner, None)
 
+    def is_finding_due(self, revision):
+        """Return whether to report to all owners at once, and record that it is done.
+
+        ``revision`` is that of ``EndpointPerformance``. All owners need to know of an
+        endpoint that is slow or fails before they send more starts.
+        """
+        now_ms = self._clock.now_ms()
+        if (
+            revision == self._last_revision
+            or now_ms - self._last_finding_ms < FINDING_INTERVAL_MS
+        ):
+            return False
+        self._last_revision = revision
+        self._last_finding_ms = now_ms
+        return True
+
     def next_owner(self, free, capacity_millis):
         """Return the owner to report the free ``Room`` to now, or None.
 
--- a/plantainhitch/coordination/runs/run.py
+++ b/plantainhitch/coordination/runs/run.py
@@ -46,6 +46,9 @@
     percent: float = 0.0
     last_progress_ms: int = 0
     is_listed: bool = False
+    # The progress and the time up to which ``EndpointPerformance`` has counted it.
+    measured_percent: float = 0.0
+    measured_ms: int = 0
     # Whether it was ordered in an earlier lifetime of the endpoint, where it may have
     # begun.
     is_of_earlier_lifetime: bool = False
--- a/plantainhitch/platform/endpoint.py
+++ b/plantainhitch/platform/endpoint.py
@@ -63,6 +63,7 @@
     labels: list[str] = []
     remaining_ms: float | None = None
     clock_ms: float = 0
+    cold_left_ms: float = 0
 
 
 class _InventoryModel(msgspec.Struct):
@@ -100,9 +101,15 @@
         labels=labels,
         remaining_ms=None if model.remaining_ms is None else int(model.remaining_ms),
         clock_ms=int(model.clock_ms),
+        cold_left_ms=_to_uint32(model.cold_left_ms),
     )
 
 
+def _to_uint32(number):
+    """Return a number of ms as an integer in the range of the wire's fields."""
+    return int(min(max(number, 0), 2**32 - 1))
+
+
 class EndpointClient:
     """Sends orders to one lifetime of one endpoint.
 
--- a/plantainhitch/platform/settings.py
+++ b/plantainhitch/platform/settings.py
@@ -35,6 +35,9 @@
     grace_s: float
     config_apply_ms: int
     remote_factor: float = 1.0  # multiple of the run time away from the data
+    # The most runs at a cold endpoint: a number, and a multiple of its warm part.
+    cold_slack: int | None = None
+    cold_overshoot: float | None = None
 
 
 class _Platform(msgspec.Struct):
@@ -122,6 +125,8 @@
             shutdown_ms=int(settings.bounds.grace_s * 1_000),
             configuration_ms=settings.bounds.config_apply_ms,
             remote_factor=settings.bounds.remote_factor,
+            cold_slack=settings.bounds.cold_slack,
+            cold_overshoot=settings.bounds.cold_overshoot,
         ),
     )
 
--- a/plantainhitch/state/endpoints.py
+++ b/plantainhitch/state/endpoints.py
@@ -13,7 +13,8 @@
     ``born_ms`` is the wall-clock time at which the endpoint started; with
     ``endpoint_id`` it identifies one lifetime of the endpoint. ``remaining_ms`` is the
     least time that a draining endpoint still runs. ``clock_ms`` is the endpoint's
-    own monotonic clock.
+    own monotonic clock. ``cold_left_ms`` is how much longer it stays slow after its
+    start.
     """
 
     endpoint_id: str
@@ -27,6 +28,7 @@
     labels: tuple[str, ...] = ()
     remaining_ms: int | None = None
     clock_ms: int = 0
+    cold_left_ms: int = 0
 
 
 class End(enum.Enum):
