--- a/plantainhitch/coordination/jobs/fleet.py
+++ b/plantainhitch/coordination/jobs/fleet.py
@@ -7,6 +7,7 @@
 from ...state.jobs import Room
 from ...state.queue_ranks import SAME_RANK_FACTOR
 from ..runs.endpoint_lease import CLOCK_DRIFT_FACTOR
+from ..runs.endpoint_performance import decay_factor
 from ..runs.owners import OWNER_LEASE_MS
 from .sections import Division, Section, divide
 from .speeds import SpeedEstimates, blend
@@ -66,6 +67,7 @@
     # By the agent's last report, from the runs of all entries; 0 for unknown.
     reported_slowness: float = 0.0
     reported_samples: int = 0
+    reported_ms: int = 0
     # Whether the agent has ever reported it; those of an earlier build don't.
     reports_performance: bool = False
     held_until_ms: int = 0
@@ -261,6 +263,7 @@
         is_valid = MIN_SLOWNESS <= slowness <= MAX_SLOWNESS  # False for NaN
         agent.reported_slowness = slowness if is_valid else 0.0
         agent.reported_samples = samples if is_valid else 0
+        agent.reported_ms = self._clock.now_ms()
         agent.reports_performance |= bool(samples or report.failures)
         if not agent.reports_performance:
             return
@@ -301,7 +304,10 @@
         """Return the slowness of an agent's endpoint at its present pace."""
         slowness = self.speeds.slowness(agent.status.endpoint_id)
         if agent.reported_samples:
-            return blend(slowness, agent.reported_slowness, agent.reported_samples)
+            # No report comes from an endpoint that gets no runs, so it ages here.
+            age_ms = self._clock.now_ms() - agent.reported_ms
+            samples = agent.reported_samples * decay_factor(age_ms)
+            return blend(slowness, agent.reported_slowness, samples)
         if agent.pace < SLOW_PACE_THRESHOLD:
             return slowness / max(agent.pace, MIN_PACE)
         return slowness
--- a/plantainhitch/coordination/runs/endpoint_performance.py
+++ b/plantainhitch/coordination/runs/endpoint_performance.py
@@ -37,6 +37,11 @@
 MAX_FAILURES = 1_000
 
 
+def decay_factor(age_ms):
+    """Return the part of the samples that still counts after ``age_ms``."""
+    return 0.5 ** (age_ms / HALF_LIFE_MS)
+
+
 class EndpointPerformance:
     """The slowness, the failures and the crashes of one endpoint.
 
@@ -168,7 +173,7 @@
         self._samples += samples
 
     def _decay_factor(self):
-        return 0.5 ** ((self._clock.now_ms() - self._decayed_ms) / HALF_LIFE_MS)
+        return decay_factor(self._clock.now_ms() - self._decayed_ms)
 
     def _scale(self, factor):
         self._run_ms *= factor
--- a/plantainhitch/coordination/runs/endpoint_record.py
+++ b/plantainhitch/coordination/runs/endpoint_record.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+from dataclasses import replace
 
 import msgspec
 from returns.result import Failure, Success
@@ -81,7 +82,9 @@
     if value is None:
         return None
     try:
-        return msgspec.json.decode(value, type=EndpointReport)
+        report = msgspec.json.decode(value, type=EndpointReport)
     except msgspec.DecodeError as error:
         log.warning("unreadable endpoint record", why=str(error))
         return None
+    # The age of the record is not known, and most endpoints are warm.
+    return replace(report, cold_left_ms=0)
--- a/plantainhitch/platform/endpoint.py
+++ b/plantainhitch/platform/endpoint.py
@@ -63,7 +63,7 @@
     labels: list[str] = []
     remaining_ms: float | None = None
     clock_ms: float = 0
-    cold_left_ms: float = 0
+    cold_left_ms: float | None = None
 
 
 class _InventoryModel(msgspec.Struct):
@@ -101,7 +101,7 @@
         labels=labels,
         remaining_ms=None if model.remaining_ms is None else int(model.remaining_ms),
         clock_ms=int(model.clock_ms),
-        cold_left_ms=_to_uint32(model.cold_left_ms),
+        cold_left_ms=_to_uint32(model.cold_left_ms or 0),
     )
 
 
