--- a/plantainhitch/commands/deployed_agent.py
+++ b/plantainhitch/commands/deployed_agent.py
@@ -6,6 +6,7 @@
 from ..coordination.runs.agent_node import AGENT_LINK_TIMING, RunAgentNode
 from ..coordination.runs.endpoint_record import EndpointRecord
 from ..coordination.runs.run_controller import RunController
+from ..coordination.runs.warm_up import WarmUpLimits
 from ..platform.endpoint import EndpointClient
 from ..platform.heartbeats import HeartbeatApp
 from ..platform.store import RowStore
@@ -39,6 +40,7 @@
         deployment.bounds.lease_ms,
         first_fence=clock.wall_ms(),
         zone=deployment.zone,
+        warm_up_limits=WarmUpLimits.from_bounds(deployment.bounds),
     )
     node = RunAgentNode(
         hello,
--- a/plantainhitch/protocol/messages.py
+++ b/plantainhitch/protocol/messages.py
@@ -301,7 +301,7 @@
     """Identity, capacity and readiness of an agent's endpoint, for runs of jobs.
 
     ``ready`` means that the endpoint accepts starts, and that no run of an earlier
-    lifetime of the endpoint or of the agent is still in progress. ``cold_left_ms`` is
+    lifetime of the endpoint or of the agent is still in progress. ``cold_remaining_ms`` is
     how much longer the endpoint is slow after its start.
     """
 
@@ -314,7 +314,7 @@
     kind: str = ""
     rack: str = ""
     labels: tuple[str, ...] = ()
-    cold_left_ms: int = 0
+    cold_remaining_ms: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/plantainhitch/protocol/run_codec.py
+++ b/plantainhitch/protocol/run_codec.py
@@ -179,7 +179,7 @@
     target.kind = status.kind
     target.rack = status.rack
     target.labels = list(status.labels)
-    target.coldLeftMs = status.cold_left_ms
+    target.coldRemainingMs = status.cold_remaining_ms
 
 
 def _read_status(source):
@@ -193,7 +193,7 @@
         kind=source.kind,
         rack=source.rack,
         labels=tuple(source.labels),
-        cold_left_ms=source.coldLeftMs,
+        cold_remaining_ms=source.coldRemainingMs,
     )
 
 
--- a/plantainhitch/protocol/wire.capnp
+++ b/plantainhitch/protocol/wire.capnp
@@ -193,7 +193,7 @@
   kind @6 :Text;
   rack @7 :Text;
   labels @8 :List(Text);
-  coldLeftMs @9 :UInt32;  # how much longer the endpoint is slow after its start
+  coldRemainingMs @9 :UInt32;  # how much longer the endpoint is slow after its start
 }
 
 # An entry sends its own loads to its agents; an agent sends the sums to its entries.
