Admit jobs by priority while capacity is short

Priorities were decoded and not used, the smaller of two equal queues always went first, jobs that had just arrived overtook more urgent ones between full passes, and entries did not know of work that waited at peers.

Queues rank by priority, then share; shares within 1.25 count as equal. Loads carry priority, recent arrivals and waiting work, every 100 ms while work waits. The admission level gives the capacity over a queue's slack to the work that waits and to more urgent arrivals, and admits what is left of its own.

--- a/plantainhitch/coordination/jobs/demand.py
+++ b/plantainhitch/coordination/jobs/demand.py
@@ -2,7 +2,9 @@
 
 import math
 
+from ... import logs
 from ...protocol import messages as m
+from ...state.admission_level import MIN_WAITING_S, AdmissionLevel, is_valid
 from ...state.queue_ranks import QueueRanks
 
 # Time constant of the decay of past arrivals: much longer than a burst, so that a
@@ -10,11 +12,22 @@
 DECAY_TIME_MS = 60_000
 # Interval at which agents are sent the loads.
 REPORT_INTERVAL_MS = 1_000
-MIN_DECAY_INTERVAL_MS = 100
+# Interval at which agents are sent the loads while work waits.
+SHORTAGE_REPORT_INTERVAL_MS = 100
+# Time constant of the arrivals that the admission level is computed from: about one
+# objective, within which the level has to react.
+OFFERED_TIME_MS = 500
+# Loads that agents returned count for this long; after it an entry hears no peer, and
+# decides by its own queues.
+MAX_TOTAL_AGE_MS = 3 * REPORT_INTERVAL_MS
+MAX_PRIORITY = 65_535
+MIN_DECAY_INTERVAL_MS = 50
 # A queue's service rate is at least this fraction of the entry's share of the fleet,
 # however much load precedes it.
 MIN_RATE_SHARE = 0.1
 
+log = logs.get_logger("demand")
+
 
 class Demand:
     """The usual load of each queue, in core-milliseconds of work per second.
@@ -29,19 +42,53 @@
         self._reported_ms = self._started_ms
         # By queue: the work that has arrived, exponentially decayed.
         self._work_by_queue = {}
+        # By queue: the work that arrived within about OFFERED_TIME_MS.
+        self._offered_by_queue = {}
+        # By queue: the work of jobs that have not started.
+        self._waiting_by_queue = {}
         self._slack_ms_by_queue = {}
+        self._priority_by_queue = {}
         self._ranks = QueueRanks()
+        self._level = AdmissionLevel()
+        self._level_ms = self._started_ms
+        self._total_ms = self._started_ms - MAX_TOTAL_AGE_MS
 
     @property
     def ranks(self):
         """The ranks of the queues by the load of all entries."""
         return self._ranks
 
-    def observe(self, queue, work_core_ms, slack_ms):
+    @property
+    def level(self):
+        """The ``AdmissionLevel`` in force."""
+        return self._level
+
+    def observe(self, queue, work_core_ms, slack_ms, priority=0):
         """Record the arrival of a job: its work, and how long it can wait."""
         self._decay()
-        self._work_by_queue[queue] = self._work_by_queue.get(queue, 0.0) + work_core_ms
+        for work_by_queue in (self._work_by_queue, self._offered_by_queue):
+            work_by_queue[queue] = work_by_queue.get(queue, 0.0) + work_core_ms
         self._slack_ms_by_queue[queue] = slack_ms
+        self._priority_by_queue[queue] = min(max(priority, 0), MAX_PRIORITY)
+
+    def record_waiting(self, work_by_queue):
+        """Record the work in core-ms of the jobs that have not started, by queue."""
+        self._waiting_by_queue = work_by_queue
+
+    def update_level(self, fleet_cpu_millis):
+        """Compute the admission level, at most once per shortage interval."""
+        now_ms = self._clock.now_ms()
+        if now_ms - self._level_ms < SHORTAGE_REPORT_INTERVAL_MS:
+            return
+        self._level_ms = now_ms
+        if len(set(self._priority_by_queue.values())) > 1 or self._ranks.has_priorities:
+            hears_peers = now_ms - self._total_ms <= MAX_TOTAL_AGE_MS
+            self._level = AdmissionLevel(
+                self._ranks.loads.values()
+                if hears_peers
+                else self.loads(fleet_cpu_millis, {}).loads,
+                self._level.is_in_force,
+            )
 
     def load(self, queue):
         """Return the queue's usual load at this entry, in core-ms per second."""
@@ -74,7 +121,12 @@
     def begin_report_if_due(self):
         """Return whether the loads are to be sent now; if so, restart the interval."""
         now_ms = self._clock.now_ms()
-        if now_ms - self._reported_ms < REPORT_INTERVAL_MS or not self._work_by_queue:
+        interval_ms = (
+            SHORTAGE_REPORT_INTERVAL_MS
+            if self._is_work_waiting()
+            else REPORT_INTERVAL_MS
+        )
+        if now_ms - self._reported_ms < interval_ms or not self._work_by_queue:
             return False
         self._reported_ms = now_ms
         return True
@@ -85,13 +137,20 @@
         ``contained_ms`` has, by queue, for how long it stays contained.
         """
         self._decay()
+        fleet_cpu_millis = max(fleet_cpu_millis, 1)
         return m.QueueLoads(
             [
                 m.QueueLoad(
                     queue,
-                    self.load(queue) / max(fleet_cpu_millis, 1),
+                    self.load(queue) / fleet_cpu_millis,
                     round(self._slack_ms_by_queue[queue]),
                     contained_ms.get(queue, 0),
+                    self._priority_by_queue[queue],
+                    self._offered_by_queue[queue]
+                    * 1_000
+                    / OFFERED_TIME_MS
+                    / fleet_cpu_millis,
+                    self._waiting_by_queue.get(queue, 0.0) / fleet_cpu_millis,
                 )
                 for queue in self._work_by_queue
             ]
@@ -99,13 +158,28 @@
 
     def update_ranks(self, loads):
         """Rank the queues by the loads of all entries, as an agent has summed them."""
-        self._ranks = QueueRanks(loads)
+        valid = [load for load in loads if is_valid(load)]
+        if len(valid) < len(loads):
+            log.warning("queue loads out of range ignored", loads=len(loads))
+        self._ranks = QueueRanks(valid)
+        self._total_ms = self._clock.now_ms()
+
+    def _is_work_waiting(self):
+        """Return whether loads are to be exchanged at the shorter interval."""
+        if not self._ranks.has_priorities:
+            return False
+        return self._level.is_in_force or (
+            sum(self._waiting_by_queue.values())
+            > MIN_WAITING_S * sum(self.load(queue) for queue in self._waiting_by_queue)
+        )
 
     def _decay(self):
         elapsed_ms = self._clock.now_ms() - self._updated_ms
         if elapsed_ms < MIN_DECAY_INTERVAL_MS:
             return
         factor = math.exp(-elapsed_ms / DECAY_TIME_MS)
+        offered_factor = math.exp(-elapsed_ms / OFFERED_TIME_MS)
         for name in self._work_by_queue:
             self._work_by_queue[name] *= factor
+            self._offered_by_queue[name] *= offered_factor
         self._updated_ms += elapsed_ms
--- a/plantainhitch/coordination/jobs/fleet.py
+++ b/plantainhitch/coordination/jobs/fleet.py
@@ -5,7 +5,7 @@
 from ... import logs
 from ...protocol import messages as m
 from ...state.jobs import Room
-from ...state.queue_ranks import SAME_RANK_FACTOR
+from ...state.queue_ranks import ranks_at_or_before
 from ..runs.endpoint_lease import CLOCK_DRIFT_FACTOR
 from ..runs.owners import OWNER_LEASE_MS
 from .sections import Division, Section, divide
@@ -144,7 +144,7 @@
         free = self.free_room
         required_millis = ahead_millis + room.cpu_millis
         for other_rank, cpu_millis in self.waiting_by_rank:
-            if other_rank <= rank * SAME_RANK_FACTOR:
+            if ranks_at_or_before(other_rank, rank):
                 required_millis += cpu_millis
         memory_mb, gpus = free.memory_mb, free.gpus
         for _, order_room in self.unreported_orders:
--- a/plantainhitch/coordination/jobs/scheduler.py
+++ b/plantainhitch/coordination/jobs/scheduler.py
@@ -5,6 +5,7 @@
 expected to have room. The agent decides whether a start is accepted.
 """
 
+import math
 import random
 
 from ... import logs
@@ -15,6 +16,7 @@
 from .demand import Demand
 from .fleet import Fleet
 from .job import Job
+from .job_admission import SHORTAGE_REASON, JobAdmission
 from .job_registry import JobRegistry
 from .outcomes import Ended, GaveUp, JobState, NeverRan
 from .pending_orders import PendingOrders
@@ -61,10 +63,13 @@
         self._full_pass_ms = 0
         # Jobs with tasks that became ready after the last pass; a dict without values.
         self._newly_ready = {}
+        # Rank and due time of the first job that the last full pass left waiting.
+        self._first_waiting = (math.inf, 0.0)
         self._jobs = self._registry.jobs
         self._orders = PendingOrders()
         self._demand = Demand(clock)
         self._containment = Containment(clock, self._fleet, self._demand)
+        self._admission = JobAdmission(self._events, self._demand, self._fleet)
         self._placement = Placement(clock, self._fleet, self._demand)
 
     @property
@@ -101,7 +106,7 @@
         now_ms = self._clock.now_ms()
         job = Job.from_spec(spec, route, now_ms, caller_timeout_ms)
         self._placement.estimate_job(job)
-        self._demand.observe(route.name, job.work_core_ms, job.slack_ms)
+        self._demand.observe(route.name, job.work_core_ms, job.slack_ms, route.priority)
         reason = self._refusal(job)
         if reason:
             self._events.write(
@@ -116,6 +121,11 @@
             )
             self._registry.refuse(job, NeverRan(reason, retry_after_s), on_end)
             return
+        if not self._admission.admits(job):
+            retry_after_s = self._admission.retry_after_s(job, self._retry_slots)
+            outcome = NeverRan(SHORTAGE_REASON, retry_after_s)
+            self._registry.refuse(job, outcome, on_end)
+            return
         self._registry.add(job, on_end)
         self._newly_ready[job] = None
         self._contain(job)
@@ -372,11 +382,15 @@
         waiting = [job for job in jobs if job.has_ready_tasks]
         self._newly_ready = {}
         if not waiting:
+            if is_full_pass:
+                self._record_waiting([])
             return
         placement = self._placement
         rounds = {}
         ranked = [(placement.rank(job), job.due_ms, job) for job in waiting]
-        for rank, _, job in sorted(ranked, key=lambda item: item[:2]):
+        for rank, due_ms, job in sorted(ranked, key=lambda item: item[:2]):
+            if not is_full_pass and (rank, due_ms) > self._first_waiting:
+                continue  # more urgent work found no room in the last full pass
             if not job.has_started and placement.is_too_late(job):
                 self._cancel_job(job, "too late to be of use")
                 continue
@@ -384,6 +398,19 @@
             if key not in rounds:
                 rounds[key] = placement.begin_round(*key)
             self._place_job(job, rank, rounds[key], is_full_pass)
+        if is_full_pass:
+            self._record_waiting(ranked)
+
+    def _record_waiting(self, ranked):
+        """Record the work of the jobs that wait and have not started, by queue."""
+        waiting = {}
+        self._first_waiting = (math.inf, 0.0)
+        for rank, due_ms, job in ranked:
+            if not job.has_started and job.job_id in self._jobs:
+                self._first_waiting = min(self._first_waiting, (rank, due_ms))
+                name = job.route.name
+                waiting[name] = waiting.get(name, 0.0) + job.work_core_ms
+        self._demand.record_waiting(waiting)
 
     def _place_job(self, job, rank, placement_round, is_full_pass):
         is_late = self._placement.is_demoted(job)
--- a/plantainhitch/coordination/runs/owners.py
+++ b/plantainhitch/coordination/runs/owners.py
@@ -8,7 +8,9 @@
 import collections
 from dataclasses import dataclass, field, replace
 
+from ... import logs
 from ...protocol import messages as m
+from ...state.admission_level import is_valid
 from ...state.crashes import EndpointCrash
 
 # A run is stopped when its owner has not been heard from for this long: longer than
@@ -18,6 +20,8 @@
 # Crashes of the endpoint that are kept for owners that link later.
 MAX_KEPT_CRASHES = 20
 
+log = logs.get_logger("owners")
+
 
 @dataclass(slots=True)
 class Owner:
@@ -114,7 +118,10 @@
 
     def record_loads(self, incarnation, loads):
         """Record the loads of an owner's queues, and which of them it contains."""
-        self.get_or_create(incarnation).loads = loads
+        valid = [load for load in loads if is_valid(load)]
+        if len(valid) < len(loads):
+            log.warning("queue loads out of range ignored", loads=len(loads))
+        self.get_or_create(incarnation).loads = valid
         now_ms = self._clock.now_ms()
         for load in loads:
             until_ms = now_ms + load.contained_ms
@@ -142,11 +149,15 @@
             if not owner.is_linked:
                 continue
             for load in owner.loads:
-                summed = total.get(load.queue)
-                share = load.share + (summed.share if summed else 0.0)
-                contained_ms = summed.contained_ms if summed else 0
+                summed = total.get(load.queue, m.QueueLoad(load.queue, 0.0, 0))
                 total[load.queue] = m.QueueLoad(
-                    load.queue, share, load.slack_ms, contained_ms
+                    load.queue,
+                    summed.share + load.share,
+                    load.slack_ms,
+                    summed.contained_ms,
+                    max(summed.priority, load.priority),
+                    summed.offered_share + load.offered_share,
+                    summed.waiting_share + load.waiting_share,
                 )
         return list(total.values())
 
--- a/plantainhitch/state/queue_ranks.py
+++ b/plantainhitch/state/queue_ranks.py
@@ -1,26 +1,46 @@
 """The order of queues and the processor reserved for them, from their usual loads.
 
-Operators set no weights. The share of jobs that end in time counts equally for every
-queue, so a unit of work of a queue with a small load is worth more, and that queue
-goes first. Entries and agents both use this module, so that they order alike.
+More urgent queues go first, by the priority that the operator configured. Within a
+priority the share of jobs that end in time counts equally for every queue, so a unit
+of work of a queue with a small load is worth more, and that queue goes first. Entries
+and agents both use this module, so that they order alike.
 """
 
-# Added to the rank of a start whose job can't end in time. Larger than any share, so
-# that such starts go after all others.
+# Added to the rank of a start whose job can't end in time. Larger than any other rank,
+# so that such starts go after all others.
 LATE_RANK_OFFSET = 1_000.0
-# Ranks that differ by less than this factor belong to the same queue, whose load was
-# received at different times.
-SAME_RANK_FACTOR = 1.05
+# Shares within this factor belong to the same queues, whose loads were received at
+# different times.
+SAME_SHARE_FACTOR = 1.05
+# Queues whose loads are within this factor of each other are ordered by due time. An
+# order by share would let the one with the barely smaller load always go first.
+EQUAL_SHARE_FACTOR = 1.25
+# The share part of a rank stays below 1, the distance between two priorities.
+MAX_SHARE_PART = 0.9
 # Processor reserved for a queue, as a multiple of its usual load. Higher factors cost
 # the other queues more than they gained.
 RESERVED_LOAD_FACTOR = 1.0
 
 
+def ranks_at_or_before(other_rank, rank):
+    """Return whether starts of ``other_rank`` go before, or along with, ``rank``."""
+    if rank >= LATE_RANK_OFFSET:
+        return True
+    return other_rank <= rank + (SAME_SHARE_FACTOR - 1) * (rank % 1.0)
+
+
 class QueueRanks:
-    """Ranks of queues, from an iterable of ``QueueLoad``; the lowest goes first."""
+    """Ranks of queues, from an iterable of ``QueueLoad``; the lowest goes first.
+
+    A rank is the position of the queue's priority among those known, plus the share of
+    the fleet's processor of the smallest queue in its group.
+    """
 
     def __init__(self, loads=()):
         self._loads = {load.queue: load for load in loads}
+        self._rank_by_queue = _ranks(self._loads.values())
+        # A queue without known priority is not more urgent than any other.
+        self._unknown_rank = float(int(max(self._rank_by_queue.values(), default=0.0)))
         self._reservation_cache = {}
 
     @property
@@ -28,15 +48,20 @@
         """The loads by queue; not to be changed by the caller."""
         return self._loads
 
+    @property
+    def has_priorities(self):
+        """Whether the queues differ in priority."""
+        return len({load.priority for load in self._loads.values()}) > 1
+
     def rank(self, queue, is_late=False):
-        """Return the rank of a start of a queue: its share of the fleet's processor.
+        """Return the rank of a start of a queue.
 
-        An unknown queue has the share 0. If ``is_late``, the start's job can't end in
-        time, and the start ranks after all that are not late.
+        An unknown queue has the least urgent known priority and the share 0. If
+        ``is_late``, the start's job can't end in time, and the start ranks after all
+        that are not late.
         """
-        load = self._loads.get(queue)
-        share = load.share if load else 0.0
-        return LATE_RANK_OFFSET + share if is_late else share
+        rank = self._rank_by_queue.get(queue, self._unknown_rank)
+        return LATE_RANK_OFFSET + rank if is_late else rank
 
     def reserved_share(self, queue):
         """Return the share of an idle endpoint that starts of a queue leave free.
@@ -51,8 +76,8 @@
         """Return the processor that starts of a queue have to leave free.
 
         In thousandths of a core, as are ``capacity_cpu_millis`` and the values of
-        ``used_by_queue``. It is reserved for queues that have a smaller load and can
-        wait less long, less what they use already.
+        ``used_by_queue``. It is reserved for queues that go first, have a smaller load
+        and can wait less long, less what they use already.
         """
         reserved = 0.0
         for load in self._loads_with_reservation(queue):
@@ -73,7 +98,26 @@
                 for load in self._loads.values()
                 if own
                 and not load.contained_ms
+                and self._rank_by_queue[load.queue] < self._rank_by_queue[queue]
                 and load.share < own.share
                 and load.slack_ms < own.slack_ms
             ]
         return loads
+
+
+def _ranks(loads):
+    """Return the rank of each queue."""
+    positions = {
+        priority: position
+        for position, priority in enumerate(sorted({load.priority for load in loads}))
+    }
+    ranks = {}
+    priority = smallest_share = None
+    for load in sorted(loads, key=lambda load: (load.priority, load.share)):
+        if (
+            load.priority != priority
+            or load.share > smallest_share * EQUAL_SHARE_FACTOR
+        ):
+            priority, smallest_share = load.priority, load.share
+        ranks[load.queue] = positions[priority] + min(smallest_share, MAX_SHARE_PART)
+    return ranks
