--- a/plantainhitch/coordination/jobs/fleet.py
+++ b/plantainhitch/coordination/jobs/fleet.py
@@ -5,7 +5,7 @@
 from ... import logs
 from ...protocol import messages as m
 from ...state.jobs import Room
-from ...state.queue_ranks import SAME_RANK_FACTOR
+from ...state.queue_ranks import ranks_at_or_before
 from ..evacuation import no_evacuations
 from ..runs.endpoint_lease import CLOCK_DRIFT_FACTOR
 from ..runs.endpoint_performance import decay_factor
@@ -157,7 +157,7 @@
         free = self.free_room
         required_millis = ahead_millis + room.cpu_millis
         for other_rank, cpu_millis in self.waiting_by_rank:
-            if other_rank <= rank * SAME_RANK_FACTOR:
+            if ranks_at_or_before(other_rank, rank):
                 required_millis += cpu_millis
         memory_mb, gpus = free.memory_mb, free.gpus
         for _, order_room in self.unreported_orders:
--- a/plantainhitch/coordination/runs/endpoint_record.py
+++ b/plantainhitch/coordination/runs/endpoint_record.py
@@ -87,4 +87,4 @@
         log.warning("unreadable endpoint record", why=str(error))
         return None
     # The age of the record is not known, and most endpoints are warm.
-    return replace(report, cold_remaining_ms=0)
+    return replace(report, cold_for_ms=0)
--- a/plantainhitch/coordination/runs/run_controller.py
+++ b/plantainhitch/coordination/runs/run_controller.py
@@ -205,7 +205,7 @@
             kind=endpoint.kind,
             rack=endpoint.rack,
             labels=endpoint.labels,
-            cold_remaining_ms=endpoint.cold_remaining_ms,
+            cold_for_ms=endpoint.cold_for_ms,
         )
 
     def next_report(self, incarnation, forecast=None):
@@ -283,7 +283,7 @@
             )
             self._performance.begin_lifetime()
         self._endpoint = report
-        self._warm_up.record(report.cold_remaining_ms, is_new_lifetime)
+        self._warm_up.record(report.cold_for_ms, is_new_lifetime)
         if report.draining:
             if previous is None or is_new_lifetime or not previous.draining:
                 log.info("endpoint draining", remaining_ms=report.remaining_ms)
--- a/plantainhitch/platform/endpoint.py
+++ b/plantainhitch/platform/endpoint.py
@@ -101,7 +101,7 @@
         labels=labels,
         remaining_ms=None if model.remaining_ms is None else int(model.remaining_ms),
         clock_ms=int(model.clock_ms),
-        cold_remaining_ms=_to_uint32(model.cold_left_ms or 0),
+        cold_for_ms=_to_uint32(model.cold_left_ms or 0),
     )
 
 
--- a/plantainhitch/protocol/run_codec.py
+++ b/plantainhitch/protocol/run_codec.py
@@ -179,7 +179,7 @@
     target.kind = status.kind
     target.rack = status.rack
     target.labels = list(status.labels)
-    target.coldRemainingMs = status.cold_remaining_ms
+    target.coldForMs = status.cold_for_ms
 
 
 def _read_status(source):
@@ -193,7 +193,7 @@
         kind=source.kind,
         rack=source.rack,
         labels=tuple(source.labels),
-        cold_remaining_ms=source.coldRemainingMs,
+        cold_for_ms=source.coldForMs,
     )
 
 
--- a/plantainhitch/run_metrics.py
+++ b/plantainhitch/run_metrics.py
@@ -22,7 +22,7 @@
     text.gauge("pace", round(pace(controller.runs.values()), 3))
     text.gauge("slowness", round(controller.performance.slowness, 3))
     text.gauge("consecutive_failures", controller.performance.consecutive_failures)
-    text.gauge("cold_remaining_ms", controller.warm_up.cold_remaining_ms)
+    text.gauge("cold_for_ms", controller.warm_up.cold_for_ms)
     text.gauge("links", len(controller.owners.linked_incarnations))
     text.gauge("fence", controller.fence)
     return text.render()
--- a/plantainhitch/state/endpoints.py
+++ b/plantainhitch/state/endpoints.py
@@ -13,7 +13,7 @@
     ``born_ms`` is the wall-clock time at which the endpoint started; with
     ``endpoint_id`` it identifies one lifetime of the endpoint. ``remaining_ms`` is the
     least time that a draining endpoint still runs. ``clock_ms`` is the endpoint's
-    own monotonic clock. ``cold_remaining_ms`` is how much longer it stays slow after its
+    own monotonic clock. ``cold_for_ms`` is how much longer it stays slow after its
     start.
     """
 
@@ -28,7 +28,7 @@
     labels: tuple[str, ...] = ()
     remaining_ms: int | None = None
     clock_ms: int = 0
-    cold_remaining_ms: int = 0
+    cold_for_ms: int = 0
 
 
 class End(enum.Enum):
--- a/tests/test_endpoint_performance.py
+++ b/tests/test_endpoint_performance.py
@@ -215,17 +215,17 @@
         self.controller = RunController(
             self.clock, LEASE_MS, first_fence=5, warm_up_limits=WarmUpLimits(2, 1.5)
         )
-        self.controller.handle_heartbeat(replace(heartbeat(), cold_remaining_ms=1_000))
+        self.controller.handle_heartbeat(replace(heartbeat(), cold_for_ms=1_000))
         self.deliver_inventory()
         self.link_owner(OWNER)
-        self.assertEqual(1_000, self.controller.status().cold_remaining_ms)
+        self.assertEqual(1_000, self.controller.status().cold_for_ms)
         orders = self.send_orders(*(run_start(f"job.0.0.{i}") for i in range(4)))
         self.assertEqual(2, len(orders))
         self.assertEqual(0, self.controller.free_room.cpu_millis)
 
     def test_without_limits_a_cold_endpoint_is_used_as_any(self):
         self.controller.handle_heartbeat(
-            replace(heartbeat(sequence=2), cold_remaining_ms=1_000)
+            replace(heartbeat(sequence=2), cold_for_ms=1_000)
         )
         orders = self.send_orders(*(run_start(f"job.0.0.{i}") for i in range(4)))
         self.assertEqual(4, len(orders))
@@ -238,9 +238,9 @@
             (1e12, 2**32 - 1),
             (None, 0),
         ):
-            data = msgspec.json.decode(body) | {"cold_remaining_ms": value}
+            data = msgspec.json.decode(body) | {"cold_for_ms": value}
             report = decode_heartbeat("e", msgspec.json.encode(data))
-            self.assertEqual(expected, report.cold_remaining_ms)
+            self.assertEqual(expected, report.cold_for_ms)
 
 
 class EndpointFaultLoadTests(unittest.TestCase):
