--- a/plantainhitch/platform/configuration_check.py
+++ b/plantainhitch/platform/configuration_check.py
@@ -16,6 +16,7 @@
 
 # Keys of the document by the field that a check names, where they differ.
 _KEYS = {
+    "prefix": "path_prefix",
     "pool": "service",
     "target_ms": "target_latency_ms",
     "max_body_bytes": "limits.max_body_bytes",
@@ -167,7 +168,7 @@
     return RouteDraft(
         number=number,
         host=route.host,
-        path_prefix=route.path_prefix,
+        prefix=route.path_prefix,
         pool=route.service,
         priority=route.priority,
         max_attempts=route.max_attempts,
--- a/plantainhitch/state/route_checks.py
+++ b/plantainhitch/state/route_checks.py
@@ -22,7 +22,7 @@
 
     number: int
     host: str
-    path_prefix: str
+    prefix: str
     pool: str
     priority: int
     max_attempts: int
@@ -63,13 +63,13 @@
     first_by_match = {}
     for route in draft.routes:
         yield from _find_route_faults(route)
-        first = first_by_match.setdefault((route.host, route.path_prefix), route.number)
+        first = first_by_match.setdefault((route.host, route.prefix), route.number)
         if first != route.number:
             allowed = (
                 f"unlike that of route {first} (counted from 0), which has the same "
                 "host and hides this one"
             )
-            yield Fault(route.number, "path_prefix", route.path_prefix, allowed)
+            yield Fault(route.number, "prefix", route.prefix, allowed)
         if draft.listed_pools and route.pool not in draft.listed_pools:
             names = ", ".join(sorted(draft.listed_pools))
             yield Fault(
@@ -88,8 +88,8 @@
 
     if not route.host:
         yield fault("host", "the host that callers name; empty matches no request")
-    if not route.path_prefix.startswith("/"):
-        yield fault("path_prefix", "a path that begins with /")
+    if not route.prefix.startswith("/"):
+        yield fault("prefix", "a path that begins with /")
     if route.priority < 0:
         yield fault("priority", "at least 0, the most urgent")
     if route.max_attempts < 1:
