--- a/plantainhitch/coordination/jobs/job.py
+++ b/plantainhitch/coordination/jobs/job.py
@@ -55,6 +55,8 @@
     caller_deadline_ms: int
     tasks: list[list[Task]] = field(default_factory=list)
     has_run: bool = False
+    # Whether it was left waiting for room.
+    is_delayed: bool = False
     # Whether a task was running when an endpoint crashed.
     is_suspect: bool = False
     # Whether its tasks may run only where no other job has a run.
--- a/plantainhitch/coordination/jobs/job_admission.py
+++ b/plantainhitch/coordination/jobs/job_admission.py
@@ -5,11 +5,24 @@
 still admitted 0.7 times as often as those of the mean.
 """
 
+import enum
 import math
+from collections import Counter
 
 from ...state.estimates import RunningMean
 
 SHORTAGE_REASON = "capacity goes to more urgent work"
+# Combinations of queue, priority and cause that are counted apart.
+MAX_COUNTS = 300
+OTHER_QUEUE = "other"
+
+
+class Cause(enum.Enum):
+    """What shortage did to a job."""
+
+    DELAYED = "delayed"
+    REFUSED_ON_ARRIVAL = "refused on arrival"
+    REFUSED_WAITING = "refused while waiting"
 
 
 class JobAdmission:
@@ -25,6 +38,30 @@
         self._fleet = fleet
         self._mean_work_by_queue = {}
         self._credit_by_queue = {}
+        self._counts = Counter()
+
+    @property
+    def counts(self):
+        """Jobs by (queue, priority, text of the ``Cause``)."""
+        return self._counts
+
+    def count(self, job, cause):
+        """Count a job that was delayed or refused for want of capacity."""
+        key = job.route.name, job.route.priority, cause.value
+        if key not in self._counts and len(self._counts) >= MAX_COUNTS:
+            key = OTHER_QUEUE, 0, cause.value
+        self._counts[key] += 1
+
+    def refused_waiting(self, job, wait_ms):
+        """Record that a job is refused for which ``wait_ms`` of work is ahead."""
+        self.count(job, Cause.REFUSED_WAITING)
+        self._events.write(
+            "work ahead of job",
+            job=job.job_id,
+            queue=job.route.name,
+            wait_ms=round(wait_ms),
+            ahead=self._demand.work_ahead_ms(job.route.name),
+        )
 
     def admits(self, job):
         """Return whether an arriving job is admitted."""
@@ -41,6 +78,7 @@
         is_admitted = credit >= 1.0
         self._credit_by_queue[queue] = credit - is_admitted
         if not is_admitted:
+            self.count(job, Cause.REFUSED_ON_ARRIVAL)
             self._events.write(
                 "job refused",
                 job=job.job_id,
@@ -48,7 +86,8 @@
                 why=SHORTAGE_REASON,
                 priority=job.route.priority,
                 admitted=round(admission.admitted, 3),
-                ahead_ms=round(1_000 * admission.ahead_s),
+                wait_ms=round(1_000 * admission.ahead_s),
+                ahead=self._demand.work_ahead_ms(queue),
             )
         return is_admitted
 
--- a/plantainhitch/explain.py
+++ b/plantainhitch/explain.py
@@ -21,6 +21,7 @@
 RUN_EVENTS = frozenset(
     {RunEvent.PLACED, RunEvent.NOT_COMPLETED, RunEvent.ENDED_AT_AGENT}
 )
+WORK_AHEAD = "work ahead of job"
 ENDPOINT_CRASHED = "endpoint crashed"
 JOB_OUTCOMES = frozenset(
     {"job completed", "job not completed", "job refused", "job not supported"}
@@ -118,8 +119,18 @@
     return line.fields.get("task", "")
 
 
+def _ahead_clause(line):
+    ahead = ", ".join(
+        f"{queue} ({ahead_ms} ms of the whole fleet)"
+        for queue, ahead_ms in sorted(line.fields["ahead"].items())
+    )
+    return f"with {line.fields['wait_ms']} ms of work ahead; what waited was {ahead}"
+
+
 def _outcome_sentences(lines):
     for line in lines:
+        if line.event == WORK_AHEAD and line.fields.get("ahead"):
+            yield f"{line.time} {line.source}: refused {_ahead_clause(line)}"
         if line.event not in JOB_OUTCOMES:
             continue
         reason = line.fields.get("outcome") or line.fields.get("why", "")
@@ -128,6 +139,8 @@
             clauses.append(f"after {line.fields['took_ms']} ms")
         if "objective_ms" in line.fields:
             clauses.append(f"with an objective of {line.fields['objective_ms']} ms")
+        if line.fields.get("ahead"):
+            clauses.append(_ahead_clause(line))
         if "waiting_jobs" in line.fields:
             clauses.append(
                 f"with {line.fields['waiting_jobs']} other jobs at the entry"
--- a/plantainhitch/job_metrics.py
+++ b/plantainhitch/job_metrics.py
@@ -36,6 +36,13 @@
         text = TextMetrics("plantainhitch_")
         text.counters("jobs_total", "outcome", self._outcomes)
         text.counters("jobs_not_ended_total", "reason", self._refusals)
+        text.multi_counters(
+            "jobs_short_total",
+            ("queue", "priority", "cause"),
+            scheduler.admission.counts,
+        )
+        text.gauge("shortage", int(bool(scheduler.admitted_parts)))
+        text.gauges("admitted", "queue", scheduler.admitted_parts)
         text.latencies("job_ms", "queue", self._response_times)
         text.gauge("jobs", len(scheduler.jobs))
         text.gauge("ready", int(node.ready))
--- a/plantainhitch/text_metrics.py
+++ b/plantainhitch/text_metrics.py
@@ -27,6 +27,17 @@
         """Add a counter with one sample for each key of the mapping ``values``."""
         self._add(name, "counter", ((label, *item) for item in sorted(values.items())))
 
+    def multi_counters(self, name, labels, values):
+        """Add a counter with one sample for each key, a tuple of label values."""
+        full_name = self._prefix + name
+        self._lines.append(f"# TYPE {full_name} counter")
+        for key, value in sorted(values.items()):
+            pairs = (
+                f'{label}="{_escape(part)}"'
+                for label, part in zip(labels, key, strict=True)
+            )
+            self._lines.append(f"{full_name}{{{','.join(pairs)}}} {value}")
+
     def latencies(self, name, label, windows):
         """Add a summary; ``windows`` maps label values to a ``LatencyWindow`` each."""
         full_name = self._prefix + name
