--- a/plantainhitch/coordination/jobs/demand.py
+++ b/plantainhitch/coordination/jobs/demand.py
@@ -4,7 +4,7 @@
 
 from ... import logs
 from ...protocol import messages as m
-from ...state.admission_level import AdmissionLevel, is_valid
+from ...state.admission_level import MIN_WAITING_S, AdmissionLevel, is_valid
 from ...state.queue_ranks import QueueRanks
 
 # Time constant of the decay of past arrivals: much longer than a burst, so that a
@@ -50,7 +50,6 @@
         self._offered_by_queue = {}
         # By queue: the work of jobs that have not started.
         self._waiting_by_queue = {}
-        self._waiting_since_ms = self._started_ms
         self._report_count = 0
         self._slack_ms_by_queue = {}
         self._priority_by_queue = {}
@@ -80,8 +79,6 @@
 
     def record_waiting(self, work_by_queue):
         """Record the work in core-ms of the jobs that have not started, by queue."""
-        if not self._waiting_by_queue:
-            self._waiting_since_ms = self._clock.now_ms()
         self._waiting_by_queue = work_by_queue
 
     def update_level(self, fleet_cpu_millis):
@@ -217,11 +214,9 @@
         """Return whether loads are to be exchanged at the shorter interval."""
         if not self._ranks.has_priorities:
             return False
-        now_ms = self._clock.now_ms()
-        has_waited = bool(self._waiting_by_queue) and (
-            now_ms - self._waiting_since_ms >= SHORTAGE_REPORT_INTERVAL_MS
-        )
-        return self._level.is_in_force or has_waited
+        own_load = sum(self.load(queue) for queue in self._work_by_queue)
+        waiting = sum(self._waiting_by_queue.values())
+        return self._level.is_in_force or waiting > MIN_WAITING_S * own_load
 
     def _decay(self):
         elapsed_ms = self._clock.now_ms() - self._updated_ms
