--- a/plantainhitch/coordination/jobs/demand.py
+++ b/plantainhitch/coordination/jobs/demand.py
@@ -14,8 +14,9 @@
 REPORT_INTERVAL_MS = 1_000
 # Interval at which agents are sent the loads while work waits.
 SHORTAGE_REPORT_INTERVAL_MS = 100
-# During a shortage an agent hears from an entry every second report.
-REPORT_GROUPS = 2
+# During a shortage each report goes to one in this many agents. With 2, the value with
+# a third of the fleet lost fell from above 0.75 to 0.746.
+REPORT_GROUPS = 1
 # Time constant of the arrivals that the admission level is computed from: about one
 # objective, within which the level has to react.
 OFFERED_TIME_MS = 500
--- a/plantainhitch/coordination/jobs/scheduler.py
+++ b/plantainhitch/coordination/jobs/scheduler.py
@@ -433,9 +433,8 @@
         if job.has_started or not is_full_pass:
             return  # only a full pass knows the work ahead of a job
         if placement_round.is_infeasible(job):
-            if not self._demand.level.is_in_force:
-                for task, candidate in placement_round.select_late(job):
-                    self._order_start(task, candidate, is_late=True)
+            for task, candidate in placement_round.select_late(job):
+                self._order_start(task, candidate, is_late=True)
             if not job.has_started:
                 wait_ms = placement_round.service_time_ms(
                     job, placement_round.work_ahead
