--- a/plantainhitch/state/admission_level.py
+++ b/plantainhitch/state/admission_level.py
@@ -1,9 +1,10 @@
 """The part of each queue's work that is admitted while capacity is short.
 
 The fleet's capacity over the time that a queue can wait goes first to the work that
-already waits and to the arrivals of more urgent queues. What is left, divided by the
-arrivals of the queue's priority, is the part of them that is admitted. Entries compute
-it alike from the sums that agents return.
+already waits and to the arrivals of the queues that go before, in the order of
+``QueueRanks``. What is left, divided by the arrivals of the queues of the same rank, is
+the part of them that is admitted. Entries compute it alike from the sums that agents
+return.
 """
 
 import math
