--- a/plantainhitch/coordination/jobs/demand.py
+++ b/plantainhitch/coordination/jobs/demand.py
@@ -14,9 +14,6 @@
 REPORT_INTERVAL_MS = 1_000
 # Interval at which agents are sent the loads while work waits.
 SHORTAGE_REPORT_INTERVAL_MS = 100
-# During a shortage each report goes to one in this many agents. With 2, the value with
-# a third of the fleet lost fell from above 0.75 to 0.746.
-REPORT_GROUPS = 1
 # Time constant of the arrivals that the admission level is computed from: about one
 # objective, within which the level has to react.
 OFFERED_TIME_MS = 500
@@ -51,7 +48,6 @@
         self._offered_by_queue = {}
         # By queue: the work of jobs that have not started.
         self._waiting_by_queue = {}
-        self._report_count = 0
         self._slack_ms_by_queue = {}
         self._priority_by_queue = {}
         self._ranks = QueueRanks()
@@ -143,19 +139,8 @@
         if now_ms - self._reported_ms < interval_ms or not self._work_by_queue:
             return False
         self._reported_ms = now_ms
-        self._report_count += 1
         return True
 
-    def select_for_report(self, agents):
-        """Return those of a list of agents that are sent this report.
-
-        During a shortage each report goes to one in ``REPORT_GROUPS`` of them, in
-        turn, which limits its cost.
-        """
-        if not self._is_work_waiting():
-            return agents
-        return agents[self._report_count % REPORT_GROUPS :: REPORT_GROUPS]
-
     def loads(self, fleet_cpu_millis, contained_ms):
         """Return this entry's ``QueueLoads``, as shares of the fleet's processor.
 
--- a/plantainhitch/coordination/jobs/scheduler.py
+++ b/plantainhitch/coordination/jobs/scheduler.py
@@ -233,7 +233,7 @@
         linked = [agent for agent in self._fleet.agents.values() if agent.is_ready]
         by_pool = {}
         contained_ms = self._containment.probable_ms()
-        for agent in self._demand.select_for_report(linked):
+        for agent in linked:
             pool = agent.status.pool
             if pool not in by_pool:
                 view = self._fleet.pool_view(pool)
--- a/tests/test_shortage.py
+++ b/tests/test_shortage.py
@@ -11,7 +11,6 @@
 from plantainhitch.clock import ManualClock
 from plantainhitch.coordination.jobs.demand import (
     MAX_TOTAL_AGE_MS,
-    REPORT_GROUPS,
     SHORTAGE_REPORT_INTERVAL_MS,
     Demand,
 )
@@ -248,8 +247,6 @@
             self.clock.advance(SHORTAGE_REPORT_INTERVAL_MS)
             sent += demand.begin_report_if_due()
         self.assertEqual(sent, 10)
-        agents = list(range(10))
-        self.assertEqual(len(demand.select_for_report(agents)), 10 // REPORT_GROUPS)
 
 
 class ExplainTests(unittest.TestCase):
