--- a/review/lab.py
+++ b/review/lab.py
@@ -7,6 +7,7 @@
 """
 
 import asyncio
+import contextlib
 import json
 import logging
 import os
@@ -306,7 +307,8 @@
                 self.ended_by_itself += 1
             self._lab.record.write(self.name, "has ended", exit_code=code)
             await asyncio.sleep(RESTART_S)
-            await self._spawn()
+            if self._is_wanted:
+                await self._spawn()
 
     def send_signal(self, number):
         """Send a signal to the process."""
@@ -314,12 +316,16 @@
         self._process.send_signal(number)
 
     async def stop(self):
-        """End the process for good."""
+        """End the process for good, also one that is being started again."""
         self._is_wanted = False
-        if self._keeper is not None:
-            self._keeper.cancel()
-        if self._process is not None and self._process.returncode is None:
-            self._process.kill()
+        while True:
+            if self._process is not None and self._process.returncode is None:
+                with contextlib.suppress(ProcessLookupError):
+                    self._process.kill()
+            if self._keeper is None or self._keeper.done():
+                break
+            await asyncio.wait({self._keeper}, timeout=0.05)
+        if self._process is not None:
             await self._process.wait()
 
 
