Keep an unanswered start over a refused connection (TWICE)

Callers could see a task run twice at the same time: an endpoint that ends and begins again under the same id carries out orders that were sent to its lifetime before.

Cause: a refused connection proves that the runs of the endpoint have ended, and was taken for a proof against starts without an answer too. They ended as lost at once, and the next lifetime had neither their stop nor a fence.

Change: they stay unconfirmed until the next lifetime has accepted an order, or begins under another id, which refuses them. A start that was answered is still lost at once.

--- a/plantainhitch/coordination/runs/run_controller.py
+++ b/plantainhitch/coordination/runs/run_controller.py
@@ -291,8 +291,14 @@
         return is_new_lifetime
 
     def endpoint_not_listening(self):
-        """Handle proof that the endpoint's process has ended: a refused connection."""
-        self._endpoint_ended("nothing listens at the endpoint", ())
+        """Handle proof that the endpoint's process has ended: a refused connection.
+
+        A start that it has not answered may be carried out by its next lifetime, which
+        may have the same id.
+        """
+        self._endpoint_ended(
+            "nothing listens at the endpoint", self._runs_that_may_begin_later()
+        )
 
     def _endpoint_ended(self, reason, uncertain):
         """Handle proof that the endpoint's process has ended.
--- a/tests/test_run_controller.py
+++ b/tests/test_run_controller.py
@@ -2,6 +2,7 @@
 
 import random
 import unittest
+from dataclasses import replace
 
 from plantainhitch.clock import ManualClock
 from plantainhitch.coordination.runs.endpoint_lease import SUSPECT_AFTER_MS
@@ -397,6 +398,34 @@
         self.deliver_inventory_of(sent_fence + 1)
         self.assertEqual({start.key: End.NOT_STARTED}, self.reported_ends())
 
+    def test_a_refused_connection_is_no_proof_against_an_unanswered_start(self):
+        # The next lifetime may have the same id, and then carries the start out.
+        accepted, unanswered = run_start("a.0.0.0"), run_start("b.0.0.0")
+        self.start_runs(accepted)
+        self.send_orders(unanswered)
+        self.controller.endpoint_not_listening()
+        self.assertEqual({accepted.key: End.LOST}, self.reported_ends())
+        self.controller.handle_heartbeat(heartbeat(born_ms=2))
+        self.assertEqual({}, self.reported_ends())
+        self.deliver_inventory_of(self.controller.fence, born_ms=2)
+        self.assertEqual({unanswered.key: End.LOST}, self.reported_ends())
+        self.assertEqual(1, self.controller.crash_count)
+
+    def test_an_unanswered_start_is_lost_once_another_id_is_in_use(self):
+        unanswered = run_start()
+        self.send_orders(unanswered)
+        self.controller.endpoint_not_listening()
+        self.controller.handle_heartbeat(replace(heartbeat(), endpoint_id="e-2"))
+        self.assertEqual({unanswered.key: End.LOST}, self.reported_ends())
+
+    def test_a_refused_connection_does_not_repeat_the_stop_at_once(self):
+        # Each stop is refused as well, and there would be no end of them.
+        unanswered = run_start()
+        self.send_orders(unanswered)
+        for count in (1, 0, 0):
+            self.controller.endpoint_not_listening()
+            self.assertEqual(count, len(self.controller.next_orders()))
+
     def test_a_stop_accepted_by_an_earlier_lifetime_is_no_proof(self):
         # A start given up in one lifetime may be carried out in the next one.
         unanswered, fence = run_start(), self.controller.fence
