Let the endpoint confirm a new lifetime before its runs are given up (TWICE)

Cause: the decoder took it for a sound one, and the controller took any heartbeat with another id and a later birth for the end of the endpoint's process. The entry started the runs elsewhere 2 ms after it, though the endpoint was at work and answered. The true endpoint's heartbeats counted as older from then on. A whole heartbeat of an unknown id did the same.

Change: heartbeats with a missing or odd field are refused. One of another lifetime is a hint: LifetimeCheck asks the endpoint, and its answer with the same birth makes the lifetime the present one. The stored record of the endpoint is checked alike, and written from confirmed lifetimes only. The choice and the ways weighed are in docs/design/heartbeats.md.

--- a/plantainhitch/commands/deployed_agent.py
+++ b/plantainhitch/commands/deployed_agent.py
@@ -42,19 +42,15 @@
         zone=deployment.zone,
         warm_up_limits=WarmUpLimits.from_bounds(deployment.bounds),
     )
+    endpoint_record = EndpointRecord(store, clock, deployment.name)
     node = RunAgentNode(
         hello,
         clock,
         controller,
         lambda endpoint_id: EndpointClient(deployment.endpoint, clock, endpoint_id),
+        endpoint_record.update,
     )
-    endpoint_record = EndpointRecord(store, clock, deployment.name)
-
-    def on_heartbeat(report):
-        endpoint_record.update(report)
-        node.on_heartbeat(report)
-
-    heartbeats = HeartbeatApp(deployment.pool, on_heartbeat, node.on_leave)
+    heartbeats = HeartbeatApp(deployment.pool, node.on_heartbeat, node.on_leave)
     async with Resources() as resources:
         resources.push_async_callback(store.aclose)
         resources.push_async_callback(node.aclose)
--- a/plantainhitch/coordination/runs/agent_node.py
+++ b/plantainhitch/coordination/runs/agent_node.py
@@ -24,6 +24,7 @@
 from ..agent_links import exchange_hellos
 from ..background import run_until_first_completed, spawn
 from ..inbox import Inbox
+from .lifetime_check import FenceRejected, LifetimeCheck, LifetimeConfirmed
 from .report_pacer import ReportPacer
 from .run import StartOrder, StopOrder
 
@@ -117,15 +118,19 @@
     """One agent process of a deployment, without its listeners.
 
     ``connect_endpoint(endpoint_id)`` returns the client of an endpoint, see
-    ``EndpointClient``.
+    ``EndpointClient``. ``on_report(EndpointReport)`` is called for each heartbeat of
+    the present lifetime of the endpoint.
     """
 
-    def __init__(self, hello, clock, controller, connect_endpoint):
+    def __init__(self, hello, clock, controller, connect_endpoint, on_report=None):
         self._hello = hello
         self._clock = clock
         self._controller = controller
-        self._connect_endpoint = connect_endpoint
+        self._on_report = on_report or (lambda report: None)
         self._inbox = Inbox()
+        self._lifetime_check = LifetimeCheck(
+            clock, connect_endpoint, lambda: controller.fence, self._inbox.post
+        )
         self._links = {}
         self._endpoint_client = None
         self._lease_task = None
@@ -183,6 +188,7 @@
 
     async def aclose(self):
         """Close all links and the connections to the endpoint."""
+        self._lifetime_check.close()
         for link in self._links.values():
             link.close("agent is closing")
         if self._endpoint_client is not None:
@@ -231,9 +237,8 @@
                 controller.handle_stop_result(key, result, fence)
             case InventoryResultReceived(endpoint, result, fence):
                 self._handle_inventory_result(endpoint, result, fence)
-            case HeartbeatReceived(report):
-                if controller.handle_heartbeat(report):
-                    self._start_lease_renewal(report)
+            case HeartbeatReceived() | LifetimeConfirmed() | FenceRejected():
+                self._handle_lifetime_event(event)
             case OwnerLinked(incarnation, link):
                 controller.owners.link_opened(incarnation)
                 self._links[incarnation] = link
@@ -266,9 +271,37 @@
                 if incarnation in self._links:
                     self._links[incarnation].send(total_loads)
 
+    def _handle_lifetime_event(self, event):
+        match event:
+            case HeartbeatReceived(report):
+                self._handle_heartbeat(report)
+            case LifetimeConfirmed(report, client):
+                self._begin_lifetime(report, client)
+            case FenceRejected(fence):
+                self._controller.fence_rejected(fence)
+
+    def _handle_heartbeat(self, report):
+        """Record a heartbeat of the present lifetime; have another one confirmed.
+
+        Runs are not given up for a heartbeat, see docs/design/heartbeats.md.
+        """
+        current = self._controller.endpoint
+        if current is None or report.lifetime != current.lifetime:
+            self._lifetime_check.begin(report)
+            return
+        self._controller.handle_heartbeat(report)
+        self._on_report(self._controller.endpoint)
+
+    def _begin_lifetime(self, report, client):
+        if not self._controller.handle_heartbeat(report, is_confirmed=True):
+            client.close()  # it was confirmed twice
+            return
+        self._on_report(report)
+        self._start_lease_renewal(report, client)
+
     def _handle_inventory_result(self, endpoint, result, fence):
         current = self._controller.endpoint
-        if current is None or endpoint != (current.endpoint_id, current.born_ms):
+        if current is None or endpoint != current.lifetime:
             return
         match result:
             case Inventory():
@@ -278,18 +311,16 @@
             case Rejected(Rejection.FENCE):
                 self._controller.fence_rejected(fence)
 
-    def _start_lease_renewal(self, report):
-        """Connect to a new lifetime of the endpoint and renew its lease from now on."""
+    def _start_lease_renewal(self, report, client):
+        """Renew the lease of a new lifetime of the endpoint from now on."""
         if self._lease_task is not None:
             self._lease_task.cancel()
-        self._endpoint_client = self._connect_endpoint(report.endpoint_id)
-        self._lease_task = spawn(
-            self._renew_lease(report, self._endpoint_client), self._tasks
-        )
+        self._endpoint_client = client
+        self._lease_task = spawn(self._renew_lease(report, client), self._tasks)
 
     async def _renew_lease(self, report, endpoint_client):
         """Renew the endpoint's lease and post its inventories, until cancelled."""
-        lifetime = (report.endpoint_id, report.born_ms)
+        lifetime = report.lifetime
         wait_ms = 0
         with contextlib.closing(endpoint_client):
             while True:
@@ -321,8 +352,7 @@
         result = await self._endpoint_client.inventory(
             fence, controller.last_end_number, None, 0
         )
-        lifetime = endpoint.endpoint_id, endpoint.born_ms
-        self._inbox.post(InventoryResultReceived(lifetime, result, fence))
+        self._inbox.post(InventoryResultReceived(endpoint.lifetime, result, fence))
 
     async def _send_order(self, order):
         controller = self._controller
--- a/plantainhitch/coordination/runs/run_controller.py
+++ b/plantainhitch/coordination/runs/run_controller.py
@@ -251,18 +251,17 @@
         self._is_stopping = True
         self._refuse_waiting_starts("agent stops")
 
-    def handle_heartbeat(self, report: EndpointReport):
+    def handle_heartbeat(self, report: EndpointReport, *, is_confirmed=False):
         """Record a heartbeat; return whether it begins a new lifetime.
 
-        Heartbeats older than the newest one are ignored.
+        Heartbeats older than the newest one are ignored, unless the endpoint has
+        confirmed that this is its present lifetime.
         """
         previous = self._endpoint
-        if previous is not None and report.born_ms < previous.born_ms:
+        is_late = previous is not None and report.born_ms < previous.born_ms
+        if is_late and not is_confirmed:
             return False
-        is_new_lifetime = previous is None or (report.endpoint_id, report.born_ms) != (
-            previous.endpoint_id,
-            previous.born_ms,
-        )
+        is_new_lifetime = previous is None or report.lifetime != previous.lifetime
         if not is_new_lifetime and report.sequence < previous.sequence:
             return False
         if is_new_lifetime:
--- a/plantainhitch/platform/endpoint.py
+++ b/plantainhitch/platform/endpoint.py
@@ -1,7 +1,11 @@
 """The client of the endpoint on an agent's machine, and the decoder of heartbeats."""
 
+import re
+from typing import Annotated
+
 import msgspec
 
+from ..json_input import decode_json
 from ..state.endpoints import (
     Accepted,
     ActiveRun,
@@ -14,6 +18,7 @@
     Rejection,
 )
 from ..state.jobs import Room, RunKey
+from ..transport.addresses import Address
 from ..transport.http_client import HttpClient, HttpResponse, NotSent
 
 # An endpoint on the same machine answers an order within a few ms. An answer after this
@@ -48,22 +53,35 @@
 }
 
 
+# Endpoint ids that can be sent in a header.
+_ID_PATTERN = re.compile(r"[!-~]{1,200}")
+_Amount = Annotated[int, msgspec.Meta(ge=0, le=2**31 - 1)]
+_Duration = Annotated[float, msgspec.Meta(ge=0, le=2**53)]
+_UnixMs = Annotated[int, msgspec.Meta(gt=0, le=2**53)]
+
+
 class _CapacityModel(msgspec.Struct):
-    cpu: int
-    mem_mb: int
-    gpu: int = 0
+    cpu: _Amount
+    mem_mb: _Amount
+    gpu: _Amount = 0
 
 
 class _HeartbeatModel(msgspec.Struct):
+    # A heartbeat in which a field is missing or odd is that of another writer, so the
+    # fields that are not used here are checked as well.
     service: str  # the pool
+    addr: str
+    zone: str
+    version: str
+    slots: _Amount
     state: str
-    seq: int
+    seq: _Amount
     capacity: _CapacityModel
-    born: int  # start of the lifetime, in Unix ms
-    labels: list[str] = []
-    remaining_ms: float | None = None
-    clock_ms: float = 0
-    cold_left_ms: float | None = None
+    born: _UnixMs  # start of the lifetime
+    labels: list[str]
+    cold_left_ms: _Duration
+    remaining_ms: _Duration | None = None
+    clock_ms: _Duration = 0
 
 
 class _InventoryModel(msgspec.Struct):
@@ -81,11 +99,15 @@
 def decode_heartbeat(endpoint_id, body):
     """Return the ``EndpointReport`` in the body of a heartbeat.
 
-    Raises ValueError (``msgspec.DecodeError`` is one) if the body is not readable.
+    Raises ValueError if the body or the id is not that of a sound endpoint.
     """
-    model = msgspec.json.decode(body, type=_HeartbeatModel)
+    if not _ID_PATTERN.fullmatch(endpoint_id):
+        raise ValueError(f"not an endpoint id: {endpoint_id[:200]!r}")
+    model = decode_json(body, _HeartbeatModel)
     if model.state not in _HEARTBEAT_STATES:
         raise ValueError(f"unknown state: {model.state!r}")
+    if model.addr:
+        Address.from_text(model.addr)  # some endpoints leave it empty
     capacity = model.capacity
     labels = tuple(model.labels)
     return EndpointReport(
@@ -101,7 +123,7 @@
         labels=labels,
         remaining_ms=None if model.remaining_ms is None else int(model.remaining_ms),
         clock_ms=int(model.clock_ms),
-        cold_for_ms=_to_uint32(model.cold_left_ms or 0),
+        cold_for_ms=_to_uint32(model.cold_left_ms),
     )
 
 
--- a/plantainhitch/platform/heartbeats.py
+++ b/plantainhitch/platform/heartbeats.py
@@ -1,7 +1,5 @@
 """The HTTP application that receives the heartbeats of the endpoint on its machine."""
 
-import msgspec
-
 from .. import logs
 from ..transport.asgi import MAX_SMALL_BODY_BYTES, Reply, read_body, send_reply
 from . import endpoint
@@ -45,7 +43,7 @@
     def _handle_heartbeat(self, endpoint_id, body):
         try:
             report = endpoint.decode_heartbeat(endpoint_id, body)
-        except (msgspec.DecodeError, ValueError) as error:
+        except ValueError as error:
             log.warning("unreadable heartbeat", endpoint=endpoint_id, why=str(error))
             return Reply(400, b'{"error":"the heartbeat is not readable"}')
         if report.pool != self._pool:
--- a/plantainhitch/standins/run_endpoint.py
+++ b/plantainhitch/standins/run_endpoint.py
@@ -74,7 +74,7 @@
             "version": "v1",
             "slots": 8,
             "state": "draining" if self.draining else "ready",
-            "cold_for_ms": 0,
+            "cold_left_ms": 0,
             "capacity": {"cpu": self.cpu_millis, "mem_mb": 4_096, "gpu": 0},
             "labels": ["a", "r1-1"],
             "clock_ms": self._clock_ms(),
--- a/plantainhitch/state/endpoints.py
+++ b/plantainhitch/state/endpoints.py
@@ -30,6 +30,11 @@
     clock_ms: int = 0
     cold_for_ms: int = 0
 
+    @property
+    def lifetime(self):
+        """The pair (``endpoint_id``, ``born_ms``)."""
+        return self.endpoint_id, self.born_ms
+
 
 class End(enum.Enum):
     """How a run ended; the values are codes on the wire between entries and agents.
--- a/tests/test_deployed_soak.py
+++ b/tests/test_deployed_soak.py
@@ -11,7 +11,12 @@
 from dataclasses import replace
 from unittest import mock
 
+import msgspec
+
+from plantainhitch.clock import Clock
 from plantainhitch.standins.run_endpoint import DEADLY_PAYLOAD
+from plantainhitch.transport.addresses import Address
+from plantainhitch.transport.http_client import HttpClient
 
 from . import deployed_soak as soak
 from .deployed_world import (
@@ -29,6 +34,7 @@
     overlapping_runs,
 )
 from .harness import ProcessTestCase
+from .odd_values import odd_documents
 
 CRASH_SEED = 3
 GRACEFUL_SEED = 11
@@ -92,6 +98,44 @@
             self.assertEqual([], world.violations())
 
 
+class OddHeartbeatTests(ProcessTestCase):
+    """Heartbeats of another writer, under the endpoint's id and under unknown ones."""
+
+    async def test_odd_heartbeats_while_tasks_run(self):
+        # Review case 5: the endpoint's runs were started elsewhere while they went on.
+        async with World(random.Random(5), entries=2, agents=3) as world:
+            job = asyncio.create_task(world.submit(tasks=3, run_ms=2_500))
+            await asyncio.sleep(0.4)
+            for agent, endpoint in zip(world.agents, world.endpoints, strict=True):
+                await self.send_odd_heartbeats(agent, endpoint)
+            self.assertEqual("completed", (await job).state)
+            self.assertEqual([], world.violations())
+            self.assertTrue(all(node.process.is_running for node in world.nodes))
+            # The true endpoints are still followed, and get work.
+            counts = [len(endpoint.runs) for endpoint in world.endpoints]
+            for endpoint in world.endpoints:
+                endpoint.resize(1_000)
+            await asyncio.sleep(0.5)
+            jobs = [world.submit(tasks=1, run_ms=200) for _ in range(3)]
+            await asyncio.gather(*jobs)
+            for endpoint, count in zip(world.endpoints, counts, strict=True):
+                self.assertGreater(len(endpoint.runs), count)
+            self.assertEqual([], world.violations())
+
+    async def send_odd_heartbeats(self, agent, endpoint):
+        client = HttpClient(Address.from_text(agent.address(4)), Clock())
+        path, body = endpoint.heartbeat()
+        document = msgspec.json.decode(body)
+        newer = document | {"born": int(time.time() * 1_000), "seq": 1}
+        bodies = [data for _, data in odd_documents(newer)]
+        bodies.append(msgspec.json.encode(newer))  # sound, but of no endpoint
+        for data in bodies:
+            for target in (path, "/instances/i-unknown"):
+                await client.request(b"PUT", target.encode(), data)
+        await client.request(b"DELETE", path.encode())
+        await client.aclose()
+
+
 class EvacuationTests(ProcessTestCase):
     """Evacuations that some processes can't learn from the store."""
 
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -22,6 +22,7 @@
 from plantainhitch.transport.platform import ABSENT, FaultKind, Write
 
 from .deployment import POOL, configuration as configured
+from .odd_values import odd_documents
 
 ROOT = Path(__file__).resolve().parent.parent
 PACKAGE = ROOT / "plantainhitch"
@@ -57,8 +58,11 @@
 HEARTBEAT = {
     "service": POOL,
     "addr": "10.0.0.1:1",
+    "zone": "z1",
+    "version": "v1",
     "slots": 8,
     "state": "draining",
+    "cold_left_ms": 0,
     "remaining_ms": 1_500,
     "capacity": {"cpu": 16_000, "mem_mb": 32_768, "gpu": 1},
     "labels": ["b", "r1-3"],
@@ -143,6 +147,40 @@
         with self.assertRaises(ValueError):
             endpoint.decode_heartbeat("i-1", b"\xff\xfe")
 
+    def test_heartbeats_of_another_writer_name_no_endpoint(self):
+        # Review case 5: fields were missing, and the heartbeat replaced the endpoint.
+        optional = {"clock_ms", "remaining_ms"}
+        for what, data in odd_documents(HEARTBEAT):
+            field, _, odd = what.partition(" ")
+            if odd == "missing" and field in optional:
+                continue
+            if what.startswith("remaining_ms: b'null'"):
+                continue  # as if it was missing
+            with self.subTest(what), self.assertRaises(ValueError):
+                endpoint.decode_heartbeat("i-1", data)
+
+    def test_heartbeats_with_an_odd_place_or_room_name_no_endpoint(self):
+        changes = [
+            {"addr": "10.0.0.1:65536"},
+            {"addr": f"10.0.0.1:{'9' * 5_000}"},
+            {"addr": "nowhere"},
+            {"labels": ["a", 7]},
+            {"capacity": HEARTBEAT["capacity"] | {"cpu": -1}},
+            {"capacity": HEARTBEAT["capacity"] | {"cpu": 2**40}},
+            {"capacity": {"cpu": 1_000}},
+        ]
+        for change in changes:
+            with self.subTest(change=str(change)[:80]), self.assertRaises(ValueError):
+                data = msgspec.json.encode(HEARTBEAT | change)
+                endpoint.decode_heartbeat("i-1", data)
+
+    def test_heartbeats_under_an_odd_id_name_no_endpoint(self):
+        # The id is sent in a header of the calls to the endpoint.
+        data = msgspec.json.encode(HEARTBEAT)
+        for endpoint_id in ("a b", "a\r\nX: y", "é", "a" * 5_000, ""):
+            with self.subTest(endpoint_id[:20]), self.assertRaises(ValueError):
+                endpoint.decode_heartbeat(endpoint_id, data)
+
     def test_job(self):
         body = {
             "spec": "x",
