Leave out odd rows instead of ending, and follow the others (processes ended)

Operators of systems like ours reported it: nested very deeply, a number too large, a port out of range.

Cause: a member with a port above 65,535 was accepted, and dialling it raised an error in the task that reads the table. JSON that is nested too deeply raises RecursionError, which no reader caught. A value that is no text made the whole answer of the store unreadable, so that the table was not followed any more. A row under another key replaced the member with the same incarnation, and its removal removed it.

A row names a member only if its addresses can be connected to and its key is the member's. All tables are read with raw values, so the others hold. An odd record of the endpoint names none, an odd cursor begins anew.

The members of test_job_peers had no addresses that could be dialled; they have now. The model of operator rows is that of all rows, and its test uses that.

--- a/plantainhitch/coordination/configuration_rows.py
+++ b/plantainhitch/coordination/configuration_rows.py
@@ -10,6 +10,7 @@
 import msgspec
 from returns.result import Failure, Success
 
+from ..json_input import decode_json
 from ..logs import get_logger
 from ..state.classes import NO_VERSION, ClassDocument
 from ..transport.platform import ABSENT, FaultKind, PlatformFault, Write
@@ -79,8 +80,8 @@
 
 def _decode(row, model):
     try:
-        return Success(msgspec.json.decode(row.value, type=model))
-    except msgspec.DecodeError as error:
+        return Success(decode_json(row.value, model))
+    except ValueError as error:
         return _unreadable_row(f"row {row.key!r}: {error}")
 
 
--- a/plantainhitch/coordination/entry.py
+++ b/plantainhitch/coordination/entry.py
@@ -8,8 +8,6 @@
 import asyncio
 from dataclasses import dataclass
 
-import msgspec
-
 from .. import logs, traces
 from ..metrics import EntryMetrics
 from ..protocol import messages as m
@@ -300,7 +298,7 @@
         """Offer a configuration that another process has pushed to the store."""
         try:
             document = ClassDocument.from_json(message.document)
-        except (msgspec.DecodeError, ValueError) as error:
+        except ValueError as error:
             log.error("pushed configuration ignored: unreadable", error=str(error))
             return
         if self._configuration.adopt_if_newer(document):
--- a/plantainhitch/coordination/jobs/peers.py
+++ b/plantainhitch/coordination/jobs/peers.py
@@ -8,8 +8,6 @@
 
 import random
 
-import msgspec
-
 from ... import logs
 from ...protocol import messages as m
 from ...state.evacuations import EvacuatedZones
@@ -239,7 +237,7 @@
         for data in members:
             try:
                 member = Member.from_json(data)
-            except (msgspec.DecodeError, ValueError, TypeError) as error:
+            except (ValueError, TypeError) as error:
                 log.warning("unreadable member from a peer", why=str(error))
                 continue
             self._known_by_link[link].add(member.incarnation)
@@ -249,7 +247,7 @@
     def _apply_routes(self, version, document):
         try:
             table = self._decode_routes(document)
-        except (msgspec.DecodeError, ValueError) as error:
+        except ValueError as error:
             log.warning("unreadable configuration", version=version, why=str(error))
             return
         self._routes.apply(table)
--- a/plantainhitch/coordination/key_sweep.py
+++ b/plantainhitch/coordination/key_sweep.py
@@ -7,9 +7,13 @@
 causes repeated work.
 """
 
+from typing import Annotated
+
 import msgspec
 from returns.result import Failure, Success
 
+from ..json_input import decode_json
+from ..logs import get_logger
 from ..transport.platform import ABSENT, TABLE_KEYS, Write
 from .keys import HOUR_MS, RETENTION_MS, read_binding
 
@@ -21,10 +25,22 @@
 CURSOR_KEY = "swept"
 
 
+log = get_logger("key-sweep")
+
+
 class SweepCursorModel(msgspec.Struct):
     """The value of the cursor's row: all rows up to ``revision`` have been swept."""
 
-    revision: int
+    revision: Annotated[int, msgspec.Meta(ge=0, le=2**63 - 1)]
+
+
+def _read_cursor_row(row):
+    """Return the cursor in its row, or ``ABSENT`` if the row holds none."""
+    try:
+        return decode_json(row.value, SweepCursorModel).revision
+    except ValueError as error:
+        log.error("cursor unreadable", why=str(error))
+        return ABSENT
 
 
 class KeySweeper:
@@ -66,9 +82,7 @@
             case Success(None):
                 self._cursor = ABSENT
             case Success(row):
-                self._cursor = msgspec.json.decode(
-                    row.value, type=SweepCursorModel
-                ).revision
+                self._cursor = _read_cursor_row(row)
         return True
 
     async def _delete(self, rows, cursor):
--- a/plantainhitch/coordination/keys.py
+++ b/plantainhitch/coordination/keys.py
@@ -21,6 +21,7 @@
 import msgspec
 from returns.result import Failure, Success
 
+from ..json_input import decode_json
 from ..logs import get_logger
 from ..protocol.errors import ErrorCode, Refusal
 from ..transport.platform import ABSENT, TABLE_KEYS, FaultKind, Write
@@ -231,10 +232,10 @@
     if value is None:
         return None
     try:
-        model = msgspec.json.decode(value, type=BindingModel)
+        model = decode_json(value, BindingModel)
         bytes.fromhex(model.submission)
         bytes.fromhex(model.digest)
-    except ValueError:  # msgspec.DecodeError is one
+    except ValueError:
         return None
     return model
 
--- a/plantainhitch/coordination/membership.py
+++ b/plantainhitch/coordination/membership.py
@@ -374,7 +374,10 @@
             incarnation = bytes.fromhex(key.partition("/")[2])
         except ValueError:
             return
-        self._members.pop(incarnation, None)
+        member = self._members.get(incarnation)
+        if member is None or member.key != key:
+            return  # the row named no member
+        del self._members[incarnation]
         self._row_revisions.pop(incarnation, None)
         self._first_known_ms.pop(incarnation, None)
         self._proved_dead.discard(incarnation)
@@ -398,7 +401,10 @@
 def _read_member(row):
     """Return the member in a row, or None if it is unreadable."""
     try:
-        return Member.from_json(row.value)
+        member = Member.from_json(row.value)
+        if member.key != row.key:
+            raise ValueError("the key is not that of the member")
     except (ValueError, TypeError) as error:
         log.error("member row unreadable", key=row.key, why=str(error))
         return None
+    return member
--- a/plantainhitch/coordination/runs/endpoint_record.py
+++ b/plantainhitch/coordination/runs/endpoint_record.py
@@ -7,12 +7,15 @@
 
 import asyncio
 from dataclasses import replace
+from typing import Annotated
 
 import msgspec
 from returns.result import Failure, Success
 
 from ... import logs
-from ...state.endpoints import EndpointReport
+from ...json_input import decode_json
+from ...state.endpoints import EndpointReport, is_endpoint_id
+from ...state.jobs import Room
 from ...transport.platform import Write
 from ..backoff import Backoff
 
@@ -22,6 +25,40 @@
 
 log = logs.get_logger("endpoint-memory")
 
+_Amount = Annotated[int, msgspec.Meta(ge=0, le=2**31 - 1)]
+_Ms = Annotated[int, msgspec.Meta(ge=0, le=2**53)]
+
+
+class _RoomModel(msgspec.Struct):
+    cpu_millis: _Amount
+    memory_mb: _Amount
+    gpus: _Amount
+
+
+class _RecordModel(msgspec.Struct):
+    """The value of a row: the fields of an ``EndpointReport``."""
+
+    endpoint_id: str
+    born_ms: _Ms
+    sequence: _Amount
+    pool: str
+    draining: bool
+    capacity: _RoomModel
+    kind: str = ""
+    rack: str = ""
+    labels: tuple[str, ...] = ()
+    remaining_ms: _Ms | None = None
+    clock_ms: _Ms = 0
+    cold_for_ms: _Ms = 0
+
+    def to_report(self):
+        """Return the ``EndpointReport``; raise ValueError for an odd id."""
+        if not is_endpoint_id(self.endpoint_id):
+            raise ValueError(f"not an endpoint id: {self.endpoint_id[:200]!r}")
+        fields = msgspec.structs.asdict(self)
+        capacity = Room(**msgspec.structs.asdict(self.capacity))
+        return EndpointReport(**fields | {"capacity": capacity})
+
 
 class EndpointRecord:
     """The row of one machine, with the newest ``EndpointReport`` of its endpoint.
@@ -82,8 +119,8 @@
     if value is None:
         return None
     try:
-        report = msgspec.json.decode(value, type=EndpointReport)
-    except msgspec.DecodeError as error:
+        report = decode_json(value, _RecordModel).to_report()
+    except ValueError as error:
         log.warning("unreadable endpoint record", why=str(error))
         return None
     # The age of the record is not known, and most endpoints are warm.
--- a/plantainhitch/explain.py
+++ b/plantainhitch/explain.py
@@ -7,7 +7,7 @@
 
 from dataclasses import dataclass, field
 
-import msgspec
+from .json_input import decode_json
 
 
 class RunEvent:
@@ -87,9 +87,9 @@
     lines, unreadable = [], 0
     for text in path.read_text(encoding="utf-8", errors="replace").splitlines():
         try:
-            values = msgspec.json.decode(text)
+            values = decode_json(text, object)
             time, event = values["time"], values["message"]
-        except (msgspec.DecodeError, KeyError, TypeError):
+        except (ValueError, KeyError, TypeError):
             unreadable += 1
             continue
         fields = _Fields(
--- a/plantainhitch/platform/configuration.py
+++ b/plantainhitch/platform/configuration.py
@@ -1,9 +1,12 @@
 """Decodes the rows of the operator's table: the configuration and evacuations."""
 
+from typing import Annotated
+
 import msgspec
 from returns.result import Success
 
 from .. import logs
+from ..json_input import decode_json
 from ..state.evacuations import EvacuatedZones
 from ..state.routes import Route, RouteTable
 
@@ -49,7 +52,7 @@
 class ConfigurationModel(msgspec.Struct):
     """The document in the configuration row."""
 
-    version: int
+    version: Annotated[int, msgspec.Meta(ge=0, le=2**63 - 1)]
     routes: list[RouteModel]
     services: list[ServiceModel] = []
     limits: LimitsModel = msgspec.field(default_factory=LimitsModel)
@@ -58,9 +61,9 @@
 def decode(value):
     """Return the ``RouteTable`` in the value of a row.
 
-    Raises ValueError (``msgspec.DecodeError`` is one) if the value is not readable.
+    Raises ValueError if the value is not readable.
     """
-    model = msgspec.json.decode(value, type=ConfigurationModel)
+    model = decode_json(value, ConfigurationModel)
     return RouteTable(
         version=model.version,
         routes=tuple(map(_to_route, model.routes)),
@@ -157,8 +160,8 @@
 
 def _is_json(value):
     try:
-        msgspec.json.decode(value)
-    except (msgspec.DecodeError, UnicodeDecodeError):
+        decode_json(value, object)
+    except ValueError:
         return False
     return True
 
@@ -170,6 +173,6 @@
             continue
         try:
             table = decode(row.value)
-        except (msgspec.DecodeError, ValueError, UnicodeDecodeError) as error:
+        except ValueError as error:
             log.error("unreadable configuration", revision=row.revision, why=str(error))
     return changes.revision, table
--- a/plantainhitch/platform/configuration_check.py
+++ b/plantainhitch/platform/configuration_check.py
@@ -10,6 +10,7 @@
 import msgspec
 from returns.result import Failure, Result, Success
 
+from ..json_input import decode_json
 from ..state.route_checks import ConfigurationDraft, RouteDraft, find_faults
 from ..validation import Problem, format_value
 from .configuration import ConfigurationModel, LimitsModel, RouteModel, ServiceModel
@@ -64,8 +65,8 @@
     Return Success(CheckedConfiguration), or Failure(text) if it isn't a JSON object.
     """
     try:
-        tables = msgspec.json.decode(value)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        tables = decode_json(value, object)
+    except ValueError as error:
         return Failure(str(error))
     if not isinstance(tables, dict):
         return Failure("not a JSON object")
--- a/plantainhitch/platform/store.py
+++ b/plantainhitch/platform/store.py
@@ -5,6 +5,7 @@
 import msgspec
 from returns.result import Failure, Success
 
+from ..json_input import decode_json
 from ..transport.http_client import HttpClient, HttpResponse, NotSent
 from ..transport.platform import (
     ABSENT,
@@ -29,7 +30,9 @@
 
 class _RowModel(msgspec.Struct):
     key: str
-    value: bytes | None = None
+    # Other writers may leave a value of another type, which must not make the other
+    # rows unreadable.
+    value: msgspec.Raw = msgspec.Raw(b"null")
     ver: int = 0  # the store's version at the last change of the row
     tombstone: bool = False
 
@@ -40,16 +43,6 @@
     truncated: bool = False
 
 
-class _OperatorRowModel(_RowModel):
-    # Rows of the operator's table are written by hand as well. One with a value of
-    # another type must not make the others unreadable.
-    value: msgspec.Raw = msgspec.Raw(b"null")
-
-
-class _OperatorRowsModel(_RowsModel):
-    rows: list[_OperatorRowModel]
-
-
 class _WrittenModel(msgspec.Struct):
     ver: int
 
@@ -78,20 +71,19 @@
     async def changes(self, table, since_revision, limit=None):
         """See ``Platform.changes``; ``limit`` is ignored, as the store has its own.
 
+        The value of a row that is not encoded as bytes is empty.
+
         If the store has discarded the history since ``since_revision``, all rows are
         returned. Rows that were deleted meanwhile are then missing from the result.
         """
-        return await self._changes(TABLE_PREFIX + table, since_revision, 0, _RowsModel)
+        return await self._changes(TABLE_PREFIX + table, since_revision, 0)
 
     async def operator_changes(self, since_revision, wait_ms):
         """Return Success(Changes) of the operator's table, or a Failure.
 
-        Waits up to ``wait_ms`` for a first change. The value of a row that is not
-        encoded as bytes is empty.
+        Waits up to ``wait_ms`` for a first change.
         """
-        return await self._changes(
-            OPERATOR_TABLE, since_revision, wait_ms, _OperatorRowsModel
-        )
+        return await self._changes(OPERATOR_TABLE, since_revision, wait_ms)
 
     async def write(self, table, writes):
         """See ``Platform.write``."""
@@ -128,21 +120,21 @@
         """Close the connections."""
         await self._http.aclose()
 
-    async def _changes(self, table, since_revision, wait_ms, model):
+    async def _changes(self, table, since_revision, wait_ms):
         if not since_revision:
-            return await self._read_all(table, model)
+            return await self._read_all(table)
         query = {"table": table, "after": since_revision, "wait_ms": wait_ms}
         answer = await self._get("/rows-feed", query, CALL_TIMEOUT_MS + wait_ms)
         if isinstance(answer, HttpResponse) and answer.status == 410:
-            return await self._read_all(table, model)
-        return _decode(answer, model).map(_to_changes)
+            return await self._read_all(table)
+        return _decode(answer, _RowsModel).map(_to_changes)
 
     async def _read_rows(self, table, key):
         query = {"table": table, "part": "", "from": key, "to": f"{key}\0"}
         answer = await self._get("/rows-get", query, CALL_TIMEOUT_MS)
         return _decode(answer, _RowsModel)
 
-    async def _read_all(self, table, model):
+    async def _read_all(self, table):
         """Return Success(Changes) with all rows of a table, or a Failure.
 
         The rows are read in pages of ``MAX_ROWS``.
@@ -153,7 +145,7 @@
             if first_key:
                 query["from"] = first_key
             answer = await self._get("/rows-get", query, CALL_TIMEOUT_MS)
-            result = _decode(answer, model)
+            result = _decode(answer, _RowsModel)
             if isinstance(result, Failure):
                 return result
             page = result.unwrap()
@@ -179,9 +171,7 @@
 
 
 def _to_row(row):
-    value = row.value
-    if isinstance(value, msgspec.Raw):
-        value = _decode_raw_value(value)
+    value = _decode_raw_value(row.value)
     is_deleted = row.tombstone or value is None
     return Row(
         row.key, None if is_deleted else value, ABSENT if is_deleted else row.ver
@@ -191,8 +181,8 @@
 def _decode_raw_value(raw):
     """Return the bytes in a row's JSON value, empty if it is none, or None for null."""
     try:
-        return msgspec.json.decode(raw, type=bytes | None)
-    except msgspec.DecodeError:
+        return decode_json(raw, bytes | None)
+    except ValueError:
         return b""
 
 
@@ -216,8 +206,8 @@
         kind = FaultKind.NOT_APPLIED if is_certain else FaultKind.UNKNOWN
         return _fault(kind, f"HTTP status {answer.status}")
     try:
-        return Success(msgspec.json.decode(answer.body, type=model))
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        return Success(decode_json(answer.body, model))
+    except ValueError as error:
         return _fault(FaultKind.UNKNOWN, f"unreadable answer: {error}")
 
 
--- a/plantainhitch/protocol/json_codec.py
+++ b/plantainhitch/protocol/json_codec.py
@@ -34,7 +34,7 @@
         return decoder.decode(body)
     except msgspec.ValidationError as error:
         return Refusal(ErrorCode.BAD_FIELD, str(error), not_run=True)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
         return Refusal(ErrorCode.BAD_JSON, str(error), not_run=True)
 
 
--- a/plantainhitch/state/classes.py
+++ b/plantainhitch/state/classes.py
@@ -7,6 +7,8 @@
 
 import msgspec
 
+from ..json_input import decode_json
+
 NO_VERSION = 0
 
 
@@ -52,7 +54,7 @@
     @classmethod
     def from_json(cls, data):
         """Return the document in ``data``; raise ValueError if it is malformed."""
-        model = msgspec.json.decode(data, type=DocumentModel)
+        model = decode_json(data, DocumentModel)
         classes = [ClassDefinition(**_fields(item)) for item in model.classes]
         teams = [TeamQuota(**_fields(item)) for item in model.teams]
         return cls(
--- a/plantainhitch/state/endpoints.py
+++ b/plantainhitch/state/endpoints.py
@@ -1,10 +1,19 @@
 """Heartbeats, inventories and replies of endpoints."""
 
 import enum
+import re
 from dataclasses import dataclass
 
 from .jobs import Room, RunKey
 
+# Ids that can be sent in a header.
+_ID_PATTERN = re.compile(r"[!-~]{1,200}")
+
+
+def is_endpoint_id(text):
+    """Return whether a text can be the id of an endpoint."""
+    return _ID_PATTERN.fullmatch(text) is not None
+
 
 @dataclass(frozen=True, slots=True)
 class EndpointReport:
--- a/plantainhitch/state/members.py
+++ b/plantainhitch/state/members.py
@@ -1,9 +1,15 @@
 """Members: entries and agents as registered in the platform's table."""
 
 from dataclasses import dataclass
+from typing import Annotated
 
 import msgspec
 
+from ..json_input import decode_json
+from ..transport.addresses import Address
+
+UnixMs = Annotated[int, msgspec.Meta(ge=0, le=2**53)]
+
 
 class MemberRecord(msgspec.Struct, forbid_unknown_fields=False):
     """The JSON value of a member's row; the row's key is ``role/incarnation``."""
@@ -17,7 +23,7 @@
     link: str
     http: str
     left: bool = False
-    renewed_ms: int = 0
+    renewed_ms: UnixMs = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -46,8 +52,13 @@
 
     @classmethod
     def from_json(cls, data):
-        """Return the member in a row's value; raise ValueError if it is malformed."""
-        record = msgspec.json.decode(data, type=MemberRecord)
+        """Return the member in a row's value; raise ValueError if it is malformed.
+
+        That includes addresses that can't be connected to.
+        """
+        record = decode_json(data, MemberRecord)
+        for address in filter(None, (record.link, record.http)):
+            Address.from_text(address)
         fields = msgspec.structs.asdict(record)
         fields["incarnation"] = bytes.fromhex(record.incarnation)
         return cls(**fields)
--- a/plantainhitch/transport/agent_http.py
+++ b/plantainhitch/transport/agent_http.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from ..coordination.agent_events import EndpointAnnounced, EndpointInfo, EndpointLeaving
+from ..json_input import decode_json
 from .addresses import Address
 from .asgi import METRICS_TYPE, Reply, read_body, send_reply
 
@@ -79,9 +80,8 @@
 
     def _handle_announcement(self, body):
         try:
-            model = msgspec.json.decode(body, type=AnnouncementModel)
-            endpoint = model.to_endpoint()
-        except (msgspec.DecodeError, ValueError) as error:
+            endpoint = decode_json(body, AnnouncementModel).to_endpoint()
+        except ValueError as error:
             return _error_reply(400, str(error))
         self._node.post(EndpointAnnounced(endpoint))
         return Reply(204)
--- a/plantainhitch/transport/endpoint_http.py
+++ b/plantainhitch/transport/endpoint_http.py
@@ -8,6 +8,7 @@
 
 import msgspec
 
+from ..json_input import decode_json
 from ..outcomes import Failed, NotRun, Reason, Succeeded, Unknown
 from .endpoint import EndpointClient
 from .http_client import (
@@ -84,8 +85,8 @@
         if not isinstance(result, HttpResponse) or result.status != 200:
             return None
         try:
-            return msgspec.json.decode(result.body, type=_StatusBody).busy
-        except msgspec.DecodeError:
+            return decode_json(result.body, _StatusBody).busy
+        except ValueError:
             return None
 
     async def aclose(self):
@@ -130,7 +131,7 @@
 def _outcome_from_body(body):
     """Return ``Succeeded`` if the body is a valid JSON value, else ``Failed``."""
     try:
-        msgspec.json.decode(body, type=msgspec.Raw)
-    except msgspec.DecodeError as error:
+        decode_json(body, msgspec.Raw)
+    except ValueError as error:
         return Failed(Reason.BAD_ANSWER, str(error))
     return Succeeded(body)
--- a/plantainhitch/transport/platform_http.py
+++ b/plantainhitch/transport/platform_http.py
@@ -12,6 +12,7 @@
 import msgspec
 from returns.result import Failure, Success
 
+from ..json_input import decode_json
 from .httpx_loader import httpx
 from .platform import FaultKind, Platform, PlatformFault
 from .platform_models import (
@@ -36,8 +37,8 @@
 def _decode(content, model):
     """Return Success(model), or an UNKNOWN fault if ``content`` can't be decoded."""
     try:
-        return Success(msgspec.json.decode(content, type=model))
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        return Success(decode_json(content, model))
+    except ValueError as error:
         return _failure(FaultKind.UNKNOWN, f"malformed response: {error}")
 
 
--- a/tests/test_deployed_soak.py
+++ b/tests/test_deployed_soak.py
@@ -34,7 +34,8 @@
     overlapping_runs,
 )
 from .harness import ProcessTestCase
-from .odd_values import odd_documents
+from .odd_values import DEEP_JSON, odd_documents
+from .test_odd_input import odd_members
 
 CRASH_SEED = 3
 GRACEFUL_SEED = 11
@@ -136,6 +137,38 @@
         await client.aclose()
 
 
+class OddRowTests(ProcessTestCase):
+    """Odd rows of another writer in the tables."""
+
+    async def test_odd_rows_end_no_process_and_the_others_are_followed(self):
+        # Entries ended again and again at a member with a port out of range.
+        async with World(random.Random(6), entries=2, agents=2) as world:
+            for number, (_, value) in enumerate(odd_members("r1")):
+                for role in ("agent", "entry"):
+                    key = f"{role}/{number:032x}"
+                    world.store.put("plantainhitch-members", key, value)
+            await asyncio.sleep(1.5)
+            self.assertTrue(all(node.process.is_running for node in world.nodes))
+            world.store.put("plantainhitch-members", "agent/odd", {"no": "text"})
+            world.store.put("plantainhitch-endpoints", "agent-0", DEEP_JSON)
+            for value in (DEEP_JSON, b"\xff", {"no": "text"}):
+                world.store.put("op", "config", value)
+                await asyncio.sleep(0.7)
+            self.assertTrue(all(node.process.is_running for node in world.nodes))
+            # A process that starts now reads all of them, and is found by the others.
+            for node in (world.agents[0], world.entries[0]):
+                await node.process.kill()
+                await node.start()
+            count = len(world.endpoints[0].runs)
+            await world.check_recovery("odd rows")
+            await world.check_configuration()
+            async with asyncio.timeout(10):
+                while len(world.endpoints[0].runs) == count:
+                    await world.submit(tasks=4, run_ms=80)
+            self.assertTrue(all(node.process.is_running for node in world.nodes))
+            self.assertEqual([], world.violations())
+
+
 class EvacuationTests(ProcessTestCase):
     """Evacuations that some processes can't learn from the store."""
 
--- a/tests/test_evacuation.py
+++ b/tests/test_evacuation.py
@@ -141,7 +141,7 @@
         body += (
             b'{"key":"config","value":"e30=","ver":3},{"key":"x","tombstone":true}]}'
         )
-        model = msgspec.json.decode(body, type=store._OperatorRowsModel)
+        model = msgspec.json.decode(body, type=store._RowsModel)
         rows = store._to_changes(model).rows
         self.assertEqual([b"", b"{}", None], [row.value for row in rows])
 
--- a/tests/test_job_peers.py
+++ b/tests/test_job_peers.py
@@ -14,8 +14,9 @@
 
 
 def member(name, role=m.ROLE_AGENT):
-    """Return a member with the given name."""
-    return Member(role, name.encode() * 2, name, "z", "r", "", f"{name}:1", "")
+    """Return a member with the given name, each with an address of its own."""
+    host = f"10.0.0.{sum(name.encode()) % 256}"
+    return Member(role, name.encode() * 2, name, "z", "r", "", f"{host}:1", "")
 
 
 class FakeMembership:
@@ -196,7 +197,7 @@
         self.tasks.append(served)
         await asyncio.sleep(0)
         self.peers._make_hello = lambda: None
-        address = Address("peer", 1)
+        address = Address.from_text(peer.link)
         with mock.patch.object(peers, "open_link") as open_link:
             open_link.return_value = None, None
             dialling = asyncio.create_task(self.peers._maintain_link(address))
