Take an odd answer of the endpoint for a lost one (the endpoint was given up)

Callers: all runs of an endpoint would have been lost after its lease, and the endpoint never used again, after one inventory that was nested too deeply.

Cause: the decoder's RecursionError ended the task that renews the lease, which nobody noticed. Values of other types or out of range were passed on, to orders and to frames that can't hold them.

--- a/plantainhitch/platform/endpoint.py
+++ b/plantainhitch/platform/endpoint.py
@@ -1,6 +1,5 @@
 """The client of the endpoint on an agent's machine, and the decoder of heartbeats."""
 
-import re
 from typing import Annotated
 
 import msgspec
@@ -16,6 +15,7 @@
     NoAnswer,
     Rejected,
     Rejection,
+    is_endpoint_id,
 )
 from ..state.jobs import Room, RunKey
 from ..transport.addresses import Address
@@ -53,10 +53,9 @@
 }
 
 
-# Endpoint ids that can be sent in a header.
-_ID_PATTERN = re.compile(r"[!-~]{1,200}")
 _Amount = Annotated[int, msgspec.Meta(ge=0, le=2**31 - 1)]
-_Duration = Annotated[float, msgspec.Meta(ge=0, le=2**53)]
+_Number = Annotated[float, msgspec.Meta(ge=0, le=2**53)]
+_Count = Annotated[int, msgspec.Meta(ge=0, le=2**53)]
 _UnixMs = Annotated[int, msgspec.Meta(gt=0, le=2**53)]
 
 
@@ -79,20 +78,35 @@
     capacity: _CapacityModel
     born: _UnixMs  # start of the lifetime
     labels: list[str]
-    cold_left_ms: _Duration
-    remaining_ms: _Duration | None = None
-    clock_ms: _Duration = 0
+    cold_left_ms: _Number
+    remaining_ms: _Number | None = None
+    clock_ms: _Number = 0
+
+
+class _RunningModel(msgspec.Struct, array_like=True):
+    task: str
+    run: _Amount
+    checkpoint: str
+    percent: _Number
+
+
+class _FinishedModel(msgspec.Struct, array_like=True):
+    number: _Count
+    task: str
+    run: _Amount
+    how: str
+    checkpoint: str
 
 
 class _InventoryModel(msgspec.Struct):
-    clock_ms: float
-    running: list[list]
-    finished: list[list]
-    born: int = 0
+    clock_ms: _Number
+    running: list[_RunningModel]
+    finished: list[_FinishedModel]
+    born: _UnixMs
 
 
 class _AnswerModel(msgspec.Struct):
-    clock_ms: float = 0
+    clock_ms: _Number = 0
     reason: str = ""
 
 
@@ -101,7 +115,7 @@
 
     Raises ValueError if the body or the id is not that of a sound endpoint.
     """
-    if not _ID_PATTERN.fullmatch(endpoint_id):
+    if not is_endpoint_id(endpoint_id):
         raise ValueError(f"not an endpoint id: {endpoint_id[:200]!r}")
     model = decode_json(body, _HeartbeatModel)
     if model.state not in _HEARTBEAT_STATES:
@@ -183,8 +197,8 @@
         if not isinstance(answer, HttpResponse) or answer.status != 200:
             return _to_order_result(answer)
         try:
-            return _to_inventory(msgspec.json.decode(answer.body, type=_InventoryModel))
-        except (msgspec.DecodeError, ValueError, TypeError, KeyError) as error:
+            return _to_inventory(decode_json(answer.body, _InventoryModel))
+        except ValueError as error:
             return NoAnswer(f"unreadable inventory: {error}")
 
     def close(self):
@@ -226,8 +240,8 @@
 
 def _decode_answer(body):
     try:
-        model = msgspec.json.decode(body, type=_AnswerModel)
-    except (msgspec.DecodeError, UnicodeDecodeError):
+        model = decode_json(body, _AnswerModel)
+    except ValueError:
         # The body of a refusal by an unhealthy endpoint has no defined format.
         return 0, ""
     return int(model.clock_ms), model.reason
@@ -238,10 +252,19 @@
         clock_ms=int(model.clock_ms),
         born_ms=model.born,
         running=tuple(
-            ActiveRun(RunKey(row[0], row[1]), row[2], row[3]) for row in model.running
+            ActiveRun(RunKey(row.task, row.run), row.checkpoint, row.percent)
+            for row in model.running
         ),
         ended=tuple(
-            EndedRun(row[0], RunKey(row[1], row[2]), _ENDS[row[3]], row[4])
+            EndedRun(
+                row.number, RunKey(row.task, row.run), _to_end(row.how), row.checkpoint
+            )
             for row in model.finished
         ),
     )
+
+
+def _to_end(how):
+    if how not in _ENDS:
+        raise ValueError(f"unknown end of a run: {how!r}")
+    return _ENDS[how]
--- a/tests/test_odd_input.py
+++ b/tests/test_odd_input.py
@@ -5,7 +5,7 @@
 """
 
 import unittest
-from dataclasses import replace
+from dataclasses import asdict, replace
 
 import msgspec
 
@@ -17,24 +17,37 @@
     TABLE_ENDPOINTS,
     EndpointRecord,
 )
+from plantainhitch.json_input import decode_json
 from plantainhitch.platform import configuration
+from plantainhitch.platform.endpoint import EndpointClient
 from plantainhitch.platform.store import RowStore
 from plantainhitch.protocol import messages as m
 from plantainhitch.standins.store_rows import RowsStandIn
 from plantainhitch.standins.table import MemoryPlatform
 from plantainhitch.state.endpoints import (
+    Accepted,
+    ActiveRun,
+    End,
+    EndedRun,
     EndpointReport,
+    Inventory,
+    NoAnswer,
 )
+from plantainhitch.state.evacuations import EvacuatedZones
 from plantainhitch.state.jobs import Room, RunKey
 from plantainhitch.transport.addresses import Address
+from plantainhitch.transport.asgi import Reply, read_body, send_reply
 from plantainhitch.transport.http_client import HttpClient
 from plantainhitch.transport.http_server import serve
 from plantainhitch.transport.platform import (
     TABLE_KEYS,
     TABLE_MEMBERS,
+    Changes,
+    Row,
     Write,
 )
 
+from .deployment import configuration as configured
 from .odd_values import DEEP_JSON, MANY_DIGITS, odd_documents
 from .test_job_peers import FakeLink, FakeMembership, FakeRoutes, member as peer_member
 from .test_membership import member
@@ -186,5 +199,104 @@
             self.assertEqual(0, await KeySweeper(platform, ManualClock(1)).sweep())
 
 
+class OperatorRowTests(unittest.IsolatedAsyncioTestCase):
+    """Odd rows of the operator's table."""
+
+    async def read(self, *rows):
+        sets = []
+        source = configuration.OperatorSource(None, sets.append)
+        _, table = source._handle(Changes(9, rows, is_complete=True))
+        return table, sets
+
+    async def test_an_odd_configuration_is_ignored(self):
+        document = configured()
+        names = ("services", "limits")  # not required
+        for what, value in odd_documents(document):
+            if what == "limits: b'{}'" or what.startswith(names) and "missing" in what:
+                continue
+            with self.subTest(what):
+                table, _ = await self.read(Row("config", value, 3))
+                self.assertIsNone(table)
+        table, _ = await self.read(Row("config", msgspec.json.encode(document), 4))
+        self.assertEqual(document["version"], table.version)
+
+    async def test_an_evacuation_row_nested_too_deeply_counts(self):
+        _, sets = await self.read(Row("evacuate/a", DEEP_JSON, 3))
+        self.assertEqual([EvacuatedZones(9, frozenset({"a"}))], sets)
+
+
+class FixedAnswer:
+    """An ASGI application that gives the same answer to every call."""
+
+    body = b""
+
+    async def __call__(self, scope, receive, send):
+        """Serve one request."""
+        await read_body(receive, 1 << 20)
+        await send_reply(send, Reply(200, self.body))
+
+
+class EndpointAnswerTests(unittest.IsolatedAsyncioTestCase):
+    """Odd answers of the endpoint count as lost ones."""
+
+    async def asyncSetUp(self):
+        self.endpoint = FixedAnswer()
+        self.server = await serve(self.endpoint, LOOPBACK)
+        self.client = EndpointClient(self.server.address, Clock(), "e-1")
+
+    async def asyncTearDown(self):
+        self.client.close()
+        await self.server.aclose(grace_ms=0)
+
+    async def inventory(self, body):
+        self.endpoint.body = body
+        return await self.client.inventory(1, 0, None, 0)
+
+    async def test_odd_inventories(self):
+        cases = list(odd_documents(INVENTORY))
+        for number in range(len(RUNNING_ROW)):
+            for odd in ({}, -1, 2**70):
+                row = [*RUNNING_ROW[:number], odd, *RUNNING_ROW[number + 1 :]]
+                body = msgspec.json.encode(INVENTORY | {"running": [row]})
+                cases.append((f"running {row}", body))
+        for number in range(len(ENDED_ROW)):
+            for odd in ({}, -1, 2**70):
+                row = [*ENDED_ROW[:number], odd, *ENDED_ROW[number + 1 :]]
+                body = msgspec.json.encode(INVENTORY | {"finished": [row]})
+                cases.append((f"finished {row}", body))
+        cases.append(
+            ("a short row", msgspec.json.encode(INVENTORY | {"running": [[]]}))
+        )
+        for what, body in cases:
+            with self.subTest(what):
+                self.assertIsInstance(await self.inventory(body), NoAnswer)
+        expected = Inventory(
+            clock_ms=5,
+            born_ms=1_000,
+            running=(ActiveRun(KEY, "", 41),),
+            ended=(EndedRun(58, RunKey("job.0.0.1", 1), End.DONE, ""),),
+        )
+        found = await self.inventory(msgspec.json.encode(INVENTORY))
+        self.assertEqual(expected, found)
+
+    async def test_odd_bodies_of_accepted_orders(self):
+        # The status says that the order was carried out; the clock is not known then.
+        for what, body in odd_documents({"clock_ms": 5}):
+            if what == "clock_ms missing":
+                continue
+            with self.subTest(what):
+                self.endpoint.body = body
+                self.assertEqual(Accepted(0), await self.client.stop(KEY, 1))
+
+
+class DecodeTests(unittest.TestCase):
+    """The decoder of outside JSON raises ValueError only."""
+
+    def test_odd_documents(self):
+        for what, data in odd_documents(asdict(REPORT)):
+            with self.subTest(what), self.assertRaises(ValueError):
+                decode_json(data, dict[str, None])
+
+
 if __name__ == "__main__":
     unittest.main()
