Bound the estimates of callers, and durations in frames (an entry ended)

Callers: one job whose est_runtime_ms was 1e12 ended the entry that it was sent to, with all its jobs, and the next entry when it was sent again (trial on with the deployed programs). Found while looking at the numbers in frames between our processes.

Cause: the estimate goes into a field of 32 bits of the frame to the agent, and the encoder's error ended the task that sends orders.

Change: estimates and amounts above 2^31 - 1 are refused with 400. Durations that the entry works out from them are sent as the largest that fits. A deadline of more than 12 digits counts as unreadable, like other text.

--- a/plantainhitch/platform/job_app.py
+++ b/plantainhitch/platform/job_app.py
@@ -13,6 +13,7 @@
 JOB_ID_PATTERN = re.compile(r"[0-9a-f]{16}", re.ASCII)
 # Used for requests without a readable deadline header.
 DEFAULT_CALLER_TIMEOUT_MS = 60_000
+MAX_DEADLINE_DIGITS = 12
 _DEFAULT_MAX_BODY_BYTES = 1024 * 1024
 _HOST_HEADER, _DEADLINE_HEADER = b"host", b"x-deadline-ms"
 
@@ -67,7 +68,7 @@
         except jobs.UnsupportedJobError as error:
             log.warning("job not supported", job=job_id, why=str(error))
             return self._error(503, f"not supported: {error}", retry_after_s=60)
-        except (msgspec.DecodeError, ValueError) as error:
+        except ValueError as error:
             return self._error(400, str(error))
         disconnected = asyncio.ensure_future(_wait_for_disconnect(receive))
         try:
@@ -119,8 +120,8 @@
 
 def _caller_timeout_ms(headers):
     text = headers.get(_DEADLINE_HEADER, b"")
-    if text.isdigit():
+    if text.isdigit() and len(text) <= MAX_DEADLINE_DIGITS:
         return int(text)
     if text:
-        log.warning("unreadable deadline", value=text.decode("latin-1"))
+        log.warning("unreadable deadline", value=text[:100].decode("latin-1"))
     return DEFAULT_CALLER_TIMEOUT_MS
--- a/plantainhitch/platform/jobs.py
+++ b/plantainhitch/platform/jobs.py
@@ -1,7 +1,10 @@
 """Decodes the body with which callers submit a job."""
 
+from typing import Annotated
+
 import msgspec
 
+from ..json_input import decode_json
 from ..state.jobs import JobSpec, Room, StepSpec
 
 MAX_TASKS = 10_000
@@ -11,12 +14,16 @@
     """The job requires a feature that is not supported."""
 
 
+_Amount = Annotated[int, msgspec.Meta(le=2**31 - 1)]
+_Ms = Annotated[float, msgspec.Meta(ge=0, le=2**31 - 1)]
+
+
 class _StepModel(msgspec.Struct):
     count: int = 1
-    cpu: int = 0  # thousandths of a core
-    mem_mb: int = 0
-    gpu: int = 0
-    est_runtime_ms: float = 0
+    cpu: _Amount = 0  # thousandths of a core
+    mem_mb: _Amount = 0
+    gpu: _Amount = 0
+    est_runtime_ms: _Ms = 0
     after: list[int] = []
     constraints: str = ""  # one label, despite the plural
     affinity: str = ""  # the rack that holds the data
@@ -41,7 +48,7 @@
     Raises ValueError if the body is invalid, and ``UnsupportedJobError`` if it is valid
     but requires a feature that is not supported.
     """
-    model = msgspec.json.decode(body, type=_JobModel)
+    model = decode_json(body, _JobModel)
     if not model.steps:
         raise ValueError("steps: at least one is needed")
     steps = tuple(_to_step(number, step) for number, step in enumerate(model.steps))
--- a/plantainhitch/protocol/run_codec.py
+++ b/plantainhitch/protocol/run_codec.py
@@ -5,6 +5,9 @@
 from ..state.jobs import Room, RunKey
 from . import messages as m
 
+MAX_UINT32 = 2**32 - 1
+MIN_INT32, MAX_INT32 = -(2**31), 2**31 - 1
+
 
 def write_message(frame, message):
     """Write a message into a Cap'n Proto frame; raise TypeError if it is unknown."""
@@ -20,7 +23,7 @@
             for item, load in zip(items, loads, strict=True):
                 item.queue = load.queue
                 item.share = load.share
-                item.slackMs = load.slack_ms
+                item.slackMs = _in_range(load.slack_ms, 0, MAX_UINT32)
                 item.containedMs = load.contained_ms
                 item.priority = load.priority
                 item.offeredShare = load.offered_share
@@ -197,17 +200,22 @@
     )
 
 
+def _in_range(number, low, high):
+    """Return a rough number, within the range of its field."""
+    return min(max(number, low), high)
+
+
 def _write_start(item, start):
     item.task, item.run = start.key
     item.payload = start.payload
     _write_room(item.room, start.room)
-    item.estimateMs = start.estimate_ms
+    item.estimateMs = _in_range(start.estimate_ms, 0, MAX_UINT32)
     item.waitMs = start.wait_ms
     item.queue = start.queue
-    item.slackMs = start.slack_ms
+    item.slackMs = _in_range(start.slack_ms, MIN_INT32, MAX_INT32)
     item.late = start.is_late
     item.isolated = start.is_isolated
-    item.sizeMs = start.size_ms
+    item.sizeMs = _in_range(start.size_ms, 0, MAX_UINT32)
     if start.checkpoint:
         item.checkpoint = start.checkpoint
 
--- a/tests/test_codec.py
+++ b/tests/test_codec.py
@@ -87,6 +87,20 @@
         self.assertEqual(len(data), 16)
         self.assertEqual(codec.decode(data), envelope)
 
+    def test_durations_beyond_their_field_are_sent_as_the_largest(self):
+        # A caller's estimate of 1e12 ms ended the entry that placed the task.
+        huge = 10**300
+        start = m.RunStart(RUN, "", Room(), huge, slack_ms=-huge, size_ms=huge)
+        messages = m.RunOrders(1, [start]), m.QueueLoads([m.QueueLoad("q", 0.5, huge)])
+        orders, loads = (
+            codec.decode(codec.encode(m.Envelope(message))).message
+            for message in messages
+        )
+        received = orders.starts[0]
+        self.assertEqual((2**32 - 1,) * 2, (received.estimate_ms, received.size_ms))
+        self.assertEqual(-(2**31), received.slack_ms)
+        self.assertEqual(2**32 - 1, loads.loads[0].slack_ms)
+
     def test_bad_bytes_give_bad_frame(self):
         whole = codec.encode(m.Envelope(SAMPLES[2]))
         for data in (b"", b"\xff" * 64, whole[:24], b"GET / HTTP/1.1\r\n\r\n"):
--- a/tests/test_deployed_soak.py
+++ b/tests/test_deployed_soak.py
@@ -138,7 +138,7 @@
 
 
 class OddRowTests(ProcessTestCase):
-    """Odd rows of another writer in the tables."""
+    """Odd rows of another writer in the tables, and odd jobs of callers."""
 
     async def test_odd_rows_end_no_process_and_the_others_are_followed(self):
         # Entries ended again and again at a member with a port out of range.
@@ -168,6 +168,25 @@
             self.assertTrue(all(node.process.is_running for node in world.nodes))
             self.assertEqual([], world.violations())
 
+    async def test_odd_jobs_end_no_process(self):
+        # One job with an estimate of 1e12 ms ended each entry that it was sent to.
+        async with World(random.Random(7), entries=1, agents=1) as world:
+            step = {"count": 1, "cpu": 1_000, "mem_mb": 10, "est_runtime_ms": 30}
+            entry = world.entries[0]
+            for number, change in enumerate(
+                [
+                    {"est_runtime_ms": 1e12},
+                    {"est_runtime_ms": 2**31 - 1},
+                    {"cpu": 2**90},
+                ]
+            ):
+                body = {"spec": "30", "steps": [step | change], "best_effort": True}
+                status, _ = await world._post(entry, f"/queue/{number:016x}", body)
+                self.assertIn(status, (200, 400, 503))
+            self.assertTrue(all(node.process.is_running for node in world.nodes))
+            await world.check_recovery("odd jobs")
+            self.assertEqual([], world.problems)
+
 
 class EvacuationTests(ProcessTestCase):
     """Evacuations that some processes can't learn from the store."""
--- a/tests/test_odd_input.py
+++ b/tests/test_odd_input.py
@@ -18,8 +18,9 @@
     EndpointRecord,
 )
 from plantainhitch.json_input import decode_json
-from plantainhitch.platform import configuration
+from plantainhitch.platform import configuration, jobs
 from plantainhitch.platform.endpoint import EndpointClient
+from plantainhitch.platform.job_app import DEFAULT_CALLER_TIMEOUT_MS, _caller_timeout_ms
 from plantainhitch.platform.store import RowStore
 from plantainhitch.protocol import messages as m
 from plantainhitch.standins.store_rows import RowsStandIn
@@ -289,6 +290,27 @@
                 self.assertEqual(Accepted(0), await self.client.stop(KEY, 1))
 
 
+class SubmissionTests(unittest.TestCase):
+    """Odd jobs of callers are refused as invalid."""
+
+    def test_odd_jobs(self):
+        step = {"count": 2, "cpu": 500, "mem_mb": 256, "est_runtime_ms": 900}
+        for what, body in odd_documents({"steps": [step]}):
+            with self.subTest(what), self.assertRaises(ValueError):
+                jobs.decode("0" * 16, body)
+        for field in step:
+            for odd in (-1, 2**40, 1e300, {}):
+                with self.subTest(field=field, odd=odd), self.assertRaises(ValueError):
+                    body = {"steps": [step | {field: odd}], "best_effort": True}
+                    jobs.decode("0" * 16, msgspec.json.encode(body))
+
+    def test_an_odd_deadline_is_left_out(self):
+        for text in (MANY_DIGITS, b"-1", b"x", b"1e9"):
+            headers = {b"x-deadline-ms": text}
+            self.assertEqual(DEFAULT_CALLER_TIMEOUT_MS, _caller_timeout_ms(headers))
+        self.assertEqual(1_500, _caller_timeout_ms({b"x-deadline-ms": b"1500"}))
+
+
 class DecodeTests(unittest.TestCase):
     """The decoder of outside JSON raises ValueError only."""
 
