Model the orders to an endpoint: late starts, suspensions, odd heartbeats

The new model has one run whose start is carried out at any later time, an agent that is suspended over all leases, an endpoint that ends and begins again under the same id, and a heartbeat of a lifetime that doesn't exist.

--- a/plantainhitch/verify/__main__.py
+++ b/plantainhitch/verify/__main__.py
@@ -6,6 +6,7 @@
 
 import sys
 
+from .endpoint_orders import EndpointOrderModel, OrderFault
 from .keys import KeyFault, KeyModel
 from .search import search
 from .starts import StartModel
@@ -14,8 +15,9 @@
 # (tasks in the job, search depth in steps) for the protocol without planted faults.
 MODEL_SEARCHES = ((1, 17), (2, 11))
 FAULT_DEPTH = 14
-# Deeper than any path of the key model, so that the search is exhaustive.
+# Deeper than any path of the small models, so that their search is exhaustive.
 KEY_DEPTH = 40
+ORDER_DEPTH = 40
 
 
 def main():
@@ -25,6 +27,7 @@
         for tasks, depth in MODEL_SEARCHES
     ]
     passed.append(_search_model("keys", KeyModel(), KEY_DEPTH))
+    passed.append(_search_model("endpoint orders", EndpointOrderModel(), ORDER_DEPTH))
     for fault in Fault:
         if fault is not Fault.NONE:
             tasks = 2 if fault is Fault.PARTIAL_ANSWER else 1
@@ -32,6 +35,9 @@
     for fault in KeyFault:
         if fault is not KeyFault.NONE:
             passed.append(_search_planted_fault(KeyModel(fault), fault))
+    for fault in OrderFault:
+        if fault is not OrderFault.NONE:
+            passed.append(_search_planted_fault(EndpointOrderModel(fault), fault))
     return 0 if all(passed) else 1
 
 
--- a/tests/test_verify.py
+++ b/tests/test_verify.py
@@ -9,6 +9,7 @@
 
 FAULT_DEPTH = 14
 KEY_DEPTH = 40
+ORDER_DEPTH = 40
 
 
 class _AllStates:
@@ -83,3 +84,20 @@
                 with self.subTest(fault=fault.value):
                     result = search(KeyModel(fault), KEY_DEPTH)
                     self.assertIsNotNone(result.violation)
+
+
+class EndpointOrderModelTests(unittest.TestCase):
+    """Model of a run whose start may be carried out late (review cases 4 and 5)."""
+
+    def test_protocol_has_no_violation_in_any_state(self):
+        result = search(EndpointOrderModel(), ORDER_DEPTH)
+        self.assertIsNone(result.violation)
+        self.assertTrue(result.is_exhausted)
+        self.assertGreater(result.states, 500)
+
+    def test_each_planted_fault_is_found(self):
+        for fault in OrderFault:
+            if fault is not OrderFault.NONE:
+                with self.subTest(fault=fault.value):
+                    result = search(EndpointOrderModel(fault), ORDER_DEPTH)
+                    self.assertIsNotNone(result.violation)
