--- a/tests/test_verify.py
+++ b/tests/test_verify.py
@@ -2,6 +2,7 @@
 
 import unittest
 
+from plantainhitch.verify.endpoint_orders import EndpointOrderModel, OrderFault
 from plantainhitch.verify.keys import KeyFault, KeyModel
 from plantainhitch.verify.search import search
 from plantainhitch.verify.starts import StartModel
