Give the fence of orders a class of its own

Which orders count after a loss, and when the fence rises, stood in five places of RunController. EndpointLease.renewal_expiry_ms had no user left: its test asks renew() now, which decides by the same conditions.

--- a/plantainhitch/coordination/runs/endpoint_lease.py
+++ b/plantainhitch/coordination/runs/endpoint_lease.py
@@ -41,16 +41,6 @@
         """
         return self._clock.now_ms() - self._last_answer_ms > SUSPECT_AFTER_MS
 
-    @property
-    def renewal_expiry_ms(self):
-        """The expiry of a full lease from now, on the endpoint's clock.
-
-        None while the clock is unknown or the endpoint is suspect.
-        """
-        if self._clock_offset_ms is None or self.is_suspect:
-            return None
-        return self._clock.now_ms() + self._clock_offset_ms + self._length_ms
-
     @property
     def is_expired(self):
         """Whether no run can still be running under the last renewal.
--- a/plantainhitch/coordination/runs/run_controller.py
+++ b/plantainhitch/coordination/runs/run_controller.py
@@ -26,6 +26,7 @@
 from .crash_suspects import CrashSuspects
 from .endpoint_lease import EndpointLease
 from .endpoint_performance import STALLED_REASON, EndpointPerformance
+from .fence import Fence
 from .forecast import Forecast
 from .isolation import Isolation
 from .owners import Owners
@@ -35,8 +36,6 @@
 
 # The number of recent ends that are kept for owners that ask for them again.
 MAX_KEPT_ENDS = 2_000
-# The fence is raised by this when the endpoint has rejected it as too low.
-FENCE_STEP = 60_000
 # An order to stop is sent again if the run has not ended after this long.
 STOP_RETRY_MS = 200
 # A run whose progress has not risen for this long is stalled: a healthy short run has
@@ -71,9 +70,7 @@
         self._zone = zone
         self._evacuations = EvacuationState(clock)
         self._lease = EndpointLease(clock, lease_ms)
-        self._fence = first_fence
-        # The fence since the endpoint was last declared lost.
-        self._first_valid_fence = first_fence
+        self._fence = Fence(first_fence)
         self._owners = Owners(clock)
         self._events = logs.EventLog(log, clock)
         self._runs = {}
@@ -132,7 +129,7 @@
         The endpoint rejects orders with a lower one than it has seen, such as those of
         an earlier agent.
         """
-        return self._fence
+        return self._fence.value
 
     @property
     def last_end_number(self):
@@ -341,8 +338,7 @@
                 self._stop_unconfirmed(run)
             elif may_be_at_endpoint(run):
                 self._finish(key, End.LOST, reason)
-        self._fence += 1
-        self._first_valid_fence = self._fence
+        self._fence.endpoint_lost()
         if self._is_reconciled:
             log.warning("endpoint lost", why=reason, unconfirmed=len(uncertain_keys))
         self._is_reconciled = False
@@ -428,7 +424,7 @@
                 self._finish(key, End.NOT_STARTED, "other_lifetime")
             case Rejected(Rejection.FENCE, clock_ms):
                 self._record_answer(clock_ms, fence)
-                self.fence_rejected(fence)
+                self._fence.rejected(fence)
                 self._finish(key, End.NOT_STARTED, "fence")
             case Rejected(reason, clock_ms):
                 self._record_answer(clock_ms, fence)
@@ -444,8 +440,8 @@
             return
         match result:
             case Accepted(clock_ms):
-                if not self._is_of_present_lifetime(fence):
-                    return
+                if not self._fence.is_valid(fence):
+                    return  # an earlier lifetime may have accepted it
                 run.stop_accepted_clock_ms = clock_ms
                 self._needs_inventory = (
                     self._needs_inventory or run.phase is Phase.UNCONFIRMED
@@ -453,16 +449,11 @@
             case Rejected(Rejection.NOT_LISTENING):
                 self.endpoint_not_listening()
             case Rejected(Rejection.FENCE):
-                self.fence_rejected(fence)
+                self._fence.rejected(fence)
 
-    def fence_rejected(self, fence=None):
-        """Raise the fence if the endpoint has rejected the present one as too low.
-
-        Only an order that was sent before the fence was last raised has a lower one.
-        """
-        if fence is None or fence >= self._fence:
-            self._fence += FENCE_STEP
-            log.warning("fence raised", fence=self._fence)
+    def fence_rejected(self, fence):
+        """Handle the rejection of an order whose ``fence`` was too low."""
+        self._fence.rejected(fence)
 
     def handle_inventory(self, inventory: Inventory, fence=None):
         """Reconcile the runs with an inventory that was requested with ``fence``.
@@ -489,7 +480,7 @@
                 self._check_absent_run(key, run, inventory.clock_ms, fence)
         unknown_keys = [key for key in running_keys if key not in self._runs]
         self._orders.extend(map(StopOrder, unknown_keys))
-        is_valid = self._is_of_present_lifetime(fence)
+        is_valid = self._fence.is_valid(fence)
         if is_valid and not self._is_reconciled and not unknown_keys:
             self._is_reconciled = True
             log.info("endpoint reconciled", last_end_number=self._last_end_number)
@@ -524,15 +515,8 @@
 
     # Internal methods
 
-    def _is_of_present_lifetime(self, fence):
-        """Return whether an order with ``fence`` was sent after the last loss.
-
-        None stands for the present fence.
-        """
-        return fence is None or fence >= self._first_valid_fence
-
     def _record_answer(self, clock_ms, fence):
-        if self._is_of_present_lifetime(fence):
+        if self._fence.is_valid(fence):
             self._lease.record_answer(clock_ms)
 
     def _handle_start(self, incarnation, start, echo_ms):
@@ -595,7 +579,7 @@
         """Order the endpoint to start a run that waited for room."""
         run.phase = Phase.STARTING
         run.started_ms = now_ms
-        run.start_fence = self._fence
+        run.start_fence = self._fence.value
         self._used_room += run.start.room
         self._lease.record_renewal()
         self._orders.append(StartOrder(run.start))
@@ -649,7 +633,7 @@
         in a lifetime of which nothing is known yet.
         """
         run.stop_accepted_clock_ms = None
-        self._fence = max(self._fence, run.start_fence + 1)
+        self._fence.raise_above(run.start_fence)
         if run.phase is not Phase.UNCONFIRMED:
             run.phase = Phase.UNCONFIRMED
             self._order_stop(run)
--- a/tests/test_run_controller.py
+++ b/tests/test_run_controller.py
@@ -480,7 +480,7 @@
     def test_a_silent_endpoint_gets_no_new_runs_and_no_renewal(self):
         self.clock.advance(SUSPECT_AFTER_MS + 1)
         self.renew_owner_lease()
-        self.assertIsNone(self.controller.lease.renewal_expiry_ms)
+        self.assertIsNone(self.controller.lease.renew())
         self.assertEqual([], self.send_orders(run_start()))
 
     def test_a_start_is_not_sent_after_its_owners_lease(self):
