--- a/plantainhitch/coordination/runs/agent_node.py
+++ b/plantainhitch/coordination/runs/agent_node.py
@@ -329,7 +329,7 @@
                 result = await endpoint_client.inventory(
                     fence,
                     controller.last_end_number,
-                    controller.lease.renew(),
+                    controller.renew_lease(),
                     wait_ms,
                 )
                 self._inbox.post(InventoryResultReceived(lifetime, result, fence))
@@ -366,7 +366,7 @@
                 result = await self._endpoint_client.start(
                     start.key,
                     start.payload,
-                    controller.lease.renew() or 0,
+                    controller.renew_lease() or 0,
                     fence,
                     start.checkpoint,
                 )
--- a/plantainhitch/coordination/runs/run_controller.py
+++ b/plantainhitch/coordination/runs/run_controller.py
@@ -390,6 +390,14 @@
             and self._owners.is_alive(run.owner)
         )
 
+    def renew_lease(self):
+        """Return the expiry of a renewal that is sent now, None if none is to be sent.
+
+        The lease isn't renewed before an inventory has listed no unknown run. Runs that
+        an earlier agent has started end with it, as their owners count on.
+        """
+        return self._lease.renew() if self._is_reconciled else None
+
     def record_start_sent(self, key, fence):
         """Record the fence that the order to start a run is sent with."""
         self._runs[key].start_fence = fence
--- a/plantainhitch/platform/heartbeats.py
+++ b/plantainhitch/platform/heartbeats.py
@@ -4,6 +4,8 @@
 from ..transport.asgi import MAX_SMALL_BODY_BYTES, Reply, read_body, send_reply
 from . import endpoint
 
+# What other writers send may be long.
+MAX_LOGGED_CHARACTERS = 200
 _PATH = "/instances/"
 
 log = logs.get_logger("heartbeats")
@@ -36,7 +38,7 @@
             case "PUT":
                 return self._handle_heartbeat(endpoint_id, body)
             case "DELETE":
-                self._on_leave(endpoint_id)
+                self._on_leave(endpoint_id[:MAX_LOGGED_CHARACTERS])
                 return Reply(200, b"{}")
         return Reply(405, b'{"error":"the method is not allowed"}')
 
@@ -44,10 +46,15 @@
         try:
             report = endpoint.decode_heartbeat(endpoint_id, body)
         except ValueError as error:
-            log.warning("unreadable heartbeat", endpoint=endpoint_id, why=str(error))
+            log.warning(
+                "unreadable heartbeat",
+                endpoint=endpoint_id[:MAX_LOGGED_CHARACTERS],
+                why=str(error)[:MAX_LOGGED_CHARACTERS],
+            )
             return Reply(400, b'{"error":"the heartbeat is not readable"}')
         if report.pool != self._pool:
-            log.warning("heartbeat of another pool refused", pool=report.pool)
+            pool = report.pool[:MAX_LOGGED_CHARACTERS]
+            log.warning("heartbeat of another pool refused", pool=pool)
             return Reply(400, b'{"error":"another service"}')
         self._on_heartbeat(report)
         return Reply(200, b"{}")
--- a/tests/test_late_starts.py
+++ b/tests/test_late_starts.py
@@ -191,7 +191,7 @@
             self._request_inventory(None)
         if now_ms >= self._inventory_due_ms and not self._is_inventory_under_way:
             self._is_inventory_under_way = True
-            self._request_inventory(controller.lease.renew())
+            self._request_inventory(controller.renew_lease())
 
     def _order_start(self):
         if self.clock.now_ms() < self._next_start_ms:
@@ -213,7 +213,7 @@
                     controller.handle_start_result(key, withdrawn, fence)
                     return
                 controller.record_start_sent(key, fence)
-                until_ms = controller.lease.renew() or 0
+                until_ms = controller.renew_lease() or 0
                 self._call(
                     lambda: self._start_at_endpoint(key, until_ms, fence),
                     lambda result: controller.handle_start_result(key, result, fence),
--- a/tests/test_run_controller.py
+++ b/tests/test_run_controller.py
@@ -451,6 +451,17 @@
         self.assertEqual(raised, self.controller.fence)
         self.assertEqual({start.key: End.NOT_STARTED}, self.reported_ends())
 
+    def test_the_lease_is_not_renewed_for_runs_of_an_earlier_agent(self):
+        # Its owner places the tasks again after the lease, though a stop may be lost.
+        controller = RunController(self.clock, LEASE_MS, first_fence=9)
+        controller.handle_heartbeat(heartbeat())
+        row = ActiveRun(RunKey("old.0.0.0", 3), "", 5)
+        for rows in ((row,), (row,), ()):
+            self.assertIsNone(controller.renew_lease())
+            inventory = Inventory(self.clock.now_ms(), 1, rows, ())
+            controller.handle_inventory(inventory, controller.fence)
+        self.assertIsNotNone(controller.renew_lease())
+
 
 class LeaseTests(RunControllerCase):
     """Silent owners, silent endpoints, and delays as by a suspended machine."""
