Ignore a refused connection from before the last loss (TWICE)

Callers could see a task run twice at the same time.

Cause: after a suspension the agent may read the refusal of a connection, made while its endpoint was down, after the answer with which the next lifetime was confirmed. It then ended the runs of the next lifetime as lost, though they were at work, and the entry placed them again.

Change: the refusal carries the fence of its order, which a loss has raised since. One from before that says nothing about the present lifetime.

Evidence: test_a_connection_refused_by_an_earlier_lifetime_ends_no_run; without the check the second run ends as LOST.

--- a/plantainhitch/coordination/runs/agent_node.py
+++ b/plantainhitch/coordination/runs/agent_node.py
@@ -307,7 +307,7 @@
             case Inventory():
                 self._controller.handle_inventory(result, fence)
             case Rejected(Rejection.NOT_LISTENING):
-                self._controller.endpoint_not_listening()
+                self._controller.endpoint_not_listening(fence)
             case Rejected(Rejection.FENCE):
                 self._controller.fence_rejected(fence)
 
--- a/plantainhitch/coordination/runs/run_controller.py
+++ b/plantainhitch/coordination/runs/run_controller.py
@@ -286,12 +286,16 @@
             self._refuse_waiting_starts("draining")
         return is_new_lifetime
 
-    def endpoint_not_listening(self):
+    def endpoint_not_listening(self, fence=None):
         """Handle proof that the endpoint's process has ended: a refused connection.
 
-        A start that it has not answered may be carried out by its next lifetime, which
-        may have the same id.
+        ``fence`` is that of the order that was refused, by default the present one. One
+        from before the last loss says nothing about a lifetime that has begun since.
+        A start that the endpoint has not answered may be carried out by its next
+        lifetime, which may have the same id.
         """
+        if not self._fence.is_valid(fence):
+            return
         self._endpoint_ended(
             "nothing listens at the endpoint", self._runs_that_may_begin_later()
         )
@@ -427,7 +431,7 @@
                 self._stop_unconfirmed(run)
             case Rejected(Rejection.NOT_LISTENING):
                 self._finish(key, End.NOT_STARTED, "not_listening")
-                self.endpoint_not_listening()
+                self.endpoint_not_listening(fence)
             case Rejected(Rejection.OTHER_LIFETIME):
                 self._finish(key, End.NOT_STARTED, "other_lifetime")
             case Rejected(Rejection.FENCE, clock_ms):
@@ -455,7 +459,7 @@
                     self._needs_inventory or run.phase is Phase.UNCONFIRMED
                 )
             case Rejected(Rejection.NOT_LISTENING):
-                self.endpoint_not_listening()
+                self.endpoint_not_listening(fence)
             case Rejected(Rejection.FENCE):
                 self._fence.rejected(fence)
 
--- a/tests/test_run_controller.py
+++ b/tests/test_run_controller.py
@@ -451,6 +451,23 @@
         self.assertEqual(raised, self.controller.fence)
         self.assertEqual({start.key: End.NOT_STARTED}, self.reported_ends())
 
+    def test_a_connection_refused_by_an_earlier_lifetime_ends_no_run(self):
+        # After a suspension the refusal is read after the answer of the new lifetime.
+        refused, fence = run_start("a.0.0.0"), self.controller.fence
+        self.send_orders(refused)
+        self.controller.handle_heartbeat(heartbeat(born_ms=2))
+        self.deliver_inventory(born_ms=2)
+        started = run_start("b.0.0.0")
+        self.start_runs(started)
+        self.controller.handle_start_result(
+            refused.key, Rejected(Rejection.NOT_LISTENING), fence
+        )
+        self.assertEqual({refused.key: End.NOT_STARTED}, self.reported_ends())
+        self.controller.endpoint_not_listening(fence)
+        self.assertEqual([started.key], list(self.controller.runs))
+        self.controller.endpoint_not_listening(self.controller.fence)
+        self.assertEqual({started.key: End.LOST}, self.reported_ends())
+
     def test_the_lease_is_not_renewed_for_runs_of_an_earlier_agent(self):
         # Its owner places the tasks again after the lease, though a stop may be lost.
         controller = RunController(self.clock, LEASE_MS, first_fence=9)
