--- a/plantainhitch/coordination/agent_links.py
+++ b/plantainhitch/coordination/agent_links.py
@@ -1,6 +1,7 @@
 """An entry's links to agents: one task for each agent, which dials and redials it."""
 
 import asyncio
+import itertools
 import random
 from dataclasses import dataclass, field, replace
 
@@ -21,6 +22,9 @@
 FIRST_REDIAL_DELAY_MS = 100
 MAX_REDIAL_DELAY_MS = 2_000
 
+# Shared by all dialers of a process: two of them may dial the same agent in turn.
+_link_numbers = itertools.count(1)
+
 log = logs.get_logger("agent-links")
 
 
@@ -95,7 +99,8 @@
     async def _serve(self, link):
         """Serve a link until it ends; return whether hellos were exchanged."""
         self._link = link
-        hello = await exchange_hellos(link, self._own_hello())
+        own_hello = replace(self._own_hello(), link_number=next(_link_numbers))
+        hello = await exchange_hellos(link, own_hello)
         if hello is None:
             link.close("no hello")
             return False
--- a/plantainhitch/coordination/runs/agent_node.py
+++ b/plantainhitch/coordination/runs/agent_node.py
@@ -60,10 +60,11 @@
 
 @dataclass(frozen=True, slots=True)
 class OwnerLinked:
-    """An entry opened a link."""
+    """An entry opened a link; ``number`` is the link number in its hello."""
 
     incarnation: bytes
     link: links.Link
+    number: int
 
 
 @dataclass(frozen=True, slots=True)
@@ -79,6 +80,7 @@
     """An entry sent a message."""
 
     incarnation: bytes
+    link: links.Link
     envelope: m.Envelope
 
 
@@ -131,12 +133,14 @@
         self._lifetime_check = LifetimeCheck(
             clock, connect_endpoint, lambda: controller.fence, self._inbox.post
         )
+        # The present link of each owner, see ``_add_link``.
         self._links = {}
         self._endpoint_client = None
         self._lease_task = None
         self._tasks = set()
         self._last_status = None
         self._report_pacer = ReportPacer(clock)
+        self._events = logs.EventLog(log, clock)
         # Set when there are runs, whose deadlines need frequent ticks.
         self._busy_event = asyncio.Event()
 
@@ -168,10 +172,10 @@
             link.close("no hello")
             return
         incarnation = hello.incarnation
-        self._inbox.post(OwnerLinked(incarnation, link))
+        self._inbox.post(OwnerLinked(incarnation, link, hello.link_number))
         closed = await link.run(
             lambda envelope: self._inbox.post(
-                OwnerMessageReceived(incarnation, envelope)
+                OwnerMessageReceived(incarnation, link, envelope)
             ),
         )
         log.info("entry link closed", entry=hello.name, why=closed.detail)
@@ -226,7 +230,14 @@
     def _handle_event(self, event):
         controller = self._controller
         match event:
-            case OwnerMessageReceived(incarnation, envelope):
+            case OwnerMessageReceived(incarnation, link, envelope) if (
+                self._links.get(incarnation) is not link
+            ):
+                self._events.write(
+                    "message of a replaced link ignored",
+                    kind=type(envelope.message).__name__,
+                )
+            case OwnerMessageReceived(incarnation, _, envelope):
                 controller.owners.record_frame(
                     incarnation, envelope.echo_ms, envelope.ack
                 )
@@ -239,13 +250,8 @@
                 self._handle_inventory_result(endpoint, result, fence)
             case HeartbeatReceived() | LifetimeConfirmed() | FenceRejected():
                 self._handle_lifetime_event(event)
-            case OwnerLinked(incarnation, link):
-                controller.owners.link_opened(incarnation)
-                self._links[incarnation] = link
-                link.send(controller.status())
-                if loads := controller.owners.total_loads():
-                    link.send(m.QueueLoads(loads))
-                self._send_report(incarnation, controller.forecast())
+            case OwnerLinked(incarnation, link, number):
+                self._add_link(incarnation, link, number)
             case OwnerUnlinked(incarnation, link):
                 if self._links.get(incarnation) is link:
                     del self._links[incarnation]
@@ -256,6 +262,28 @@
                 self._record_echoes(incarnations_with_runs)
                 controller.owners.remove_expired(incarnations_with_runs)
 
+    def _add_link(self, incarnation, link, number):
+        """Make a link the present one of its owner, unless a newer one is known.
+
+        Only the present link counts. The owner closes a link before it opens the next,
+        and gives up the runs that the agent does not name on that. What it has sent on
+        the closed one can still arrive: a connection that was cut off delivers it
+        later, and the new link would have renewed the owner's lease by then.
+        """
+        owners = self._controller.owners
+        if not owners.link_opened(incarnation, number):
+            log.info("older entry link refused", number=number)
+            link.close("the owner has a newer link")
+            return
+        replaced = self._links.get(incarnation)
+        if replaced is not None:
+            replaced.close("replaced by a newer link")
+        self._links[incarnation] = link
+        link.send(self._controller.status())
+        if loads := owners.total_loads():
+            link.send(m.QueueLoads(loads))
+        self._send_report(incarnation, self._controller.forecast())
+
     def _handle_message(self, incarnation, envelope):
         match envelope.message:
             case m.RunOrders():
--- a/plantainhitch/coordination/runs/owners.py
+++ b/plantainhitch/coordination/runs/owners.py
@@ -27,14 +27,15 @@
 class Owner:
     """One incarnation of an entry.
 
-    ``orders_seen`` is the number of its last ``RunOrders``, and ``loads`` are those of
-    its queues. ``unacknowledged`` holds pairs of a report's number and the ends in it,
-    oldest first, until the owner acknowledges the report. ``unsent_crashes`` are the
-    crashes of the endpoint that were not reported on its present link, each with the
-    time at which it was noticed.
+    ``link_number`` is the highest of its links so far. ``orders_seen`` is the number of
+    its last ``RunOrders``, and ``loads`` are those of its queues. ``unacknowledged``
+    holds pairs of a report's number and the ends in it, oldest first, until the owner
+    acknowledges the report. ``unsent_crashes`` are the crashes of the endpoint that
+    were not reported on its present link, each with the time at which it was noticed.
     """
 
     lease_expiry_ms: int = 0
+    link_number: int = 0
     orders_seen: int = 0
     last_report_number: int = 0
     is_linked: bool = False
@@ -70,19 +71,26 @@
             owner = self._owners[incarnation] = Owner()
         return owner
 
-    def link_opened(self, incarnation):
-        """Record a new link.
+    def link_opened(self, incarnation, link_number=0):
+        """Record a new link; return False, without effect, if there was a newer one.
+
+        An owner numbers its links in the order in which it opens them, 0 if it doesn't.
+        Their hellos can arrive in another order. The number is kept after the link has
+        closed, for as long as a lease or a run of the owner is left.
 
         Ends that were not acknowledged will be sent again, and all recent crashes: an
         owner that starts later must not take their tasks for new ones.
         """
         owner = self.get_or_create(incarnation)
+        if link_number < owner.link_number:
+            return False
+        owner.link_number = link_number
         owner.is_linked = True
         owner.unsent_crashes = list(self._recent_crashes)
         resent = [end for _, ends in owner.unacknowledged for end in ends]
         owner.unacknowledged.clear()
         owner.unsent_ends[:0] = resent
-        return owner
+        return True
 
     def link_closed(self, incarnation):
         """Record that the link has closed."""
--- a/plantainhitch/protocol/codec.py
+++ b/plantainhitch/protocol/codec.py
@@ -238,6 +238,7 @@
     target.zone = hello.zone
     target.protocolVersion = hello.protocol_version
     target.configurationVersion = hello.configuration_version
+    target.linkNumber = hello.link_number
 
 
 def _read_hello(source):
@@ -248,6 +249,7 @@
         zone=source.zone,
         protocol_version=source.protocolVersion,
         configuration_version=source.configurationVersion,
+        link_number=source.linkNumber,
     )
 
 
--- a/plantainhitch/protocol/messages.py
+++ b/plantainhitch/protocol/messages.py
@@ -32,7 +32,11 @@
 
 @dataclass(slots=True)
 class Hello:
-    """First message on a link, sent by both sides."""
+    """First message on a link, sent by both sides.
+
+    ``link_number`` rises with each link that the sending process dials. It is 0 on
+    links that it accepts, and from processes that don't number their links.
+    """
 
     role: str
     incarnation: bytes
@@ -40,6 +44,7 @@
     zone: str = ""
     protocol_version: int = PROTOCOL_VERSION
     configuration_version: int = 0
+    link_number: int = 0
 
 
 @dataclass(slots=True)
--- a/plantainhitch/protocol/wire.capnp
+++ b/plantainhitch/protocol/wire.capnp
@@ -34,6 +34,7 @@
   zone @3 :Text;
   protocolVersion @4 :UInt32;
   configurationVersion @5 :UInt64;
+  linkNumber @6 :UInt64;  # rises with each link that the sender dials, 0 for none
 }
 
 struct AgentStatus {
--- a/tests/test_lifetime_check.py
+++ b/tests/test_lifetime_check.py
@@ -12,18 +12,11 @@
 from plantainhitch.coordination.runs import agent_node, lifetime_check
 from plantainhitch.coordination.runs.run_controller import RunController
 from plantainhitch.protocol import messages as m
-from plantainhitch.state.endpoints import (
-    Accepted,
-    ActiveRun,
-    End,
-    EndpointReport,
-    Inventory,
-    NoAnswer,
-    Rejected,
-    Rejection,
-)
+from plantainhitch.state.endpoints import End, EndpointReport
 from plantainhitch.state.jobs import Room, RunKey
 
+from .model_endpoint import ModelEndpoint
+
 OWNER = b"entry"
 CAPACITY = Room(4_000, 1_000, 0)
 REPORT = EndpointReport("e-1", 1_000, 7, "pool", False, CAPACITY)
@@ -32,66 +25,6 @@
 TIMEOUT_S = 2.0
 
 
-class ModelEndpoint:
-    """The endpoint of a machine; ``connect`` returns clients that call it."""
-
-    def __init__(self):
-        self.endpoint_id, self.born_ms = "e-1", 1_000
-        self.fence = 0
-        self.running = []
-        self.is_silent = False
-        self.asked_ids = []
-        self.open_clients = 0
-
-    def connect(self, endpoint_id):
-        """Return a client whose calls name this id."""
-        self.open_clients += 1
-        return ModelClient(self, endpoint_id)
-
-    def restart(self, endpoint_id, born_ms):
-        """Begin a new lifetime."""
-        self.endpoint_id, self.born_ms = endpoint_id, born_ms
-        self.fence, self.running = 0, []
-
-
-class ModelClient:
-    """The client of one endpoint id."""
-
-    def __init__(self, endpoint, endpoint_id):
-        self._endpoint = endpoint
-        self._endpoint_id = endpoint_id
-        self._is_open = True
-
-    async def inventory(self, fence, last_end_number, lease_expiry_ms, wait_ms):
-        """Answer as the endpoint at this time."""
-        endpoint = self._endpoint
-        endpoint.asked_ids.append(self._endpoint_id)
-        await asyncio.sleep(POLL_S)
-        if endpoint.is_silent:
-            return NoAnswer()
-        if self._endpoint_id != endpoint.endpoint_id:
-            return Rejected(Rejection.OTHER_LIFETIME)
-        if fence < endpoint.fence:
-            return Rejected(Rejection.FENCE)
-        endpoint.fence = fence
-        running = tuple(ActiveRun(key, "", 50) for key in endpoint.running)
-        return Inventory(5, endpoint.born_ms, running, ())
-
-    async def start(self, key, payload, lease_expiry_ms, fence, checkpoint=""):
-        """Start a run."""
-        self._endpoint.running.append(key)
-        return Accepted(5)
-
-    async def stop(self, key, fence):
-        """Leave the order unanswered."""
-        return NoAnswer()
-
-    def close(self):
-        """Count the client as closed."""
-        self._endpoint.open_clients -= self._is_open
-        self._is_open = False
-
-
 class LifetimeTests(unittest.IsolatedAsyncioTestCase):
     """An agent whose endpoint is at work on a run of one owner."""
 
