Renew no lease on a new link before its resync (TWICE)

Callers could see a task run twice at the same time.

Cause: an agent that was suspended holds a start that waits for room, whose run its owner has given up meanwhile. The owner's new link begins with the evacuated zones, and the resync that tells the agent of the run comes next. Where the two arrive apart, the first frame renewed the owner's lease, and the start began.

Change: the frames of a link renew the lease from its resync on, which stops the runs that it doesn't name before it renews.

Evidence: test_a_new_link_does_not_renew_the_lease_before_its_resync fails without the change. The tests that open a link send its resync now.

--- a/plantainhitch/coordination/runs/owners.py
+++ b/plantainhitch/coordination/runs/owners.py
@@ -2,7 +2,8 @@
 
 An owner's lease is renewed by time stamps of the agent's own clock that the owner
 echoes. A delayed frame echoes an old stamp and therefore can't extend the lease
-beyond what the stamp allows.
+beyond what the stamp allows. On a new link it counts from the resync on: before that,
+the agent doesn't know which of the runs from earlier links the owner has given up.
 """
 
 import collections
@@ -27,7 +28,8 @@
 class Owner:
     """One incarnation of an entry.
 
-    ``link_number`` is the highest of its links so far. ``orders_seen`` is the number of
+    ``link_number`` is the highest of its links so far, and ``is_resynced`` whether the
+    present one has had its resync. ``orders_seen`` is the number of
     its last ``RunOrders``, and ``loads`` are those of its queues. ``unacknowledged``
     holds pairs of a report's number and the ends in it, oldest first, until the owner
     acknowledges the report. ``unsent_crashes`` are the crashes of the endpoint that
@@ -36,6 +38,7 @@
 
     lease_expiry_ms: int = 0
     link_number: int = 0
+    is_resynced: bool = False
     orders_seen: int = 0
     last_report_number: int = 0
     is_linked: bool = False
@@ -86,6 +89,7 @@
             return False
         owner.link_number = link_number
         owner.is_linked = True
+        owner.is_resynced = False
         owner.unsent_crashes = list(self._recent_crashes)
         resent = [end for _, ends in owner.unacknowledged for end in ends]
         owner.unacknowledged.clear()
@@ -104,10 +108,19 @@
             if owner.is_linked:
                 owner.unsent_crashes.append(noticed)
 
+    def link_resynced(self, incarnation, echo_ms):
+        """Renew the lease by the echo of a resync, and by the frames after it.
+
+        To be called after the runs that the resync doesn't name were stopped.
+        """
+        self.get_or_create(incarnation).is_resynced = True
+        self.record_frame(incarnation, echo_ms, 0)
+
     def record_frame(self, incarnation, echo_ms, ack):
         """Renew the lease by a frame's echo and drop the reports it acknowledges."""
         owner = self.get_or_create(incarnation)
-        owner.lease_expiry_ms = max(owner.lease_expiry_ms, echo_ms + OWNER_LEASE_MS)
+        if owner.is_resynced:
+            owner.lease_expiry_ms = max(owner.lease_expiry_ms, echo_ms + OWNER_LEASE_MS)
         while owner.unacknowledged and owner.unacknowledged[0][0] <= ack:
             owner.unacknowledged.pop(0)
 
--- a/plantainhitch/coordination/runs/run_controller.py
+++ b/plantainhitch/coordination/runs/run_controller.py
@@ -357,6 +357,7 @@
         owner.orders_seen = orders.number
         if orders.is_resync:
             self._stop_unnamed_runs(incarnation, orders)
+            self._owners.link_resynced(incarnation, echo_ms)
         for key in orders.expected_runs:
             if key not in self._runs:
                 self._resend_end(incarnation, key)
--- a/tests/fleet_sim.py
+++ b/tests/fleet_sim.py
@@ -626,7 +626,6 @@
             m.Hello(m.ROLE_AGENT, name, agent.name, agent.zone), to_agent
         )
         agent.controller.owners.link_opened(incarnation)
-        agent.controller.owners.record_frame(incarnation, self.clock.now_ms(), 0)
         agent.links[incarnation] = to_entry
         scheduler.handle_agent_message(name, agent.controller.status())
         agent.report_pacer.record_sent(incarnation, agent.controller.free_room)
--- a/tests/test_agent_node.py
+++ b/tests/test_agent_node.py
@@ -66,7 +66,7 @@
         # No end is known before the next inventory if the answer of one is lost.
         self.controller.owners.link_opened(OWNER)
         start = m.RunStart(RunKey("job.0.0.0", 1), "", Room(1, 1, 0), 100, 100)
-        orders = m.RunOrders(1, [start])
+        orders = m.RunOrders(1, [start], is_resync=True)
         self.controller.handle_orders(OWNER, orders, self.clock.now_ms())
         self.assertEqual(agent_node.INVENTORY_WAIT_MS, await self.next_wait_ms())
         self.assertLess(agent_node.INVENTORY_WAIT_MS, 150)
--- a/tests/test_late_starts.py
+++ b/tests/test_late_starts.py
@@ -133,6 +133,7 @@
         self._endpoint = ModelEndpoint(self.clock, self.clock.now_ms())
         self._controller = RunController(self.clock, LEASE_MS, first_fence=10_000)
         self._controller.owners.link_opened(OWNER)
+        self._controller.owners.link_resynced(OWNER, self.clock.now_ms())
         self._sequence = 0
         self._events = []  # (time, number, action)
         self._event_count = 0
--- a/tests/test_lifetime_check.py
+++ b/tests/test_lifetime_check.py
@@ -44,6 +44,7 @@
         self.node.on_heartbeat(REPORT)
         await self.wait_until(lambda: self.controller.is_ready)
         self.controller.owners.link_opened(OWNER)
+        self.controller.owners.link_resynced(OWNER, clock.now_ms())
         self.order_start(clock)
         await self.wait_until(
             lambda: KEY in self.controller.runs and self.controller.runs[KEY].is_listed
--- a/tests/test_run_controller.py
+++ b/tests/test_run_controller.py
@@ -53,7 +53,7 @@
 
     def link_owner(self, owner):
         self.controller.owners.link_opened(owner)
-        self.renew_owner_lease(owner)
+        self.controller.owners.link_resynced(owner, self.clock.now_ms())
 
     def renew_owner_lease(self, owner=OWNER):
         self.controller.owners.record_frame(owner, self.clock.now_ms(), 0)
@@ -497,6 +497,34 @@
         self.controller.owners.record_frame(OWNER, old_ms, 0)
         self.assertIn(StopOrder(first.key), self.controller.next_orders())
 
+    def test_a_new_link_does_not_renew_the_lease_before_its_resync(self):
+        # The agent was suspended with a start that waits, and the owner has given the
+        # run up. The agent learns this by the resync, after other frames of the link.
+        waiting_start = run_start(wait_ms=5_000, is_isolated=True)
+        resync = m.RunOrders(1, is_resync=True)
+        self.controller.handle_orders(
+            OWNER, m.RunOrders(1, [waiting_start]), self.clock.now_ms()
+        )
+        self.clock.advance(OWNER_LEASE_MS + 1)
+        self.deliver_inventory()
+        self.controller.owners.link_opened(OWNER)
+        self.renew_owner_lease()
+        self.assertEqual([], self.controller.next_orders())
+        self.controller.handle_orders(OWNER, resync, self.clock.now_ms())
+        self.assertEqual([], self.controller.next_orders())
+        self.assertEqual({waiting_start.key: End.NOT_STARTED}, self.reported_ends())
+
+    def test_a_resync_renews_the_lease_of_the_runs_that_it_names(self):
+        first = run_start()
+        self.start_runs(first)
+        self.clock.advance(OWNER_LEASE_MS)
+        self.deliver_inventory([first.key])
+        self.controller.owners.link_opened(OWNER)
+        resync = m.RunOrders(1, expected_runs=[first.key], is_resync=True)
+        self.controller.handle_orders(OWNER, resync, self.clock.now_ms())
+        self.clock.advance(OWNER_LEASE_MS)
+        self.assertEqual([], self.controller.next_orders())
+
     def test_a_delayed_order_starts_no_run(self):
         old_ms = self.clock.now_ms()
         self.clock.advance(OWNER_LEASE_MS + 1)
