Model the links that an owner replaces

The new one has a start, an owner that opens up to three links, each of which delivers its frames at any time, hellos that overtake each other, and a start that waits at an agent.

Planted faults are now searched to 15 steps, which these need. make test searches it with two links.

--- a/plantainhitch/verify/__main__.py
+++ b/plantainhitch/verify/__main__.py
@@ -8,16 +8,18 @@
 
 from .endpoint_orders import EndpointOrderModel, OrderFault
 from .keys import KeyFault, KeyModel
+from .replaced_links import LinkFault, ReplacedLinkModel
 from .search import search
 from .starts import StartModel
 from .states import Fault
 
 # (tasks in the job, search depth in steps) for the protocol without planted faults.
 MODEL_SEARCHES = ((1, 17), (2, 11))
-FAULT_DEPTH = 14
+FAULT_DEPTH = 15
 # Deeper than any path of the small models, so that their search is exhaustive.
 KEY_DEPTH = 40
 ORDER_DEPTH = 40
+LINK_DEPTH = 40
 
 
 def main():
@@ -28,6 +30,7 @@
     ]
     passed.append(_search_model("keys", KeyModel(), KEY_DEPTH))
     passed.append(_search_model("endpoint orders", EndpointOrderModel(), ORDER_DEPTH))
+    passed.append(_search_model("replaced links", ReplacedLinkModel(), LINK_DEPTH))
     for fault in Fault:
         if fault is not Fault.NONE:
             tasks = 2 if fault is Fault.PARTIAL_ANSWER else 1
@@ -38,6 +41,9 @@
     for fault in OrderFault:
         if fault is not OrderFault.NONE:
             passed.append(_search_planted_fault(EndpointOrderModel(fault), fault))
+    for fault in LinkFault:
+        if fault is not LinkFault.NONE:
+            passed.append(_search_planted_fault(ReplacedLinkModel(fault), fault))
     return 0 if all(passed) else 1
 
 
--- a/plantainhitch/verify/replaced_links.py
+++ b/plantainhitch/verify/replaced_links.py
@@ -11,7 +11,6 @@
 import enum
 from typing import NamedTuple
 
-MAX_LINKS = 3
 MAX_TIME = 3
 # The frames besides hello, start and resync that may be under way on a link.
 MAX_OTHER_FRAMES = 1
@@ -44,6 +43,7 @@
     RESYNC = 2
     # For example a heartbeat, or the evacuated zones.
     OTHER = 3
+    NAMES = ("hello", "start", "resync", "frame")
 
 
 class Frame(NamedTuple):
@@ -82,18 +82,22 @@
     run: int = RunState.UNKNOWN
     # The link on which it has denied the run.
     denied_on: int = NO_LINK
-    frames: tuple = ((),) * MAX_LINKS
+    frames: tuple = ()
 
 
 class ReplacedLinkModel:
-    """The model of one start, optionally with a planted fault."""
+    """The model of one start on up to ``max_links`` links.
 
-    def __init__(self, fault=LinkFault.NONE):
+    ``fault`` is a planted fault, none by default.
+    """
+
+    def __init__(self, fault=LinkFault.NONE, max_links=3):
         self._fault = fault
+        self._max_links = max_links
 
     def initial(self):
         """Return the state before the first link."""
-        return LinkState()
+        return LinkState(frames=((),) * self._max_links)
 
     def steps(self, state):
         """Yield every ``(label, next state)``."""
@@ -104,8 +108,11 @@
         for number, frames in enumerate(state.frames, start=1):
             if frames:
                 delivered = _with_frames(state, number, frames[1:])
-                label = f"frame {frames[0].kind} of link {number} delivered"
-                yield label, self._handle(delivered, number, frames[0])
+                name = FrameKind.NAMES[frames[0].kind]
+                yield (
+                    f"{name} of link {number} delivered",
+                    self._handle(delivered, number, frames[0]),
+                )
 
     def violation(self, state):
         """Return which invariant the state breaks, or an empty text."""
@@ -123,7 +130,7 @@
     def _owner_steps(self, state):
         if state.open_link:
             yield "the owner closes its link", _closed(state)
-        elif state.dialled < MAX_LINKS:
+        elif state.dialled < self._max_links:
             number = state.dialled + 1
             dialled = state._replace(open_link=number, dialled=number)
             yield "the owner dials", _send(dialled, Frame(FrameKind.HELLO))
--- a/tests/test_verify.py
+++ b/tests/test_verify.py
@@ -4,6 +4,7 @@
 
 from plantainhitch.verify.endpoint_orders import EndpointOrderModel, OrderFault
 from plantainhitch.verify.keys import KeyFault, KeyModel
+from plantainhitch.verify.replaced_links import LinkFault, ReplacedLinkModel
 from plantainhitch.verify.search import search
 from plantainhitch.verify.starts import StartModel
 from plantainhitch.verify.states import Fault, Limits
@@ -11,6 +12,7 @@
 FAULT_DEPTH = 14
 KEY_DEPTH = 40
 ORDER_DEPTH = 40
+LINK_DEPTH = 40
 
 
 class _AllStates:
@@ -102,3 +104,21 @@
                 with self.subTest(fault=fault.value):
                     result = search(EndpointOrderModel(fault), ORDER_DEPTH)
                     self.assertIsNotNone(result.violation)
+
+
+class ReplacedLinkModelTests(unittest.TestCase):
+    """Model of a start on links that are replaced (review case 1)."""
+
+    def test_protocol_has_no_violation_in_any_state(self):
+        result = search(ReplacedLinkModel(max_links=2), LINK_DEPTH)
+        self.assertIsNone(result.violation)
+        self.assertTrue(result.is_exhausted)
+        self.assertGreater(result.states, 10_000)
+
+    def test_each_planted_fault_is_found(self):
+        for fault in LinkFault:
+            if fault is not LinkFault.NONE:
+                with self.subTest(fault=fault.value):
+                    model = ReplacedLinkModel(fault, max_links=2)
+                    result = search(model, LINK_DEPTH)
+                    self.assertIsNotNone(result.violation)
