Leave a run to its new owner when a stale start of the former one arrives

Callers could wait in vain until their deadline: a job resubmitted at another entry, because the first one was cut off, was stopped as "owner silent", and its end was reported to the entry that had been cut off.

Cause: a start for a run that is known made its sender the owner before it was asked whether the start was stale.

Change: a stale start of another owner changes nothing. It isn't answered either: the entry could only place the task a second time.

Evidence: test_a_stale_start_of_the_former_owner_does_not_take_the_run_back fails without the change.

Still open: two entries that are both heard and both own the job (the caller has left the first, which hasn't noticed) still take the run from each other.

--- a/plantainhitch/coordination/runs/run_controller.py
+++ b/plantainhitch/coordination/runs/run_controller.py
@@ -535,9 +535,12 @@
     def _handle_start(self, incarnation, start, echo_ms):
         key = start.key
         self._owners.record_frame(incarnation, echo_ms, 0)
+        is_stale = not self._owners.is_alive(incarnation)
         if key in self._runs:
-            # The caller resubmitted its job at another entry, which owns the run now.
-            self._runs[key].owner = incarnation
+            # The caller resubmitted its job at another entry, which owns the run now. A
+            # stale start is that of the entry where the job was before.
+            if not is_stale:
+                self._runs[key].owner = incarnation
             return
         if key in self._recent_ends:
             self._resend_end(incarnation, key)
@@ -547,7 +550,7 @@
         self._runs[key] = run
         self._last_start_millis = start.room.cpu_millis
         self._isolated_count += start.is_isolated
-        if not self._owners.is_alive(incarnation):
+        if is_stale:
             self._finish(key, End.NOT_STARTED, "stale order")
             return
         refusal = self._replace_older_runs(run) or self._start_refusal(run)
--- a/tests/test_run_controller.py
+++ b/tests/test_run_controller.py
@@ -669,6 +669,20 @@
         self.assertEqual({start.key: End.DONE}, self.reported_ends(OTHER))
         self.assertEqual({}, self.reported_ends(OWNER))
 
+    def test_a_stale_start_of_the_former_owner_does_not_take_the_run_back(self):
+        # The job was resubmitted at another entry after the first was cut off. Its
+        # start arrives when the cut has healed, and nobody hears from it after that.
+        stale_ms = self.clock.now_ms()
+        self.clock.advance(OWNER_LEASE_MS + 1)
+        self.deliver_inventory()
+        self.link_owner(OTHER)
+        start = run_start()
+        self.start_runs(start, owner=OTHER)
+        self.assertEqual([], self.send_orders(start, owner=OWNER, echo_ms=stale_ms))
+        self.assertEqual(OTHER, self.controller.runs[start.key].owner)
+        self.deliver_inventory(ended=[EndedRun(1, start.key, End.DONE, "")])
+        self.assertEqual({start.key: End.DONE}, self.reported_ends(OTHER))
+
     def test_an_older_run_is_stopped_even_if_the_newer_one_finds_no_room(self):
         start = run_start(cpu=4_000)
         self.start_runs(start)
