Report no order numbers of an earlier link on a new one

Callers: none was seen to be harmed; an entry could send more starts than an agent had room for, which came back after a link had been replaced.

Cause: an entry that has given an agent up forgets the number of its last orders, and numbers them from 1 when the agent is back. The agent's reports named the last number of the earlier link until the next orders arrived, so the entry took its newest starts for part of the reported load.

Change: a new link begins with 0, which accounts for no start.

Evidence: the new test of ReportTests fails without the change.

--- a/plantainhitch/coordination/runs/owners.py
+++ b/plantainhitch/coordination/runs/owners.py
@@ -29,11 +29,12 @@
     """One incarnation of an entry.
 
     ``link_number`` is the highest of its links so far, and ``is_resynced`` whether the
-    present one has had its resync. ``orders_seen`` is the number of
-    its last ``RunOrders``, and ``loads`` are those of its queues. ``unacknowledged``
-    holds pairs of a report's number and the ends in it, oldest first, until the owner
-    acknowledges the report. ``unsent_crashes`` are the crashes of the endpoint that
-    were not reported on its present link, each with the time at which it was noticed.
+    present one has had its resync. ``orders_seen`` is the number of the last
+    ``RunOrders`` on that link, and ``loads`` are those of its queues.
+    ``unacknowledged`` holds pairs of a report's number and the ends in it, oldest
+    first, until the owner acknowledges the report. ``unsent_crashes`` are the crashes
+    of the endpoint that were not reported on its present link, each with the time at
+    which it was noticed.
     """
 
     lease_expiry_ms: int = 0
@@ -90,6 +91,7 @@
         owner.link_number = link_number
         owner.is_linked = True
         owner.is_resynced = False
+        owner.orders_seen = 0
         owner.unsent_crashes = list(self._recent_crashes)
         resent = [end for _, ends in owner.unacknowledged for end in ends]
         owner.unacknowledged.clear()
--- a/tests/test_run_controller.py
+++ b/tests/test_run_controller.py
@@ -831,6 +831,14 @@
         self.controller.owners.link_opened(OWNER)
         self.assertEqual({first.key: End.DONE}, self.reported_ends())
 
+    def test_a_report_on_a_new_link_names_no_orders_of_an_earlier_one(self):
+        # The owner has forgotten the agent meanwhile and numbers its orders from 1. It
+        # would take its next starts for part of the load that the report gives.
+        self.send_orders()
+        self.assertEqual(1, self.controller.next_report(OWNER).orders_seen)
+        self.controller.owners.link_opened(OWNER)
+        self.assertEqual(0, self.controller.next_report(OWNER).orders_seen)
+
     def test_acknowledged_ends_are_not_sent_again(self):
         first = run_start()
         self.start_runs(first)
