--- a/tests/deployed_soak.py
+++ b/tests/deployed_soak.py
@@ -18,6 +18,10 @@
 TRAFFIC_DURATION_S = 5.0
 JOBS_PER_S = 12
 FAULT_DURATION_S = (0.2, 2.5)
+# Entries close a link after 1.5 s of silence.
+SILENCE_S = 1.6
+# A connection that was silent delivers at most this much later.
+MAX_LATENESS_S = 0.6
 STOP_TIMEOUT_S = 8.0
 
 
@@ -92,6 +96,31 @@
     forwarder.heal()
 
 
+async def silence_connections(world, rng, duration_s):
+    """Hold the open connections to two agents for longer than entries wait.
+
+    The entries replace their links and place the tasks elsewhere. What they sent on the
+    old ones arrives while these run.
+    """
+    agents = rng.sample(world.agents, 2)
+    silences = [SILENCE_S + rng.uniform(0, MAX_LATENESS_S) for _ in agents]
+    await asyncio.gather(
+        *(
+            _inject(agent.link, "hold_present", silence_s)
+            for agent, silence_s in zip(agents, silences, strict=True)
+        )
+    )
+
+
+async def odd_heartbeats(world, rng, duration_s):
+    """Send agents heartbeats of another writer, as long as most faults last."""
+    end_s = time.monotonic() + FAULT_DURATION_S[1]
+    while time.monotonic() < end_s:
+        number = rng.randrange(len(world.agents))
+        await world.send_odd_heartbeats(number, rng)
+        await asyncio.sleep(0.1)
+
+
 async def silence_endpoint(world, rng, duration_s):
     """Hold all bytes between an agent and its endpoint."""
     await _inject(rng.choice(world.agents).endpoint, "hold", duration_s)
@@ -224,6 +253,9 @@
 LAST_SEED_OF_FIRST_FAULTS = 100
 # Later seeds evacuate zones during all other faults, in a world of two zones.
 LAST_SEED_WITHOUT_EVACUATION = 1_000
+# Seeds after that silence connections during all other faults in place of it, and send
+# odd heartbeats.
+LAST_SEED_WITH_EVACUATION = 2_000
 ZONES = ("z1", "z2")
 
 
@@ -279,7 +311,9 @@
     rng = random.Random(seed)
     if faults is None and seed > LAST_SEED_OF_FIRST_FAULTS:
         faults = rng.sample(ALL_FAULTS, rng.choice((1, 2, 2, 3)))
-        if seed > LAST_SEED_WITHOUT_EVACUATION:
+        if seed > LAST_SEED_WITH_EVACUATION:
+            faults += [silence_connections, silence_connections, odd_heartbeats]
+        elif seed > LAST_SEED_WITHOUT_EVACUATION:
             faults.append(evacuate_zones)
     zones = ZONES if faults and evacuate_zones in faults else ZONES[:1]
     began_s = time.monotonic()
--- a/tests/deployed_world.py
+++ b/tests/deployed_world.py
@@ -31,6 +31,7 @@
 from .deployment import BOUNDS, HOST, POOL, configuration
 from .harness import ROOT, Forwarder, Process
 from .loopback import HOSTS
+from .odd_values import odd_documents
 
 CPU_MILLIS = 4_000
 MAX_ATTEMPTS = 2
@@ -350,6 +351,23 @@
             await asyncio.sleep(RESUBMIT_DELAY_S)
         return job
 
+    async def send_odd_heartbeats(self, number, rng):
+        """Send the agent of this number heartbeats that its endpoint has not sent."""
+        path, body = self.endpoints[number].heartbeat()
+        document = msgspec.json.decode(body)
+        other_birth = document["born"] + rng.randint(-1_000, 1_000_000)
+        newer = document | {"born": other_birth, "seq": document["seq"] + 1}
+        bodies = [data for _, data in odd_documents(newer)]
+        bodies = [*rng.sample(bodies, 3), msgspec.json.encode(newer)]
+        address = Address.from_text(self.agents[number].address(4))
+        client = HttpClient(address, Clock())
+        for data in bodies:
+            target = rng.choice((path, "/instances/i-unknown"))
+            await client.request(
+                b"PUT", target.encode(), data, timeout_ms=HEARTBEAT_TIMEOUT_MS
+            )
+        await client.aclose()
+
     async def check_recovery(self, after):
         """Wait until every entry completes a job; record a problem if one doesn't."""
         deadline_s = time.monotonic() + RECOVERY_TIMEOUT_S
--- a/tests/harness.py
+++ b/tests/harness.py
@@ -135,6 +135,8 @@
         self._released.set()
         self._is_refusing = False
         self._writers = set()
+        # Those of the connections that ``hold_present`` holds.
+        self._held_writers = set()
         self._tasks = set()
 
     @classmethod
@@ -152,6 +154,10 @@
         """Stop forwarding in both directions until ``heal``, losing no bytes."""
         self._released.clear()
 
+    def hold_present(self):
+        """Hold the connections that are open now until ``heal``; new ones work."""
+        self._held_writers = set(self._writers)
+
     def hold_from_target(self):
         """Stop forwarding from the target until ``heal``, losing no bytes."""
         self._is_target_held = True
@@ -167,6 +173,7 @@
         self._is_refusing = False
         self._is_target_held = False
         self.delay_s = 0.0
+        self._held_writers = set()
         self._released.set()
 
     async def aclose(self):
@@ -213,6 +220,8 @@
     async def _relay(self, reader, writer, is_from_target=False):
         while data := await reader.read(65_536):
             await self._released.wait()
+            while writer in self._held_writers:
+                await asyncio.sleep(0.01)
             await asyncio.sleep(self.delay_s)
             while is_from_target and self._is_target_held:
                 await asyncio.sleep(0.01)
--- a/tests/test_deployed_soak.py
+++ b/tests/test_deployed_soak.py
@@ -41,6 +41,7 @@
 GRACEFUL_SEED = 11
 DEADLY_SEED = 902
 EVACUATION_SEED = 1_001
+REPLACED_LINK_SEED = 2_001
 # Seeds that once gave violations, with the cause.
 REGRESSION_SEEDS = {
     18: "a start that arrived in the endpoint's next lifetime ran beside another run",
@@ -74,9 +75,30 @@
         faults = (soak.evacuate_zones, soak.kill_everything, soak.store_outage)
         self.assertEqual([], await soak.run_seed(EVACUATION_SEED, faults))
 
+    async def test_connections_that_deliver_late_beside_odd_heartbeats(self):
+        # Review case 1: a start held up on a replaced link ran beside the next run.
+        faults = (soak.silence_connections, soak.pause_agent, soak.odd_heartbeats)
+        self.assertEqual([], await soak.run_seed(REPLACED_LINK_SEED, faults))
+
 
 class LateStartTests(ProcessTestCase):
-    """Starts that an endpoint leaves unanswered and carries out late."""
+    """Starts that a connection or an endpoint holds up and that arrive late."""
+
+    async def test_starts_held_up_on_connections_that_were_replaced(self):
+        # Review case 1: they were carried out beside the next runs of their tasks.
+        async with World(random.Random(1), entries=2, agents=3) as world:
+            for agent in world.agents:
+                agent.link.hold_present()
+            jobs = [
+                asyncio.create_task(world.submit(tasks=2, run_ms=1_500))
+                for _ in range(5)
+            ]
+            await asyncio.sleep(soak.SILENCE_S + soak.MAX_LATENESS_S)
+            for agent in world.agents:
+                agent.link.heal()
+            for job in jobs:
+                self.assertEqual("completed", (await job).state)
+            self.assertEqual([], world.violations())
 
     async def test_a_start_carried_out_after_its_agent_was_suspended(self):
         # Review case 4: it ran beside the run that its owner had placed elsewhere.
