Keep late orders and hellos of replaced links from undoing newer ones

Operators: an endpoint that was drained could accept starts again until the agent next read the table, and an entry could miss reports until its link to the agent ended.

Cause: that agent refuses late starts by the echo of their own frame, and keeps what it has denied. But it carried out an order to drain, or to resume, from any link, and took the link whose hello arrived last for the newest.

Change: the number of the link in the hello decides which is the newest, and orders to drain count on the newest only. Starts, cancellings and resolves are unchanged: each is safe on any link.

--- a/plantainhitch/coordination/agent_core.py
+++ b/plantainhitch/coordination/agent_core.py
@@ -65,9 +65,14 @@
 
 @dataclass(slots=True)
 class _EntryLink:
-    """State of one link; ``entry`` is the incarnation of the entry at the other end."""
+    """State of one link.
+
+    ``entry`` is the incarnation of the entry at the other end, and ``order`` the number
+    that it has given to the link.
+    """
 
     entry: bytes
+    order: int = 0
     unsent_reports: list[m.Report] = field(default_factory=list)
     # (batch number, keys) of the report batches sent but not yet acknowledged,
     # oldest first.
@@ -223,8 +228,10 @@
 
     def _add_link(self, event):
         hello = event.hello
-        self._links[event.number] = _EntryLink(hello.incarnation)
-        self._newest_link_by_entry[hello.incarnation] = event.number
+        self._links[event.number] = _EntryLink(hello.incarnation, hello.link_number)
+        newest = self._links.get(self._newest_link_by_entry.get(hello.incarnation))
+        if newest is None or hello.link_number >= newest.order:
+            self._newest_link_by_entry[hello.incarnation] = event.number
         self._round.messages += self._configuration.add_link(
             event.number, hello.configuration_version
         )
@@ -258,7 +265,8 @@
             case m.Configuration() as message:
                 self._handle_configuration(number, message)
             case m.Drain(draining):
-                self._set_drain(DrainCause.OPERATOR, draining)
+                if number == self._newest_link_by_entry.get(link.entry):
+                    self._set_drain(DrainCause.OPERATOR, draining)
 
     def _acknowledge(self, link, number):
         while link.unacknowledged and link.unacknowledged[0][0] <= number:
--- a/tests/test_agent_core.py
+++ b/tests/test_agent_core.py
@@ -53,10 +53,18 @@
         self.cancelled.extend(result.cancels)
         return result.messages
 
-    def open_link(self, number, entry=None, version=1):
-        """Open a link and deliver the configuration on it."""
+    def open_link(self, number, entry=None, version=1, link_number=0):
+        """Open a link and deliver the configuration on it.
+
+        ``link_number`` is the number that the entry has given to the link.
+        """
         hello = m.Hello(
-            m.ROLE_ENTRY, entry or b"entry%d" % number, "e", "z", 1, version
+            m.ROLE_ENTRY,
+            entry or b"entry%d" % number,
+            "e",
+            "z",
+            configuration_version=version,
+            link_number=link_number,
         )
         opened = e.LinkOpened(number, None, hello)
         configuration = m.Configuration(1, self.document.to_json())
@@ -143,6 +151,26 @@
         self.assertEqual(outcomes_in(driver.deliver(1, batch)), [refused])
         self.assertEqual(driver.started, [])
 
+    def test_a_link_whose_hello_was_overtaken_does_not_become_the_newest(self):
+        # The reports were sent on a link that the entry had closed.
+        driver = AgentDriver(slots=1)
+        driver.open_link(1, b"entry", link_number=2)
+        driver.open_link(2, b"entry", link_number=1)
+        driver.send_starts(1)
+        ((number, _),) = driver.end_tasks(driver.started[0])
+        self.assertEqual(1, number)
+
+    def test_an_order_of_a_replaced_link_does_not_end_a_drain(self):
+        # It was held up on the connection before the operator drained the endpoint.
+        driver = AgentDriver()
+        driver.open_link(1, b"entry", link_number=1)
+        driver.open_link(2, b"entry", link_number=2)
+        driver.deliver(2, m.Drain(True))
+        driver.deliver(1, m.Drain(False))
+        self.assertTrue(driver.core.is_draining)
+        driver.deliver(2, m.Drain(False))
+        self.assertFalse(driver.core.is_draining)
+
     def test_refused_waiting_start_is_reported_on_the_newest_link(self):
         # The link of the start may be dead without the agent having detected it. A
         # report on it would be lost, and the entry would keep waiting for it.
