Start a process of the soak once when two faults restart it

A node starts a process now only if it has none.

Evidence: test_two_faults_start_a_killed_process_once fails without the change (two processes).

--- a/tests/deployed_world.py
+++ b/tests/deployed_world.py
@@ -156,6 +156,7 @@
         self.link = self.store = self.endpoint = None
         self.process = None
         self._start_count = 0
+        self._start_lock = asyncio.Lock()
         self._settings = folder / f"{name}.toml"
         self.log = folder / f"{name}.log"
 
@@ -206,7 +207,12 @@
         return self.log.read_bytes().count(b'"message":"started"') == self._start_count
 
     async def start(self):
-        """Start a process of the program."""
+        """Start a process of the program, unless another fault has started one."""
+        async with self._start_lock:
+            if self.process is None or not self.process.is_running:
+                await self._start_process()
+
+    async def _start_process(self):
         self._start_count += 1
         with self.log.open("ab") as log:
             process = await asyncio.create_subprocess_exec(
--- a/tests/test_deployed_soak.py
+++ b/tests/test_deployed_soak.py
@@ -121,6 +121,23 @@
             self.assertEqual([], world.violations())
 
 
+class RestartTests(ProcessTestCase):
+    """Faults that restart the same process."""
+
+    async def test_two_faults_start_a_killed_process_once(self):
+        # The first of two processes kept its addresses after the end of its world, and
+        # the next worlds met it.
+        async with World(random.Random(7), entries=1, agents=1) as world:
+            (agent,) = world.agents
+            await agent.process.kill()
+            execute = asyncio.create_subprocess_exec
+            with mock.patch("asyncio.create_subprocess_exec", wraps=execute) as started:
+                await asyncio.gather(agent.start(), agent.start())
+            self.assertEqual(1, started.call_count)
+            await world.check_recovery("a restart by two faults")
+            self.assertEqual([], world.violations())
+
+
 class OddHeartbeatTests(ProcessTestCase):
     """Heartbeats of another writer, under the endpoint's id and under unknown ones."""
 
