--- a/tests/test_link_random.py
+++ b/tests/test_link_random.py
@@ -115,7 +115,7 @@
         self.node = agent_node.RunAgentNode(hello, self.clock, self.controller, None)
         self.endpoint = ModelEndpoint(self.clock, self.clock.now_ms())
         self.paused_until_ms = self.cut_until_ms = 0
-        self.ends = []  # the agent's end of each connection, None before its hello
+        self.ends = []  # the agent's end of each connection that is not closed
         self._run_end_ms = {}
         self._inventory_due_ms = 0
         report = EndpointReport(name, self.endpoint.born_ms, 1, "pool", False, CAPACITY)
