--- a/plantainhitch/coordination/runs/agent_node.py
+++ b/plantainhitch/coordination/runs/agent_node.py
@@ -266,9 +266,9 @@
         """Make a link the present one of its owner, unless a newer one is known.
 
         Only the present link counts. The owner closes a link before it opens the next,
-        and gives up the runs that the agent does not name on that. What it has sent on
-        the closed one can still arrive: a connection that was cut off delivers it
-        later, and the new link would have renewed the owner's lease by then.
+        and may have given up the runs that it ordered on the closed one. What it has
+        sent there can still arrive: a connection that was cut off delivers it later,
+        and the new link would have renewed the owner's lease by then.
         """
         owners = self._controller.owners
         if not owners.link_opened(incarnation, number):
