Show that a run goes on beside the next one if its entry and its agent die

Seen: an entry is killed, and 0.7 s later the agent of one of its runs. The caller submits again 1.3 s after its connection broke; the run goes on until the endpoint's lease ends, 1.7 s after the death of the entry.

The endpoint stand-in ended runs only at the next call or heartbeat after its lease had expired, up to 200 ms late. It ends them with the lease now, as its protocol says.

--- a/plantainhitch/standins/run_endpoint.py
+++ b/plantainhitch/standins/run_endpoint.py
@@ -172,6 +172,8 @@
     def _renew(self, until_ms):
         latest_ms = self._clock_ms() + MAX_LEASE_MS
         self._lease_until_ms = max(self._lease_until_ms, min(until_ms, latest_ms))
+        remaining_s = (self._lease_until_ms - self._clock_ms() + 1) / 1_000
+        asyncio.get_running_loop().call_later(max(remaining_s, 0), self.expire_lease)
 
     async def _handle_hold(self, call):
         if call["fence"] < self._fence:
--- a/tests/deployed_world.py
+++ b/tests/deployed_world.py
@@ -333,11 +333,18 @@
         self.store.remove(OPERATOR_TABLE, EVACUATION_PREFIX + zone)
 
     async def submit(
-        self, entry=None, tasks=None, run_ms=None, prefix="/queue/", is_deadly=False
+        self,
+        entry=None,
+        tasks=None,
+        run_ms=None,
+        prefix="/queue/",
+        is_deadly=False,
+        next_entry=None,
     ):
         """Submit a job as a caller does, with resubmissions; return its record.
 
-        Each task of a deadly job crashes the endpoints that start it.
+        Resubmissions go to ``next_entry`` if given, else to ``entry`` or, without that,
+        to any. Each task of a deadly job crashes the endpoints that start it.
         """
         tasks = tasks or self.rng.choice((1, 1, 2, 4))
         run_ms = run_ms or self.rng.choice((30, 80, 200, 700))
@@ -355,6 +362,7 @@
             if status not in (0, 502, 504):
                 break
             await asyncio.sleep(RESUBMIT_DELAY_S)
+            entry = next_entry or entry
         return job
 
     async def send_odd_heartbeats(self, number, rng):
--- a/tests/test_deployed_soak.py
+++ b/tests/test_deployed_soak.py
@@ -41,6 +41,8 @@
 GRACEFUL_SEED = 11
 DEADLY_SEED = 902
 EVACUATION_SEED = 1_001
+# Between the deaths of an entry and of an agent; within the lease of the entry.
+DEATH_INTERVAL_S = 0.7
 REPLACED_LINK_SEED = 2_001
 # Seeds that once gave violations, with the cause.
 REGRESSION_SEEDS = {
@@ -121,6 +123,34 @@
             self.assertEqual([], world.violations())
 
 
+class NestedLeaseTests(ProcessTestCase):
+    """An entry dies, and soon after it the agent of one of its runs."""
+
+    async def test_a_run_ends_before_its_job_is_submitted_again(self):
+        # Review case 2: the endpoint's lease began anew until the agent died, and the
+        # run went on beside the next one.
+        async with World(random.Random(8), entries=2, agents=3) as world:
+            first, second = world.entries
+            submission = world.submit(first, tasks=3, run_ms=2_500, next_entry=second)
+            job = asyncio.create_task(submission)
+            async with asyncio.timeout(5):
+                while sum(map(active_run_count, world.endpoints)) < 3:
+                    await asyncio.sleep(0.01)
+            await first.process.kill()
+            await asyncio.sleep(DEATH_INTERVAL_S)
+            for agent, endpoint in zip(world.agents, world.endpoints, strict=True):
+                if active_run_count(endpoint):
+                    await agent.process.kill()
+                    break
+            self.assertEqual("completed", (await job).state)
+            self.assertEqual([], world.violations())
+
+
+def active_run_count(endpoint):
+    """Return the number of runs that are at work at a ``LedgerEndpoint``."""
+    return sum(run.ended_s is None for run in endpoint.runs)
+
+
 class RestartTests(ProcessTestCase):
     """Faults that restart the same process."""
 
