End the endpoint's lease with those of the owners of its runs

Cause: two leases in a row, of which only the last was compared with the time after which callers submit again. An agent renewed its endpoint's lease for 1,000 ms at any time within the 900 ms of an owner's lease. Where the agent died, froze or was cut off then, or where its stop was lost, the run ended up to 2.0 s after its owner.

Change: a renewal is never longer than the last contact of any owner with a run at the endpoint allows (1,250 ms after it all has ended, drift and stop included). A run that its owner has given up counts with the echo of that frame, so a stop that is lost leads to the same end. A start is refused if the endpoint's lease is already too long for its owner, since it can't be shortened. For that to be rare a renewal lasts 754 ms instead of 1,000. The times follow from the deployment's resubmit_ms. Entries place the runs of a silent agent again after 1.3 s instead of 2.07 s, as they have ended by then.

--- a/plantainhitch/commands/deployed_agent.py
+++ b/plantainhitch/commands/deployed_agent.py
@@ -5,6 +5,7 @@
 from ..coordination.membership import Membership
 from ..coordination.runs.agent_node import AGENT_LINK_TIMING, RunAgentNode
 from ..coordination.runs.endpoint_record import EndpointRecord
+from ..coordination.runs.lease_times import LeaseTimes
 from ..coordination.runs.run_controller import RunController
 from ..coordination.runs.warm_up import WarmUpLimits
 from ..platform.endpoint import EndpointClient
@@ -37,7 +38,7 @@
     hello = m.Hello(m.ROLE_AGENT, member.incarnation, deployment.name, deployment.zone)
     controller = RunController(
         clock,
-        deployment.bounds.lease_ms,
+        LeaseTimes.from_bounds(deployment.bounds),
         first_fence=clock.wall_ms(),
         zone=deployment.zone,
         warm_up_limits=WarmUpLimits.from_bounds(deployment.bounds),
--- a/plantainhitch/commands/deployed_entry.py
+++ b/plantainhitch/commands/deployed_entry.py
@@ -7,6 +7,7 @@
 from ..coordination.jobs.route_watch import RouteWatch
 from ..coordination.jobs.scheduler import Scheduler
 from ..coordination.membership import Membership
+from ..coordination.runs.lease_times import LeaseTimes
 from ..job_metrics import JobMetrics
 from ..platform.configuration import OperatorSource, decode as decode_routes
 from ..platform.job_app import JobApp, ReadinessApp
@@ -46,7 +47,7 @@
     bounds = deployment.bounds
     scheduler = Scheduler(
         clock,
-        bounds.lease_ms,
+        LeaseTimes.from_bounds(bounds),
         metrics.record_job,
         zone=deployment.zone,
         remote_factor=bounds.remote_factor,
--- a/plantainhitch/coordination/jobs/fleet.py
+++ b/plantainhitch/coordination/jobs/fleet.py
@@ -7,9 +7,8 @@
 from ...state.jobs import Room
 from ...state.queue_ranks import ranks_at_or_before
 from ..evacuation import no_evacuations
-from ..runs.endpoint_lease import CLOCK_DRIFT_FACTOR
 from ..runs.endpoint_performance import decay_factor
-from ..runs.owners import OWNER_LEASE_MS
+from ..runs.lease_times import longest_run_ms
 from .sections import Division, Section, divide
 from .speeds import SpeedEstimates, blend
 
@@ -25,8 +24,8 @@
 HOLD_AFTER_FAILURES = 2
 HOLD_MS = 1_000
 MAX_HOLD_DOUBLINGS = 3
-# Added to the leases of owner and endpoint before a run is taken to have ended.
-LEASE_MARGIN_MS = 150
+# Added to the time by which a run has ended before its task is placed again.
+LEASE_MARGIN_MS = 50
 # A reported slowness outside of this range is ignored.
 MIN_SLOWNESS = 0.01
 MAX_SLOWNESS = 1_000.0
@@ -191,21 +190,24 @@
 class Fleet:
     """All agents that an entry knows.
 
-    ``lease_ms`` is the length of an endpoint's lease, ``zone`` the entry's
-    availability zone, and ``remote_factor`` the factor on the run time of tasks
-    outside the rack of their data. ``rng`` shuffles the agents of a pool. Agents in
-    zones that ``evacuations``, an ``EvacuationState``, covers are in no pool view; no
-    zone is ever evacuated if it is left out.
+    ``lease_times`` are the ``LeaseTimes``, ``zone`` is the entry's availability zone,
+    and ``remote_factor`` the factor on the run time of tasks outside the rack of their
+    data. ``rng`` shuffles the agents of a pool. Agents in zones that ``evacuations``,
+    an ``EvacuationState``, covers are in no pool view; no zone is ever evacuated if it
+    is left out.
     """
 
-    def __init__(self, clock, lease_ms, *, zone, remote_factor, rng, evacuations=None):
+    def __init__(
+        self, clock, lease_times, *, zone, remote_factor, rng, evacuations=None
+    ):
         self._clock = clock
         self._evacuations = evacuations or no_evacuations(clock)
         self._zone = zone
         self._remote_factor = remote_factor
         self._rng = rng
-        self._endpoint_lease_ms = lease_ms * CLOCK_DRIFT_FACTOR + LEASE_MARGIN_MS
-        self._max_silence_ms = OWNER_LEASE_MS + self._endpoint_lease_ms
+        lapse_ms = longest_run_ms(lease_times.endpoint_ms)
+        self._max_dead_ms = lapse_ms + LEASE_MARGIN_MS
+        self._max_silence_ms = lease_times.run_end_ms + LEASE_MARGIN_MS
         self._agents = {}
         self._known_count = 0
         self._pool_views = {}
@@ -372,14 +374,14 @@
         """Return whether the leases exclude that a run of this owner still runs there.
 
         The agent stops the owner's runs when it has not heard from the owner for the
-        owner's lease. If the agent can't, the endpoint's lease lapses, and the
+        owner's lease. If the agent can't, the endpoint's lease lapses in time, and the
         endpoint stops them. Once the agent's process is confirmed dead, only the
         endpoint's lease counts.
         """
         now_ms = self._clock.now_ms()
         if (
             agent.confirmed_dead_ms is not None
-            and now_ms - agent.confirmed_dead_ms > self._endpoint_lease_ms
+            and now_ms - agent.confirmed_dead_ms > self._max_dead_ms
         ):
             return True
         return now_ms - self._update_last_contact_ms(agent) > self._max_silence_ms
--- a/plantainhitch/coordination/jobs/scheduler.py
+++ b/plantainhitch/coordination/jobs/scheduler.py
@@ -37,7 +37,7 @@
 class Scheduler:
     """The jobs that an entry owns, and the placement of their tasks.
 
-    ``lease_ms`` is the length of an endpoint's lease. ``on_outcome(queue, JobOutcome,
+    ``lease_times`` are the ``LeaseTimes``. ``on_outcome(queue, JobOutcome,
     took_ms)`` is called for each job. ``zone``, ``remote_factor`` and ``rng`` are as
     for ``Fleet``. ``evacuations`` is the ``EvacuationState``; no zone is ever evacuated
     if it is left out.
@@ -46,7 +46,7 @@
     def __init__(
         self,
         clock,
-        lease_ms,
+        lease_times,
         on_outcome=None,
         *,
         zone="",
@@ -64,7 +64,7 @@
         )
         self._fleet = Fleet(
             clock,
-            lease_ms,
+            lease_times,
             zone=zone,
             remote_factor=remote_factor,
             rng=rng or random.Random(),
--- a/plantainhitch/coordination/runs/agent_node.py
+++ b/plantainhitch/coordination/runs/agent_node.py
@@ -34,9 +34,9 @@
 # The time for which an inventory waits for an end while there are runs: no end is known
 # before the next inventory if the answer of this one is lost.
 INVENTORY_WAIT_MS = 100
-# The time without runs. It is a third of the shortest lease, so that one lost answer
+# The time without runs. It is a third of the endpoint's lease, so that one lost answer
 # does not let the lease expire.
-IDLE_INVENTORY_WAIT_MS = 300
+IDLE_INVENTORY_WAIT_MS = 250
 # The delay between inventories while the endpoint does not answer.
 INVENTORY_RETRY_DELAY_MS = 50
 # An agent sends heartbeats on all links, so that entries place runs only at agents that
--- a/plantainhitch/coordination/runs/endpoint_lease.py
+++ b/plantainhitch/coordination/runs/endpoint_lease.py
@@ -5,33 +5,32 @@
 running until the lease has certainly expired.
 """
 
-# The factor by which the endpoint's steady clock may be slower than the agent's.
-CLOCK_DRIFT_FACTOR = 1.02
-# The time that the endpoint takes to stop a run after its lease has expired.
-LAPSE_MARGIN_MS = 80
+import math
+
+from .lease_times import longest_lease_ms, longest_run_ms
+
 # An endpoint that has not answered for this long gets no new runs. The time is longer
 # than an inventory that waits for an end plus one that is lost.
 SUSPECT_AFTER_MS = 600
 
 
 class EndpointLease:
-    """The lease of the present lifetime of an endpoint.
-
-    ``length_ms`` is the longest lease that the endpoint grants.
-    """
+    """The lease of the present lifetime of an endpoint, by the ``LeaseTimes``."""
 
-    def __init__(self, clock, length_ms):
+    def __init__(self, clock, times):
         self._clock = clock
-        self._length_ms = length_ms
+        self._times = times
         # The endpoint's clock minus the agent's, None before its first answer.
         self._clock_offset_ms = None
         self._last_answer_ms = clock.now_ms()
-        self._last_renewal_ms = None
+        # When all runs have certainly ended under the renewals so far, None before the
+        # first.
+        self._end_ms = None
 
     @property
-    def length_ms(self):
-        """The longest lease that the endpoint grants."""
-        return self._length_ms
+    def end_ms(self):
+        """When all runs have certainly ended without a further renewal."""
+        return -math.inf if self._end_ms is None else self._end_ms
 
     @property
     def is_suspect(self):
@@ -50,27 +49,33 @@
         """
         return self._is_expired_at(self._clock.now_ms())
 
-    def renew(self):
+    def renew(self, limit_ms=math.inf):
         """Record a renewal that is sent now; return its expiry.
 
-        The expiry is on the endpoint's clock. It is None, and no renewal is to be sent,
-        while the clock is unknown, the endpoint is suspect or the lease has expired.
-        One reading of the clock decides, so that a process which is paused before it
-        sends the renewal extends no lease that has expired meanwhile.
+        All runs have certainly ended under it at ``limit_ms``. The expiry is on the
+        endpoint's clock. It is None, and no renewal is to be sent, while the clock is
+        unknown, the endpoint is suspect, the lease has expired or the limit is too
+        near. One reading of the clock decides, so that a process which is paused before
+        it sends the renewal extends no lease that has expired meanwhile.
         """
         now_ms = self._clock.now_ms()
         is_suspect = now_ms - self._last_answer_ms > SUSPECT_AFTER_MS
         is_known = self._clock_offset_ms is not None
         if not is_known or is_suspect or self._is_expired_at(now_ms):
             return None
-        self._last_renewal_ms = now_ms
-        return now_ms + self._clock_offset_ms + self._length_ms
+        length_ms = self._times.endpoint_ms
+        if limit_ms < math.inf:
+            length_ms = min(length_ms, longest_lease_ms(limit_ms - now_ms))
+        if length_ms <= 0:
+            return None
+        self._extend(now_ms, length_ms)
+        return now_ms + self._clock_offset_ms + length_ms
 
     def record_renewal(self):
-        """Record that a renewal is sent, which the endpoint may receive."""
+        """Record a renewal that is not known, as long as the endpoint grants it."""
         now_ms = self._clock.now_ms()
         if not self._is_expired_at(now_ms):
-            self._last_renewal_ms = now_ms
+            self._extend(now_ms, self._times.max_endpoint_ms)
 
     def record_answer(self, clock_ms):
         """Record an answer with the endpoint's clock; 0 if the answer has none."""
@@ -85,10 +90,10 @@
         """
         self._last_answer_ms = self._clock.now_ms()
         self._clock_offset_ms = None
-        self._last_renewal_ms = None
+        self._end_ms = None
+
+    def _extend(self, now_ms, length_ms):
+        self._end_ms = max(self.end_ms, now_ms + longest_run_ms(length_ms))
 
     def _is_expired_at(self, now_ms):
-        if self._last_renewal_ms is None:
-            return False
-        max_lease_ms = self._length_ms * CLOCK_DRIFT_FACTOR + LAPSE_MARGIN_MS
-        return now_ms > self._last_renewal_ms + max_lease_ms
+        return self._end_ms is not None and now_ms > self._end_ms
--- /dev/null
+++ b/plantainhitch/coordination/runs/lease_times.py
@@ -0,0 +1,75 @@
+"""The lengths of the leases under which runs go on, and how they depend on each other.
+
+A caller whose connection broke submits its job again at another entry, which may start
+the tasks at once. By then no run of the first entry may be left, whichever processes
+have died, were suspended or cut off meanwhile. So the lease that an agent grants to its
+endpoint ends no later than its owners' last contact allows.
+"""
+
+from dataclasses import dataclass
+
+# The factor by which the endpoint's steady clock may be slower than the agent's.
+CLOCK_DRIFT_FACTOR = 1.02
+# The time that the endpoint takes to stop a run after its lease has expired.
+LAPSE_MARGIN_MS = 80
+# Runs have ended this much sooner than callers submit again.
+RESUBMIT_MARGIN_MS = 50
+# The longest lease of an owner: three heartbeats and a retransmission.
+MAX_OWNER_LEASE_MS = 900
+# The time after an owner's lease in which its runs are stopped, and if that fails, in
+# which the endpoint's lease expires.
+STOP_ALLOWANCE_MS = 350
+# The last contact of an owner whose runs don't shorten the endpoint's lease: an owner
+# answers within two heartbeats of the agent.
+USUAL_CONTACT_AGE_MS = 400
+# Shorter leases would expire between two heartbeats.
+MIN_RUN_END_MS = 800
+
+
+@dataclass(frozen=True, slots=True)
+class LeaseTimes:
+    """Times in milliseconds.
+
+    An agent stops the runs of an owner that it has not heard from for ``owner_ms``. The
+    runs have ended ``run_end_ms`` after the last contact, even if the agent has not
+    stopped them. A renewal of an endpoint's lease is for ``endpoint_ms`` at most;
+    endpoints grant ``max_endpoint_ms`` at most.
+    """
+
+    owner_ms: int
+    run_end_ms: int
+    endpoint_ms: int
+    max_endpoint_ms: int
+
+    @classmethod
+    def from_bounds(cls, bounds):
+        """Return the times for a deployment's ``Bounds``."""
+        return cls.from_limits(bounds.lease_ms, bounds.resubmit_ms)
+
+    @classmethod
+    def from_limits(cls, max_endpoint_ms, resubmit_ms):
+        """Return the times for callers that submit again after ``resubmit_ms``."""
+        run_end_ms = min(
+            resubmit_ms - RESUBMIT_MARGIN_MS, MAX_OWNER_LEASE_MS + STOP_ALLOWANCE_MS
+        )
+        run_end_ms = max(run_end_ms, MIN_RUN_END_MS)
+        usual_ms = longest_lease_ms(run_end_ms - USUAL_CONTACT_AGE_MS)
+        return cls(
+            owner_ms=run_end_ms - STOP_ALLOWANCE_MS,
+            run_end_ms=run_end_ms,
+            endpoint_ms=min(max_endpoint_ms, usual_ms),
+            max_endpoint_ms=max_endpoint_ms,
+        )
+
+
+def longest_lease_ms(remaining_ms):
+    """Return the longest lease under which runs have ended after ``remaining_ms``.
+
+    It is 0 or negative if there is none.
+    """
+    return int((remaining_ms - LAPSE_MARGIN_MS) / CLOCK_DRIFT_FACTOR)
+
+
+def longest_run_ms(lease_ms):
+    """Return how long a run can go on under a lease of ``lease_ms``."""
+    return lease_ms * CLOCK_DRIFT_FACTOR + LAPSE_MARGIN_MS
--- a/plantainhitch/coordination/runs/owners.py
+++ b/plantainhitch/coordination/runs/owners.py
@@ -7,6 +7,7 @@
 """
 
 import collections
+import math
 from dataclasses import dataclass, field, replace
 
 from ... import logs
@@ -14,10 +15,6 @@
 from ...state.admission_level import is_valid
 from ...state.crashes import EndpointCrash
 
-# A run is stopped when its owner has not been heard from for this long: longer than
-# three heartbeats and a retransmission, and shorter than the 1.3 s after which callers
-# resubmit a job whose entry is gone.
-OWNER_LEASE_MS = 900
 # Crashes of the endpoint that are kept for owners that link later.
 MAX_KEPT_CRASHES = 20
 
@@ -28,16 +25,17 @@
 class Owner:
     """One incarnation of an entry.
 
-    ``link_number`` is the highest of its links so far, and ``is_resynced`` whether the
-    present one has had its resync. ``orders_seen`` is the number of the last
-    ``RunOrders`` on that link, and ``loads`` are those of its queues.
+    ``last_contact_ms`` is the newest time stamp that it has echoed since a resync, None
+    before. ``link_number`` is the highest of its links so far, and ``is_resynced``
+    whether the present one has had its resync. ``orders_seen`` is the number of the
+    last ``RunOrders`` on that link, and ``loads`` are those of its queues.
     ``unacknowledged`` holds pairs of a report's number and the ends in it, oldest
     first, until the owner acknowledges the report. ``unsent_crashes`` are the crashes
     of the endpoint that were not reported on its present link, each with the time at
     which it was noticed.
     """
 
-    lease_expiry_ms: int = 0
+    last_contact_ms: int | None = None
     link_number: int = 0
     is_resynced: bool = False
     orders_seen: int = 0
@@ -50,10 +48,11 @@
 
 
 class Owners:
-    """The owners that an agent knows, by incarnation."""
+    """The owners that an agent knows, by incarnation; ``times`` are ``LeaseTimes``."""
 
-    def __init__(self, clock):
+    def __init__(self, clock, times):
         self._clock = clock
+        self._times = times
         self._owners = {}
         # By queue: until when owners contain it, as they reported.
         self._contained_until_ms = {}
@@ -122,14 +121,21 @@
         """Renew the lease by a frame's echo and drop the reports it acknowledges."""
         owner = self.get_or_create(incarnation)
         if owner.is_resynced:
-            owner.lease_expiry_ms = max(owner.lease_expiry_ms, echo_ms + OWNER_LEASE_MS)
+            owner.last_contact_ms = max(owner.last_contact_ms or echo_ms, echo_ms)
         while owner.unacknowledged and owner.unacknowledged[0][0] <= ack:
             owner.unacknowledged.pop(0)
 
     def is_alive(self, incarnation):
         """Return whether the owner's lease is valid."""
+        contact_ms = self.last_contact_ms(incarnation)
+        return contact_ms + self._times.owner_ms >= self._clock.now_ms()
+
+    def last_contact_ms(self, incarnation):
+        """Return the newest time at which the owner has certainly been alive."""
         owner = self._owners.get(incarnation)
-        return owner is not None and owner.lease_expiry_ms >= self._clock.now_ms()
+        if owner is None or owner.last_contact_ms is None:
+            return -math.inf
+        return owner.last_contact_ms
 
     def incarnations_with_unsent_events(self):
         """Return a set of the owners to which ends or crashes are to be reported."""
--- a/plantainhitch/coordination/runs/run.py
+++ b/plantainhitch/coordination/runs/run.py
@@ -1,6 +1,7 @@
 """The state of one run at an agent, and the orders that an agent gives its endpoint."""
 
 import enum
+import math
 from dataclasses import dataclass
 
 from ...protocol import messages as m
@@ -32,8 +33,9 @@
     stop, None before. ``last_progress_ms`` is when ``percent`` was last seen to rise.
     ``is_listed`` is true once the present lifetime of the endpoint has listed the run
     as running, and ``is_accepted`` once the endpoint has answered the start: it can't
-    be carried out again. ``start_fence`` is the fence that the start was sent with. All
-    other times are on the agent's clock.
+    be carried out again. ``start_fence`` is the fence that the start was sent with.
+    ``abandoned_contact_ms`` is the last contact at which the owner may have wanted the
+    run, infinite until it gives the run up. All other times are on the agent's clock.
     """
 
     owner: bytes
@@ -50,6 +52,7 @@
     is_listed: bool = False
     is_accepted: bool = False
     start_fence: int = 0
+    abandoned_contact_ms: float = math.inf
     # The progress and the time up to which ``EndpointPerformance`` has counted it.
     measured_percent: float = 0.0
     measured_ms: int = 0
--- a/plantainhitch/coordination/runs/run_controller.py
+++ b/plantainhitch/coordination/runs/run_controller.py
@@ -8,6 +8,7 @@
 endpoint has accepted its stop, or any order with a higher fence than that of its start.
 """
 
+import math
 from collections import Counter, OrderedDict
 
 from ... import logs
@@ -60,18 +61,19 @@
 
     The ``handle_`` methods take the orders of owners, and the heartbeats, results and
     inventories of the endpoint. ``next_orders`` returns the orders to send to the
-    endpoint, ``next_report`` the next report for an owner. ``zone`` is the availability
-    zone of the endpoint, and ``warm_up_limits`` are the ``WarmUpLimits`` of the
-    deployment, None for none.
+    endpoint, and ``next_report`` the next report for an owner. ``lease_times`` are the
+    ``LeaseTimes``, and ``zone`` is the availability zone of the endpoint.
+    ``warm_up_limits`` are the ``WarmUpLimits`` of the deployment, None for none.
     """
 
-    def __init__(self, clock, lease_ms, first_fence, zone="", warm_up_limits=None):
+    def __init__(self, clock, lease_times, first_fence, zone="", warm_up_limits=None):
         self._clock = clock
         self._zone = zone
         self._evacuations = EvacuationState(clock)
-        self._lease = EndpointLease(clock, lease_ms)
+        self._lease_times = lease_times
+        self._lease = EndpointLease(clock, lease_times)
         self._fence = Fence(first_fence)
-        self._owners = Owners(clock)
+        self._owners = Owners(clock, lease_times)
         self._events = logs.EventLog(log, clock)
         self._runs = {}
         self._waiting_starts = WaitingStarts(self._runs)
@@ -356,7 +358,7 @@
         owner = self._owners.get_or_create(incarnation)
         owner.orders_seen = orders.number
         if orders.is_resync:
-            self._stop_unnamed_runs(incarnation, orders)
+            self._stop_unnamed_runs(incarnation, orders, echo_ms)
             self._owners.link_resynced(incarnation, echo_ms)
         for key in orders.expected_runs:
             if key not in self._runs:
@@ -364,7 +366,7 @@
         for start in orders.starts:
             self._handle_start(incarnation, start, echo_ms)
         for key in orders.stops:
-            self._stop_for_owner(incarnation, key)
+            self._stop_for_owner(incarnation, key, echo_ms)
 
     def handle_queue_loads(self, incarnation, loads):
         """Record the loads of an owner's queues.
@@ -399,9 +401,15 @@
         """Return the expiry of a renewal that is sent now, None if none is to be sent.
 
         The lease isn't renewed before an inventory has listed no unknown run. Runs that
-        an earlier agent has started end with it, as their owners count on.
+        an earlier agent has started end with it, as their owners count on. Nor is it
+        renewed beyond the time at which any run at the endpoint must have ended: this
+        process may be the next to die.
         """
-        return self._lease.renew() if self._is_reconciled else None
+        if not self._is_reconciled:
+            return None
+        runs_at_endpoint = filter(may_be_at_endpoint, self._runs.values())
+        limit_ms = min(map(self._latest_end_ms, runs_at_endpoint), default=math.inf)
+        return self._lease.renew(limit_ms)
 
     def record_start_sent(self, key, fence):
         """Record the fence that the order to start a run is sent with."""
@@ -522,7 +530,7 @@
         if self.is_ready:
             capacity = self._usable_capacity()
             for run in self._waiting_starts.select(capacity, self._used_room):
-                self._begin(run, now_ms)
+                self._begin_or_refuse(run, now_ms)
         orders, self._orders = self._orders, []
         return orders
 
@@ -591,16 +599,31 @@
         is_room_expected = self._waiting_starts.is_room_expected(run, self.forecast())
         return "" if is_room_expected else "no room soon"
 
-    def _begin(self, run, now_ms):
-        """Order the endpoint to start a run that waited for room."""
+    def _begin_or_refuse(self, run, now_ms):
+        """Order the endpoint to start a run that waited for room.
+
+        It is refused if it could go on for too long under the lease that the endpoint
+        has already, which can't be shortened.
+        """
+        if self._lease.end_ms > self._latest_end_ms(run):
+            self._finish(
+                run.start.key, End.NOT_STARTED, "the owner's contact is too old"
+            )
+            return
         run.phase = Phase.STARTING
         run.started_ms = now_ms
         run.start_fence = self._fence.value
         self._used_room += run.start.room
-        self._lease.record_renewal()
+        self.renew_lease()  # for the order to start it
         self._orders.append(StartOrder(run.start))
 
-    def _stop_unnamed_runs(self, incarnation, orders):
+    def _latest_end_ms(self, run):
+        """Return when a run must have ended if its owner isn't heard from again."""
+        contact_ms = self._owners.last_contact_ms(run.owner)
+        contact_ms = min(contact_ms, run.abandoned_contact_ms)
+        return contact_ms + self._lease_times.run_end_ms
+
+    def _stop_unnamed_runs(self, incarnation, orders, echo_ms):
         """Stop the runs of an owner that its resync does not name.
 
         The owner has abandoned them while it had no link.
@@ -608,14 +631,23 @@
         named = {*orders.expected_runs, *(start.key for start in orders.starts)}
         for key, run in list(self._runs.items()):
             if run.owner == incarnation and key not in named:
-                self._stop_run(run, "not named by the owner")
+                self._abandon(run, echo_ms, "not named by the owner")
 
-    def _stop_for_owner(self, incarnation, key):
+    def _stop_for_owner(self, incarnation, key, echo_ms):
         run = self._runs.get(key)
         if run is None:
             self._resend_end(incarnation, key)
         elif run.owner == incarnation:
-            self._stop_run(run, "stopped by the owner")
+            self._abandon(run, echo_ms, "stopped by the owner")
+
+    def _abandon(self, run, echo_ms, reason):
+        """Stop a run for its owner, by a frame that echoes ``echo_ms``.
+
+        The owner may have ended the job with it, so what it sends later doesn't allow
+        the run to go on.
+        """
+        run.abandoned_contact_ms = min(run.abandoned_contact_ms, echo_ms)
+        self._stop_run(run, reason)
 
     def _stop_run(self, run, reason):
         run.stop_reason = run.stop_reason or reason
@@ -735,7 +767,10 @@
                 # Listed neither as running nor as ended. This is only seen when the
                 # answers to the start and to an inventory arrive out of order, so the
                 # run is lost only if later inventories don't list it either.
-                if self._clock.now_ms() - run.started_ms > self._lease.length_ms:
+                if (
+                    self._clock.now_ms() - run.started_ms
+                    > self._lease_times.max_endpoint_ms
+                ):
                     self._finish(key, End.LOST, "not listed")
 
     def _check_endpoint_lease(self):
--- a/tests/deployment.py
+++ b/tests/deployment.py
@@ -13,6 +13,7 @@
 from plantainhitch.commands.deployed_agent import run_agent
 from plantainhitch.commands.deployed_entry import run_entry
 from plantainhitch.commands.lifecycle import StopSignals
+from plantainhitch.coordination.runs.lease_times import LeaseTimes
 from plantainhitch.deployment import Bounds, Deployment
 from plantainhitch.platform.store import OPERATOR_TABLE
 from plantainhitch.protocol.messages import ROLE_AGENT, ROLE_ENTRY
@@ -31,6 +32,7 @@
 READY_TIMEOUT_S = 10.0
 LINK_PORT = 7_700
 BOUNDS = Bounds(2_000, 1_000, 50, 1_300, 6_000, 2_000)
+LEASE_TIMES = LeaseTimes.from_bounds(BOUNDS)
 
 
 def configuration(version=1, prefixes=(PREFIX,), attempts=2):
--- a/tests/fleet_sim.py
+++ b/tests/fleet_sim.py
@@ -35,11 +35,12 @@
 from plantainhitch.state.members import Member
 from plantainhitch.state.routes import Route
 
+from .deployment import LEASE_TIMES
+
 STEP_MS = 2
 TICK_MS = 24
 RENEWAL_MS = INVENTORY_WAIT_MS + INVENTORY_MARGIN_MS
 AGENT_TICK_MS = 20
-LEASE_MS = 1_000
 POOL = "pool"
 ZONES = 4
 # A deadly task crashes its endpoint this long after its start. The agent finds out
@@ -211,7 +212,7 @@
         self.name = f"agent-{number}"
         self.zone = f"z{number % sim.zones}"
         self.slowness = slowness
-        self.controller = RunController(sim.clock, LEASE_MS, first_fence=1)
+        self.controller = RunController(sim.clock, LEASE_TIMES, first_fence=1)
         self.report_pacer = ReportPacer(sim.clock)
         self.links = {}
         self.running = {}
@@ -451,7 +452,7 @@
         self.schedulers = [
             Scheduler(
                 self.clock,
-                LEASE_MS,
+                LEASE_TIMES,
                 zone=f"z{number % self.zones}",
                 rng=random.Random(number),
             )
@@ -593,7 +594,7 @@
         number = len(self.schedulers)
         zone = f"z{number % ZONES}"
         self.schedulers.append(
-            Scheduler(self.clock, LEASE_MS, zone=zone, rng=random.Random(number))
+            Scheduler(self.clock, LEASE_TIMES, zone=zone, rng=random.Random(number))
         )
         self.entries += 1
         self._connect_subset(number)
--- a/tests/test_agent_node.py
+++ b/tests/test_agent_node.py
@@ -10,6 +10,8 @@
 from plantainhitch.state.endpoints import EndpointReport, Inventory
 from plantainhitch.state.jobs import Room, RunKey
 
+from .deployment import LEASE_TIMES
+
 OWNER = b"entry"
 CAPACITY = Room(4_000, 1_000, 0)
 
@@ -37,7 +39,7 @@
 
     async def asyncSetUp(self):
         self.clock = ManualClock(10_000)
-        self.controller = RunController(self.clock, 1_000, first_fence=1)
+        self.controller = RunController(self.clock, LEASE_TIMES, first_fence=1)
         self.client = InventoryClient()
         hello = m.Hello(m.ROLE_AGENT, b"agent", "agent")
         self.node = agent_node.RunAgentNode(
--- a/tests/test_crash_proofs.py
+++ b/tests/test_crash_proofs.py
@@ -5,13 +5,13 @@
 from plantainhitch.coordination.jobs.containment import MAX_LOST_RUNS
 from plantainhitch.coordination.jobs.outcomes import Ended, GaveUp, JobState
 from plantainhitch.coordination.runs.crash_suspects import CRASH_DELAY_MS
-from plantainhitch.coordination.runs.owners import OWNER_LEASE_MS
 from plantainhitch.coordination.runs.run import StartOrder, StopOrder
 from plantainhitch.protocol import messages as m
 from plantainhitch.state.crashes import CrashedRun, CrashHistory, EndpointCrash
 from plantainhitch.state.endpoints import Accepted, End, EndedRun
 from plantainhitch.state.jobs import Room, StepSpec
 
+from .deployment import LEASE_TIMES
 from .test_job_scheduler import CAPACITY, LEASE_MS, SchedulerCase
 from .test_run_controller import (
     OTHER,
@@ -205,9 +205,11 @@
         self.link_owner(OTHER)
         isolated = run_start("job.0.0.0", wait_ms=5_000, is_isolated=True)
         self.send_orders(isolated, owner=OTHER)
-        self.clock.advance(OWNER_LEASE_MS + 1)
+        other_key = run_start("other.0.0.0").key
+        self.pass_time(LEASE_TIMES.owner_ms, [other_key], heard_owners=[OWNER])
+        self.clock.advance(1)
         self.renew_owner_lease()
-        self.deliver_inventory(running=[run_start("other.0.0.0").key])
+        self.deliver_inventory(running=[other_key])
         self.controller.next_orders()
         self.assertEqual(1, len(self.send_orders(run_start("third.0.0.0"))))
 
--- a/tests/test_endpoint_performance.py
+++ b/tests/test_endpoint_performance.py
@@ -27,8 +27,8 @@
 from plantainhitch.state.endpoints import End
 from plantainhitch.state.jobs import Room, RunKey
 
+from .deployment import LEASE_TIMES
 from .test_run_controller import (
-    LEASE_MS,
     OWNER,
     RunControllerCase,
     heartbeat,
@@ -137,7 +137,7 @@
     def setUp(self):
         self.clock = ManualClock(10_000)
         self.fleet = Fleet(
-            self.clock, 1_000, zone="z", remote_factor=1.0, rng=random.Random(1)
+            self.clock, LEASE_TIMES, zone="z", remote_factor=1.0, rng=random.Random(1)
         )
         link = SimpleNamespace(last_received_ms=1 << 60, set_busy=lambda busy: None)
         self.agent = self.fleet.add_link(m.Hello(m.ROLE_AGENT, b"a", "a", "z"), link)
@@ -199,7 +199,7 @@
     def test_starts_and_reported_room_are_limited(self):
         """Guards against a cold endpoint that gets as many starts as a warm one."""
         self.controller = RunController(
-            self.clock, LEASE_MS, first_fence=5, warm_up_limits=WarmUpLimits(2, 1.5)
+            self.clock, LEASE_TIMES, first_fence=5, warm_up_limits=WarmUpLimits(2, 1.5)
         )
         self.controller.handle_heartbeat(replace(heartbeat(), cold_for_ms=1_000))
         self.deliver_inventory()
--- a/tests/test_evacuation.py
+++ b/tests/test_evacuation.py
@@ -32,6 +32,7 @@
 from plantainhitch.state.routes import Route
 from plantainhitch.transport.platform import Changes, Row
 
+from .deployment import LEASE_TIMES
 from .test_job_scheduler import FakeLink, SchedulerCase
 from .test_run_controller import OWNER, RunControllerCase, heartbeat, run_start
 
@@ -160,7 +161,7 @@
 
     def test_nothing_is_placed_before_the_set_is_known(self):
         state = EvacuationState(self.clock)
-        self.scheduler = Scheduler(self.clock, 1_000, evacuations=state)
+        self.scheduler = Scheduler(self.clock, LEASE_TIMES, evacuations=state)
         self.join(b"one")
         self.assertEqual([], self.submit("0" * 16))
         self.assertEqual(UNKNOWN_REASON, self.outcomes["0" * 16].reason)
@@ -213,7 +214,9 @@
 
     def setUp(self):
         super().setUp()
-        self.controller = RunController(self.clock, 1_000, first_fence=5, zone="a")
+        self.controller = RunController(
+            self.clock, LEASE_TIMES, first_fence=5, zone="a"
+        )
         self.controller.handle_heartbeat(heartbeat())
         self.deliver_inventory()
         self.link_owner(OWNER)
@@ -267,7 +270,7 @@
         self.membership.entries.return_value = []
         self.membership.unstored_members.return_value = []
         self.state = EvacuationState(clock)
-        self.scheduler = Scheduler(clock, 1_000, evacuations=self.state)
+        self.scheduler = Scheduler(clock, LEASE_TIMES, evacuations=self.state)
         self.routes = SimpleNamespace(table=SimpleNamespace(version=4, document=b"{}"))
         self.node = JobEntryNode(
             SimpleNamespace(region="r"),
--- a/tests/test_job_scheduler.py
+++ b/tests/test_job_scheduler.py
@@ -7,13 +7,14 @@
 from plantainhitch.coordination.jobs.outcomes import Ended, GaveUp, JobState, NeverRan
 from plantainhitch.coordination.jobs.retry_slots import RetrySlots
 from plantainhitch.coordination.jobs.scheduler import Scheduler
-from plantainhitch.coordination.runs.owners import OWNER_LEASE_MS
 from plantainhitch.protocol import messages as m
 from plantainhitch.state.endpoints import End
 from plantainhitch.state.jobs import JobSpec, Room, StepSpec
 from plantainhitch.state.routes import Route
 
-LEASE_MS = 1_000
+from .deployment import LEASE_TIMES
+
+LEASE_MS = LEASE_TIMES.max_endpoint_ms
 CAPACITY = Room(4_000, 1_000, 0)
 ROUTE = Route("queue", "host", "/q/", "pool", 0, 2, stretch=2.0, target_ms=100)
 
@@ -47,7 +48,7 @@
 
     def setUp(self):
         self.clock = ManualClock(50_000)
-        self.scheduler = Scheduler(self.clock, LEASE_MS)
+        self.scheduler = Scheduler(self.clock, LEASE_TIMES)
         self.links = {}
         self.outcomes = {}
         self.callbacks = []
@@ -334,7 +335,7 @@
         # the task would overlap the first.
         ((agent, start),) = self.submit()
         other = b"two" if agent == b"one" else b"one"
-        self.clock.advance(OWNER_LEASE_MS + LEASE_MS)
+        self.clock.advance(LEASE_TIMES.run_end_ms)
         self.report(other)
         self.assertEqual([], self.starts())
         self.clock.advance(200)
@@ -345,7 +346,7 @@
 
     def test_the_link_of_a_silent_agent_is_closed_when_the_leases_expire(self):
         ((agent, _),) = self.submit()
-        self.clock.advance(OWNER_LEASE_MS + LEASE_MS + 200)
+        self.clock.advance(LEASE_TIMES.run_end_ms + 200)
         self.scheduler.run_round()
         self.assertTrue(self.links[agent].closed)
 
@@ -356,7 +357,7 @@
         # The agent may have renewed the lease until just before its death was proved.
         self.clock.advance(300)
         self.scheduler.agent_confirmed_dead(agent)
-        self.clock.advance(LEASE_MS)
+        self.clock.advance(LEASE_TIMES.endpoint_ms)
         self.report(other)
         self.assertEqual([], self.starts())
         self.clock.advance(200)
--- a/tests/test_late_starts.py
+++ b/tests/test_late_starts.py
@@ -27,9 +27,11 @@
 )
 from plantainhitch.state.jobs import Room, RunKey
 
+from .deployment import LEASE_TIMES
+
 SEEDS = 12
 OWNER = b"entry-1"
-LEASE_MS = 1_000
+LEASE_MS = LEASE_TIMES.max_endpoint_ms
 ORDER_TIMEOUT_MS = 120
 STEP_MS = 5
 START_INTERVAL_MS = 20
@@ -128,10 +130,10 @@
         self._unprotected = set()
         self._unanswered_share = unanswered_share
         self._fleet = Fleet(
-            self.clock, LEASE_MS, zone="", remote_factor=1.0, rng=self.rng
+            self.clock, LEASE_TIMES, zone="", remote_factor=1.0, rng=self.rng
         )
         self._endpoint = ModelEndpoint(self.clock, self.clock.now_ms())
-        self._controller = RunController(self.clock, LEASE_MS, first_fence=10_000)
+        self._controller = RunController(self.clock, LEASE_TIMES, first_fence=10_000)
         self._controller.owners.link_opened(OWNER)
         self._controller.owners.link_resynced(OWNER, self.clock.now_ms())
         self._sequence = 0
--- a/tests/test_lifetime_check.py
+++ b/tests/test_lifetime_check.py
@@ -15,6 +15,7 @@
 from plantainhitch.state.endpoints import End, EndpointReport
 from plantainhitch.state.jobs import Room, RunKey
 
+from .deployment import LEASE_TIMES
 from .model_endpoint import ModelEndpoint
 
 OWNER = b"entry"
@@ -31,7 +32,7 @@
     async def asyncSetUp(self):
         self.endpoint = ModelEndpoint()
         clock = Clock()
-        self.controller = RunController(clock, 1_000, first_fence=1)
+        self.controller = RunController(clock, LEASE_TIMES, first_fence=1)
         self.recorded_reports = []
         self.node = agent_node.RunAgentNode(
             m.Hello(m.ROLE_AGENT, b"agent", "agent"),
--- a/tests/test_link_random.py
+++ b/tests/test_link_random.py
@@ -19,7 +19,8 @@
 from plantainhitch.state.jobs import JobSpec, Room, StepSpec
 from plantainhitch.state.routes import Route
 
-from .test_late_starts import LEASE_MS, ModelEndpoint
+from .deployment import LEASE_TIMES
+from .test_late_starts import ModelEndpoint
 
 SEEDS = 10
 DURATION_MS = 15_000
@@ -110,7 +111,7 @@
         self._world = world
         self.clock = world.clock
         self.name = name
-        self.controller = RunController(self.clock, LEASE_MS, first_fence=1)
+        self.controller = RunController(self.clock, LEASE_TIMES, first_fence=1)
         hello = m.Hello(m.ROLE_AGENT, name.encode(), name)
         self.node = agent_node.RunAgentNode(hello, self.clock, self.controller, None)
         self.endpoint = ModelEndpoint(self.clock, self.clock.now_ms())
@@ -182,7 +183,7 @@
     def __init__(self, seed):
         self.rng = random.Random(seed)
         self.clock = ManualClock(100_000)
-        self.scheduler = Scheduler(self.clock, LEASE_MS, rng=self.rng)
+        self.scheduler = Scheduler(self.clock, LEASE_TIMES, rng=self.rng)
         self.agents = [Agent(self, f"agent-{number}") for number in range(3)]
         self.violations = []
         self.started_count = 0
--- a/tests/test_replaced_links.py
+++ b/tests/test_replaced_links.py
@@ -19,6 +19,7 @@
 from plantainhitch.transport import links
 from plantainhitch.transport.addresses import Address
 
+from .deployment import LEASE_TIMES
 from .model_endpoint import ModelEndpoint
 
 OWNER = b"entry"
@@ -98,7 +99,7 @@
     async def asyncSetUp(self):
         self.clock = Clock()
         self.endpoint = ModelEndpoint()
-        self.controller = RunController(self.clock, 1_000, first_fence=1)
+        self.controller = RunController(self.clock, LEASE_TIMES, first_fence=1)
         hello = m.Hello(m.ROLE_AGENT, b"agent", "agent")
         self.node = agent_node.RunAgentNode(
             hello, self.clock, self.controller, self.endpoint.connect
@@ -210,7 +211,7 @@
 
     def setUp(self):
         self.clock = Clock()
-        self.controller = RunController(self.clock, 1_000, first_fence=1)
+        self.controller = RunController(self.clock, LEASE_TIMES, first_fence=1)
         hello = m.Hello(m.ROLE_AGENT, b"agent", "agent")
         self.node = agent_node.RunAgentNode(hello, self.clock, self.controller, None)
         self.controller.handle_heartbeat(REPORT)
--- a/tests/test_run_controller.py
+++ b/tests/test_run_controller.py
@@ -6,7 +6,6 @@
 
 from plantainhitch.clock import ManualClock
 from plantainhitch.coordination.runs.endpoint_lease import SUSPECT_AFTER_MS
-from plantainhitch.coordination.runs.owners import OWNER_LEASE_MS
 from plantainhitch.coordination.runs.run import Phase, StartOrder, StopOrder
 from plantainhitch.coordination.runs.run_controller import STOP_RETRY_MS, RunController
 from plantainhitch.protocol import messages as m
@@ -23,9 +22,14 @@
 )
 from plantainhitch.state.jobs import Room, RunKey
 
+from .deployment import BOUNDS, LEASE_TIMES
+
 OWNER = b"entry-1"
 OTHER = b"entry-2"
-LEASE_MS = 1_000
+LEASE_MS = LEASE_TIMES.max_endpoint_ms
+OWNER_LEASE_MS = LEASE_TIMES.owner_ms
+RESUBMIT_MS = BOUNDS.resubmit_ms
+INVENTORY_INTERVAL_MS = 50
 CAPACITY = Room(4_000, 1_000, 0)
 
 
@@ -45,9 +49,10 @@
 
     def setUp(self):
         self.clock = ManualClock(10_000)
-        self.controller = RunController(self.clock, LEASE_MS, first_fence=5)
+        self.controller = RunController(self.clock, LEASE_TIMES, first_fence=5)
         self.controller.handle_heartbeat(heartbeat())
         self.order_numbers = iter(range(1, 1_000))
+        self.percent = 10
         self.deliver_inventory()
         self.link_owner(OWNER)
 
@@ -58,11 +63,21 @@
     def renew_owner_lease(self, owner=OWNER):
         self.controller.owners.record_frame(owner, self.clock.now_ms(), 0)
 
-    def deliver_inventory(self, running=(), ended=(), born_ms=1):
-        rows = tuple(ActiveRun(key, "", 10) for key in running)
+    def deliver_inventory(self, running=(), ended=(), born_ms=1, percent=10):
+        rows = tuple(ActiveRun(key, "", percent) for key in running)
         now_ms = self.clock.now_ms()
         self.controller.handle_inventory(Inventory(now_ms, born_ms, rows, tuple(ended)))
 
+    def pass_time(self, duration_ms, running=(), heard_owners=()):
+        """Let the endpoint answer, and some owners be heard, for this long."""
+        for _ in range(duration_ms // INVENTORY_INTERVAL_MS):
+            self.clock.advance(INVENTORY_INTERVAL_MS)
+            self.percent += 1
+            self.deliver_inventory(running, percent=self.percent)
+            for owner in heard_owners:
+                self.renew_owner_lease(owner)
+            self.controller.renew_lease()
+
     def send_orders(
         self, *starts, stops=(), expected_runs=(), owner=OWNER, echo_ms=None
     ):
@@ -280,7 +295,7 @@
         self.assertEqual([StopOrder(unanswered.key)], self.controller.next_orders())
 
     def test_unknown_runs_are_stopped_before_the_agent_is_ready(self):
-        controller = RunController(self.clock, LEASE_MS, first_fence=9)
+        controller = RunController(self.clock, LEASE_TIMES, first_fence=9)
         controller.handle_heartbeat(heartbeat())
         unknown_key = RunKey("old.0.0.0", 3)
         controller.handle_inventory(
@@ -470,7 +485,7 @@
 
     def test_the_lease_is_not_renewed_for_runs_of_an_earlier_agent(self):
         # Its owner places the tasks again after the lease, though a stop may be lost.
-        controller = RunController(self.clock, LEASE_MS, first_fence=9)
+        controller = RunController(self.clock, LEASE_TIMES, first_fence=9)
         controller.handle_heartbeat(heartbeat())
         row = ActiveRun(RunKey("old.0.0.0", 3), "", 5)
         for rows in ((row,), (row,), ()):
@@ -486,14 +501,16 @@
     def test_runs_of_a_silent_owner_are_stopped(self):
         first = run_start()
         self.start_runs(first)
-        self.clock.advance(OWNER_LEASE_MS + 1)
+        self.pass_time(OWNER_LEASE_MS, [first.key])
+        self.clock.advance(1)
         self.assertIn(StopOrder(first.key), self.controller.next_orders())
 
     def test_an_old_echo_does_not_renew_the_lease(self):
         first = run_start()
         self.start_runs(first)
         old_ms = self.clock.now_ms()
-        self.clock.advance(OWNER_LEASE_MS + 1)
+        self.pass_time(OWNER_LEASE_MS, [first.key])
+        self.clock.advance(1)
         self.controller.owners.record_frame(OWNER, old_ms, 0)
         self.assertIn(StopOrder(first.key), self.controller.next_orders())
 
@@ -719,6 +736,109 @@
         self.assertEqual(0, self.controller.last_end_number)
 
 
+class NestedLeaseTests(RunControllerCase):
+    """The agent may die at any time: the endpoint's lease then ends the runs.
+
+    Callers submit a job again ``RESUBMIT_MS`` after the last sign of life of its owner.
+    """
+
+    def setUp(self):
+        super().setUp()
+        self.first = run_start()
+        self.start_runs(self.first)
+
+    def assert_ends_before_resubmission(self, contact_ms):
+        self.assertLess(self.controller.lease.end_ms, contact_ms + RESUBMIT_MS)
+
+    def test_no_renewal_lets_a_run_go_on_beside_the_resubmitted_one(self):
+        # Review case 2: the lease began anew until the agent died, whether the owner
+        # was alive or not.
+        contact_ms = self.clock.now_ms()
+        for _ in range(40):
+            self.pass_time(INVENTORY_INTERVAL_MS, [self.first.key])
+            self.assert_ends_before_resubmission(contact_ms)
+
+    def test_other_owners_do_not_lengthen_the_lease_of_a_silent_one(self):
+        self.link_owner(OTHER)
+        second = run_start("other.0.0.0")
+        self.start_runs(second, owner=OTHER)
+        contact_ms = self.clock.now_ms()
+        running = [self.first.key, second.key]
+        for _ in range(20):
+            self.pass_time(INVENTORY_INTERVAL_MS, running, heard_owners=[OTHER])
+            self.controller.next_orders()
+            self.assert_ends_before_resubmission(contact_ms)
+
+    def test_the_runs_of_other_owners_go_on_once_those_have_ended(self):
+        self.link_owner(OTHER)
+        second = run_start("other.0.0.0")
+        self.start_runs(second, owner=OTHER)
+        running = [self.first.key, second.key]
+        self.pass_time(OWNER_LEASE_MS + 50, running, heard_owners=[OTHER])
+        self.assertIn(StopOrder(self.first.key), self.controller.next_orders())
+        self.deliver_inventory(
+            [second.key], [EndedRun(1, self.first.key, End.STOPPED, "")]
+        )
+        self.pass_time(500, [second.key], heard_owners=[OTHER])
+        self.controller.next_orders()
+        self.assertEqual(Phase.RUNNING, self.controller.runs[second.key].phase)
+        lease_ms = self.controller.lease.end_ms - self.clock.now_ms()
+        self.assertGreater(lease_ms, LEASE_TIMES.endpoint_ms)
+
+    def test_an_owner_that_answers_as_usual_does_not_shorten_the_lease(self):
+        self.pass_time(350, [self.first.key])
+        lease_ms = self.controller.lease.end_ms - self.clock.now_ms()
+        self.assertGreater(lease_ms, LEASE_TIMES.endpoint_ms)
+
+    def test_the_lease_ends_a_run_whose_stop_is_lost(self):
+        # Its owner lives on, but its job may have been submitted elsewhere.
+        contact_ms = self.clock.now_ms()
+        self.send_orders(stops=[self.first.key])
+        for _ in range(20):
+            self.pass_time(
+                INVENTORY_INTERVAL_MS, [self.first.key], heard_owners=[OWNER]
+            )
+            self.controller.next_orders()
+            self.assert_ends_before_resubmission(contact_ms)
+
+    def test_a_stop_that_was_held_up_counts_from_the_time_it_was_sent(self):
+        contact_ms = self.clock.now_ms()
+        self.pass_time(600, [self.first.key], heard_owners=[OWNER])
+        self.send_orders(stops=[self.first.key], echo_ms=contact_ms)
+        self.pass_time(300, [self.first.key], heard_owners=[OWNER])
+        lease_ms = self.controller.lease.end_ms - self.clock.now_ms()
+        self.assertLess(lease_ms, LEASE_TIMES.endpoint_ms)
+
+    def test_a_run_that_a_resync_does_not_name_counts_as_given_up(self):
+        contact_ms = self.clock.now_ms()
+        resync = m.RunOrders(next(self.order_numbers), is_resync=True)
+        self.controller.handle_orders(OWNER, resync, contact_ms)
+        for _ in range(20):
+            self.pass_time(
+                INVENTORY_INTERVAL_MS, [self.first.key], heard_owners=[OWNER]
+            )
+            self.controller.next_orders()
+            self.assert_ends_before_resubmission(contact_ms)
+
+    def test_a_start_is_refused_under_a_lease_that_is_too_long_for_its_owner(self):
+        # The lease was renewed for others, and can't be shortened.
+        self.link_owner(OTHER)
+        contact_ms = self.clock.now_ms()
+        self.pass_time(700, [self.first.key], heard_owners=[OWNER])
+        second = run_start("other.0.0.0")
+        orders = self.send_orders(second, owner=OTHER, echo_ms=contact_ms)
+        self.assertEqual([], orders)
+        self.assertEqual({second.key: End.NOT_STARTED}, self.reported_ends(OTHER))
+
+    def test_a_start_with_a_usual_echo_begins(self):
+        self.link_owner(OTHER)
+        self.pass_time(350, [self.first.key], heard_owners=[OWNER])
+        echo_ms = self.clock.now_ms() - 350
+        second = run_start("other.0.0.0")
+        orders = self.send_orders(second, owner=OTHER, echo_ms=echo_ms)
+        self.assertEqual([StartOrder(second)], orders)
+
+
 class ChangingCapacityTests(RunControllerCase):
     """An endpoint whose capacity shrinks and grows during its lifetime."""
 
--- a/tests/test_unexpected_errors.py
+++ b/tests/test_unexpected_errors.py
@@ -18,6 +18,8 @@
 from plantainhitch.state.members import Member
 from plantainhitch.state.routes import Route
 
+from .deployment import LEASE_TIMES
+
 ROUTE = Route("queue", "host", "/q/", "pool", 0, 2, stretch=2.0, target_ms=100)
 SPEC = JobSpec("00000000000000aa", "", (StepSpec(1, Room(1, 1, 0), 10),))
 
@@ -43,7 +45,7 @@
         await super().asyncSetUp()
         clock = Clock()
         member = Member(m.ROLE_ENTRY, b"own", "own", "z", "r", "", "own:1", "")
-        self.scheduler = Scheduler(clock, 1_000)
+        self.scheduler = Scheduler(clock, LEASE_TIMES)
         self.node = JobEntryNode(
             SimpleNamespace(region="r"), member, clock, self.scheduler, None, None, None
         )
@@ -95,7 +97,7 @@
     async def asyncSetUp(self):
         await super().asyncSetUp()
         self.clock = Clock()
-        self.controller = RunController(self.clock, 1_000, first_fence=1)
+        self.controller = RunController(self.clock, LEASE_TIMES, first_fence=1)
         hello = m.Hello(m.ROLE_AGENT, b"agent", "agent")
         self.client = RecordingClient()
         self.node = agent_node.RunAgentNode(
