Leave more time to stop the runs of a silent owner before the lease ends

What callers saw: tasks of other jobs were started again, as all runs of an endpoint lapsed with its lease.

Cause: a lease that ends with its owners' left 350 ms to stop the runs of a dead entry. A stop that is lost was sent again after 200 ms, and each takes up to 50 ms.

Change: an owner's lease of 800 ms, three heartbeats and a retransmission, in place of 900, which leaves 450 ms; stops are sent again after 100 ms.

--- a/plantainhitch/coordination/runs/lease_times.py
+++ b/plantainhitch/coordination/runs/lease_times.py
@@ -15,10 +15,10 @@
 # Runs have ended this much sooner than callers submit again.
 RESUBMIT_MARGIN_MS = 50
 # The longest lease of an owner: three heartbeats and a retransmission.
-MAX_OWNER_LEASE_MS = 900
-# The time after an owner's lease in which its runs are stopped, and if that fails, in
-# which the endpoint's lease expires.
-STOP_ALLOWANCE_MS = 350
+MAX_OWNER_LEASE_MS = 800
+# The time after an owner's lease in which its runs are stopped, by a second order if
+# the first is lost. If that fails as well, the endpoint's lease expires in this time.
+STOP_ALLOWANCE_MS = 450
 # The last contact of an owner whose runs don't shorten the endpoint's lease: an owner
 # answers within two heartbeats of the agent.
 USUAL_CONTACT_AGE_MS = 400
--- a/plantainhitch/coordination/runs/run_controller.py
+++ b/plantainhitch/coordination/runs/run_controller.py
@@ -38,7 +38,7 @@
 # The number of recent ends that are kept for owners that ask for them again.
 MAX_KEPT_ENDS = 2_000
 # An order to stop is sent again if the run has not ended after this long.
-STOP_RETRY_MS = 200
+STOP_RETRY_MS = 100
 # A run whose progress has not risen for this long is stalled: a healthy short run has
 # progressed in each inventory, and inventories arrive at least every 300 ms.
 STALL_TIMEOUT_MS = 700
