Count a run given up without a link from its owner's last contact

Cause: a resync gives up the runs that it doesn't name, with the echo of its own frame. The owner may have given them up at any time since the last contact on the link before, when the caller's connection broke too.

Change: such runs count from the owner's last contact before the resync. The test fails on the code before.

--- a/plantainhitch/coordination/runs/run_controller.py
+++ b/plantainhitch/coordination/runs/run_controller.py
@@ -626,12 +626,14 @@
     def _stop_unnamed_runs(self, incarnation, orders, echo_ms):
         """Stop the runs of an owner that its resync does not name.
 
-        The owner has abandoned them while it had no link.
+        The owner has abandoned them while it had no link, at any time since its last
+        contact.
         """
+        contact_ms = min(echo_ms, self._owners.last_contact_ms(incarnation))
         named = {*orders.expected_runs, *(start.key for start in orders.starts)}
         for key, run in list(self._runs.items()):
             if run.owner == incarnation and key not in named:
-                self._abandon(run, echo_ms, "not named by the owner")
+                self._abandon(run, contact_ms, "not named by the owner")
 
     def _stop_for_owner(self, incarnation, key, echo_ms):
         run = self._runs.get(key)
@@ -640,13 +642,13 @@
         elif run.owner == incarnation:
             self._abandon(run, echo_ms, "stopped by the owner")
 
-    def _abandon(self, run, echo_ms, reason):
-        """Stop a run for its owner, by a frame that echoes ``echo_ms``.
+    def _abandon(self, run, contact_ms, reason):
+        """Stop a run that its owner may have given up soon after ``contact_ms``.
 
         The owner may have ended the job with it, so what it sends later doesn't allow
         the run to go on.
         """
-        run.abandoned_contact_ms = min(run.abandoned_contact_ms, echo_ms)
+        run.abandoned_contact_ms = min(run.abandoned_contact_ms, contact_ms)
         self._stop_run(run, reason)
 
     def _stop_run(self, run, reason):
--- a/tests/test_run_controller.py
+++ b/tests/test_run_controller.py
@@ -820,6 +820,21 @@
             self.controller.next_orders()
             self.assert_ends_before_resubmission(contact_ms)
 
+    def test_a_run_given_up_without_a_link_counts_from_the_last_contact(self):
+        # The caller's connection broke together with the link, long before the resync.
+        contact_ms = self.clock.now_ms()
+        self.controller.owners.link_closed(OWNER)
+        self.pass_time(700, [self.first.key])
+        self.controller.owners.link_opened(OWNER)
+        resync = m.RunOrders(next(self.order_numbers), is_resync=True)
+        self.controller.handle_orders(OWNER, resync, self.clock.now_ms())
+        for _ in range(10):
+            self.controller.next_orders()
+            self.assert_ends_before_resubmission(contact_ms)
+            self.pass_time(
+                INVENTORY_INTERVAL_MS, [self.first.key], heard_owners=[OWNER]
+            )
+
     def test_a_start_is_refused_under_a_lease_that_is_too_long_for_its_owner(self):
         # The lease was renewed for others, and can't be shortened.
         self.link_owner(OTHER)
