--- a/plantainhitch/coordination/jobs/scheduler.py
+++ b/plantainhitch/coordination/jobs/scheduler.py
@@ -12,7 +12,7 @@
 from ...protocol import messages as m
 from ...state.endpoints import End, Rejection
 from ..evacuation import ALL_EVACUATED_REASON, UNKNOWN_REASON, no_evacuations
-from ..runs.run_controller import STALLED_REASON
+from ..runs.run_controller import OLD_CONTACT_REASON, STALLED_REASON
 from .containment import Containment
 from .demand import Demand
 from .fleet import Fleet
@@ -356,6 +356,8 @@
                     self._stop_runs(job)
                     self._finish_job(job, Ended(JobState.FAILED))
                     return
+        if end.reason == OLD_CONTACT_REASON:
+            task.avoided_agents = (*task.avoided_agents, agent.incarnation)
         if end.reason in (STALLED_REASON, Rejection.UNHEALTHY.value):
             task.avoided_agents = (*task.avoided_agents, agent.incarnation)
             self._fleet.record_failure(agent)
--- a/plantainhitch/coordination/runs/lease_times.py
+++ b/plantainhitch/coordination/runs/lease_times.py
@@ -53,7 +53,7 @@
             resubmit_ms - RESUBMIT_MARGIN_MS, MAX_OWNER_LEASE_MS + STOP_ALLOWANCE_MS
         )
         run_end_ms = max(run_end_ms, MIN_RUN_END_MS)
-        usual_ms = longest_lease_ms(run_end_ms - USUAL_CONTACT_AGE_MS)
+        usual_ms = int(longest_lease_ms(run_end_ms - USUAL_CONTACT_AGE_MS))
         return cls(
             owner_ms=run_end_ms - STOP_ALLOWANCE_MS,
             run_end_ms=run_end_ms,
@@ -67,7 +67,7 @@
 
     It is 0 or negative if there is none.
     """
-    return int((remaining_ms - LAPSE_MARGIN_MS) / CLOCK_DRIFT_FACTOR)
+    return (remaining_ms - LAPSE_MARGIN_MS) / CLOCK_DRIFT_FACTOR
 
 
 def longest_run_ms(lease_ms):
