Take the longest lease for any new lifetime under the same id

A renewal sent to the lifetime before may arrive in the new one and give it a lease counted on its own clock. The agent took that into account only if a start was under way as well.

--- a/plantainhitch/coordination/runs/run_controller.py
+++ b/plantainhitch/coordination/runs/run_controller.py
@@ -270,8 +270,9 @@
             )
             unlisted = self._unlisted_runs() if is_same_id else []
             self._endpoint_ended("a new lifetime of the endpoint", unlisted)
-            if unlisted:
-                self._lease.record_renewal()  # the orders to start them had a lease
+            if is_same_id:
+                # It accepts a late order with a lease that was sent before.
+                self._lease.record_renewal()
             log.info(
                 "new endpoint lifetime",
                 endpoint=report.endpoint_id,
