Read the closed connections of callers before a resumed entry starts runs

Cause: while an entry is suspended its agents stop its runs, and its callers' connections break. When it resumes, both are waiting. An agent's report is in the inbox one turn of the event loop after it was read, and the close of a caller's connection three or more, since it passes the server, the application and the job's task. So the next round started the stopped tasks again, 1 to 3 ms before the entry learned that their callers had left. They had submitted elsewhere 1.3 s after the break.

In process with real sockets, 10 plays each with FIN and RST under uvloop and asyncio: all three tasks were started again in 40 of 40.

Change: a round after 100 ms without one lets the loop handle the closes that have arrived first.

With callers that stay all tasks are started again, in 20 of 20. Open: a close that has not arrived when the entry resumes.

--- a/plantainhitch/coordination/jobs/entry_node.py
+++ b/plantainhitch/coordination/jobs/entry_node.py
@@ -19,6 +19,13 @@
 TICK_MS = 25
 # Interval of the scheduler's rounds while a job waits, for which room may be free.
 WAITING_TICK_MS = 8
+# After so long without a round the process was suspended. Rounds are ``TICK_MS`` apart,
+# and callers submit again over a second after their connections have broken.
+SUSPENDED_AFTER_MS = 100
+# Turns of the event loop after which the close of a caller's connection that has
+# arrived is in the inbox. Up to five: the server reads it, loses the connection and
+# tells the application, whose task ends, which wakes ``run_job``.
+CLOSE_TURNS = 8
 # For this long after SIGTERM new jobs are accepted: until two of the load balancer's
 # checks, one a second, have failed.
 INTAKE_AFTER_STOP_MS = 2_500
@@ -198,8 +205,15 @@
 
     async def _run_scheduler(self):
         scheduler = self._scheduler
+        last_round_ms = self._clock.now_ms()
         while True:
-            for event in await self._inbox.take_all():
+            events = await self._inbox.take_all()
+            if self._clock.now_ms() - last_round_ms > SUSPENDED_AFTER_MS:
+                # Callers may have left and submitted their jobs elsewhere.
+                await _read_closes()
+                self._inbox.post(e.TimerTicked())  # there is something to take
+                events += await self._inbox.take_all()
+            for event in events:
                 try:
                     self._handle_event(event)
                 except Exception:
@@ -207,6 +221,7 @@
                     log.exception("event not handled", kind=type(event).__name__)
             for agent, message in scheduler.run_round():
                 agent.link.send(message)
+            last_round_ms = self._clock.now_ms()
 
     def _handle_event(self, event):
         scheduler = self._scheduler
@@ -309,3 +324,9 @@
         log.notice("stopping", **self.status())
         while not self._is_intake_closed() or self._scheduler.jobs:
             await self._clock.sleep_ms(DRAIN_POLL_MS)
+
+
+async def _read_closes():
+    """Let the event loop handle the closes of connections that have arrived."""
+    for _ in range(CLOSE_TURNS):
+        await asyncio.sleep(0)
--- /dev/null
+++ b/tests/test_resumed_entry.py
@@ -0,0 +1,259 @@
+"""An entry that reads late what arrived while it was suspended.
+
+The loop of the entry is blocked while its callers and its agent act, so that everything
+is waiting at its sockets when it goes on. Each scenario runs under the event loop of
+the deployed program and under that of the standard library.
+"""
+
+import asyncio
+import contextlib
+import os
+import random
+import socket
+import struct
+import time
+import unittest
+from types import SimpleNamespace
+
+import msgspec
+import uvloop
+
+from plantainhitch.clock import Clock
+from plantainhitch.coordination.agent_links import AgentDialer, exchange_hellos
+from plantainhitch.coordination.jobs.agent_connections import DIAL_OPTIONS
+from plantainhitch.coordination.jobs.entry_node import JobEntryNode
+from plantainhitch.coordination.jobs.scheduler import Scheduler
+from plantainhitch.platform.job_app import JobApp
+from plantainhitch.protocol import codec, messages as m
+from plantainhitch.state.endpoints import End
+from plantainhitch.state.jobs import Room
+from plantainhitch.state.members import Member
+from plantainhitch.state.routes import Route
+from plantainhitch.transport import links
+from plantainhitch.transport.addresses import Address
+from plantainhitch.transport.http_server import serve
+
+from .deployed_world import World
+from .harness import Forwarder, ProcessTestCase
+
+CAPACITY = Room(4_000, 1_000, 0)
+ROUTE = Route("queue", "host", "/q/", "pool", 0, 2, stretch=2.0, target_ms=100)
+LOCALHOST = Address("127.0.0.1", 0)
+JOBS = 3
+RUN_MS = 2_500
+SUSPENDED_S = 0.3
+# Longer than what has arrived takes to have an effect here.
+SETTLE_S = 0.1
+TIMEOUT_S = 5.0
+# Makes the close of a socket a reset.
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+
+
+class FakeAgent:
+    """An agent that takes starts and reports what a test tells it to."""
+
+    def __init__(self):
+        self.starts = []
+        self.stops = []
+        self._link = None
+        self._socket = None
+        self._linked = asyncio.Event()
+
+    async def serve_link(self, link):
+        """Serve the link of the entry."""
+        await exchange_hellos(link, m.Hello(m.ROLE_AGENT, b"agent", "agent"))
+        self._link = link
+        link.send(m.EndpointStatus("e-1", 1, "pool", True, capacity=CAPACITY))
+        link.send(self._report([]))
+        self._linked.set()
+        await link.run(self._receive)
+
+    async def wait_for_starts(self, count):
+        """Wait until so many starts have been ordered in all."""
+        async with asyncio.timeout(TIMEOUT_S):
+            await self._linked.wait()
+            while len(self.starts) < count:
+                await asyncio.sleep(0.005)
+
+    def report_stops(self):
+        """Report that all runs were stopped, without a turn of the event loop."""
+        reason = "owner silent"
+        ends = [
+            m.RunEnd(start.key, End.STOPPED, reason, "", 9) for start in self.starts
+        ]
+        data = codec.encode(m.Envelope(self._report(ends), Clock().now_ms()))
+        descriptor = self._link._transport.get_extra_info("socket").fileno()
+        with socket.socket(fileno=os.dup(descriptor)) as duplicate:
+            duplicate.send(links.LENGTH_PREFIX.pack(len(data)) + data)
+
+    def _report(self, ends):
+        free = (CAPACITY.cpu_millis,) * 6
+        return m.RunReports(2 if ends else 1, 99, ends, CAPACITY, free)
+
+    def _receive(self, envelope):
+        match envelope.message:
+            case m.RunOrders(starts=starts, stops=stops):
+                self.starts.extend(starts)
+                self.stops.extend(stops)
+
+
+class EntryUnderTest:
+    """An entry with its HTTP server and a link to a ``FakeAgent``."""
+
+    def __init__(self):
+        self.agent = FakeAgent()
+        self._callers = []
+        self._server = None
+
+    @contextlib.asynccontextmanager
+    async def running(self):
+        """Run the entry and the agent; wait until the entry can use the agent."""
+        clock = Clock()
+        own = Member(m.ROLE_ENTRY, b"own", "own", "z", "r", "", "own:1", "")
+        table = SimpleNamespace(
+            version=1, max_body_bytes=10_000, find=lambda host, path: ROUTE
+        )
+        self.scheduler = Scheduler(clock, 1_000)
+        node = JobEntryNode(
+            SimpleNamespace(region="r"),
+            own,
+            clock,
+            self.scheduler,
+            SimpleNamespace(table=table),
+            None,
+            None,
+        )
+        self._server = await serve(JobApp(node), LOCALHOST)
+        listener = await links.listen(LOCALHOST, clock, self.agent.serve_link)
+        host, port = listener.sockets[0].getsockname()
+        member = Member(
+            m.ROLE_AGENT, b"agent", "agent", "z", "r", "", f"{host}:{port}", ""
+        )
+        dialer = AgentDialer(
+            member, node._make_hello, clock, node._post_agent_event, DIAL_OPTIONS
+        )
+        tasks = [
+            asyncio.create_task(coroutine)
+            for coroutine in (node._run_scheduler(), node._tick(), dialer.run())
+        ]
+        try:
+            async with asyncio.timeout(TIMEOUT_S):
+                while not self.scheduler.fleet.usable_agents("pool"):
+                    await asyncio.sleep(0.005)
+            yield
+        finally:
+            for task in tasks:
+                task.cancel()
+            for caller in self._callers:
+                caller.close()
+            listener.close()
+            await self._server.aclose(grace_ms=0)
+
+    def submit(self, number):
+        """Send a job over a connection of its own, without a turn of the event loop."""
+        address = self._server.address
+        caller = socket.create_connection((address.host, address.port))
+        self._callers.append(caller)
+        step = {"count": 1, "cpu": 1_000, "mem_mb": 10, "est_runtime_ms": RUN_MS}
+        body = msgspec.json.encode({"spec": "", "steps": [step], "best_effort": True})
+        head = f"POST /q/{number:016x} HTTP/1.1\r\nHost: host\r\n"
+        caller.sendall(f"{head}Content-Length: {len(body)}\r\n\r\n".encode() + body)
+        return caller
+
+
+def leave(caller, is_reset):
+    """Close a caller's connection."""
+    if is_reset:
+        caller.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+    caller.close()
+
+
+async def suspend_with_jobs(callers_leave, is_reset=False):
+    """Suspend an entry with runs, which are stopped meanwhile.
+
+    Return the numbers of starts before and after it, and of jobs that are left.
+    """
+    entry = EntryUnderTest()
+    async with entry.running():
+        callers = [entry.submit(number) for number in range(JOBS)]
+        await entry.agent.wait_for_starts(JOBS)
+        if callers_leave:
+            for caller in callers:
+                leave(caller, is_reset)
+        entry.agent.report_stops()
+        time.sleep(SUSPENDED_S)
+        await asyncio.sleep(SETTLE_S)
+        starts = len(entry.agent.starts)
+        return JOBS, starts - JOBS, len(entry.scheduler.jobs)
+
+
+class ResumedEntryTests(unittest.TestCase):
+    """What has arrived at the entry is read before tasks are started."""
+
+    def check(self, expected, scenario, *arguments):
+        """Check the result of a coroutine function under each event loop."""
+        for run in (uvloop.run, asyncio.run):
+            with self.subTest(run.__module__, arguments=arguments):
+                self.assertEqual(expected, run(scenario(*arguments)))
+
+    def test_jobs_of_callers_that_left_meanwhile_are_not_started_again(self):
+        # Guards against a second run beside that of the entry to which a caller has
+        # turned: the agent's report was handled before the closed connection.
+        for is_reset in (False, True):
+            self.check((JOBS, 0, 0), suspend_with_jobs, True, is_reset)
+
+    def test_jobs_of_callers_that_wait_are_started_again(self):
+        self.check((JOBS, JOBS, JOBS), suspend_with_jobs, False)
+
+
+class Front:
+    """The address of a forwarder, as that of an entry for ``World.submit``."""
+
+    def __init__(self, forwarder):
+        self._forwarder = forwarder
+
+    def address(self, offset):
+        """Return the forwarder's address, whatever the offset."""
+        return self._forwarder.address
+
+
+class SuspendedProcessTests(ProcessTestCase):
+    """An entry process that is suspended for longer than its callers wait."""
+
+    async def test_a_resumed_entry_places_no_run_of_a_caller_that_left(self):
+        # Guards against the same as the test in process. Links that were silent for
+        # 1.5 s are closed, so it resumes between that and the resubmissions at 1.3 s.
+        async with World(random.Random(1), entries=2, agents=3) as world:
+            first, second = world.entries
+            forwarder = await Forwarder.start()
+            forwarder.target = first.address(2)
+            front = Front(forwarder)
+            jobs = [
+                asyncio.create_task(
+                    world.submit(front, count, RUN_MS, next_entry=second)
+                )
+                for count in (3, 2, 2)
+            ]
+            async with asyncio.timeout(TIMEOUT_S):
+                while sum(map(active_run_count, world.endpoints)) < 7:
+                    await asyncio.sleep(0.01)
+            logged_bytes = len(first.log.read_bytes())
+            first.process.pause()
+            forwarder.cut()
+            await asyncio.sleep(1.4)
+            first.process.resume()
+            states = [(await job).state for job in jobs]
+            await forwarder.aclose()
+            self.assertEqual(["completed"] * 3, states)
+            resumed_log = first.log.read_bytes()[logged_bytes:]
+            self.assertEqual(0, resumed_log.count(b'"message":"run placed"'))
+            self.assertEqual([], world.violations())
+
+
+def active_run_count(endpoint):
+    """Return the number of runs that are at work at a ``LedgerEndpoint``."""
+    return sum(run.ended_s is None for run in endpoint.runs)
+
+
+if __name__ == "__main__":
+    unittest.main()
