--- a/plantainhitch/verify/__main__.py
+++ b/plantainhitch/verify/__main__.py
@@ -8,6 +8,7 @@
 
 from .endpoint_orders import EndpointOrderModel, OrderFault
 from .keys import KeyFault, KeyModel
+from .nested_leases import LeaseFault, NestedLeaseModel
 from .replaced_links import LinkFault, ReplacedLinkModel
 from .search import search
 from .starts import StartModel
@@ -20,6 +21,7 @@
 KEY_DEPTH = 40
 ORDER_DEPTH = 40
 LINK_DEPTH = 40
+LEASE_DEPTH = 40
 
 
 def main():
@@ -31,6 +33,7 @@
     passed.append(_search_model("keys", KeyModel(), KEY_DEPTH))
     passed.append(_search_model("endpoint orders", EndpointOrderModel(), ORDER_DEPTH))
     passed.append(_search_model("replaced links", ReplacedLinkModel(), LINK_DEPTH))
+    passed.append(_search_model("nested leases", NestedLeaseModel(), LEASE_DEPTH))
     for fault in Fault:
         if fault is not Fault.NONE:
             tasks = 2 if fault is Fault.PARTIAL_ANSWER else 1
@@ -44,6 +47,10 @@
     for fault in LinkFault:
         if fault is not LinkFault.NONE:
             passed.append(_search_planted_fault(ReplacedLinkModel(fault), fault))
+    for fault in LeaseFault:
+        if fault is not LeaseFault.NONE:
+            model = NestedLeaseModel(fault, max_notice=0)
+            passed.append(_search_planted_fault(model, fault, LEASE_DEPTH))
     return 0 if all(passed) else 1
 
 
@@ -56,8 +63,8 @@
     return result.violation is None
 
 
-def _search_planted_fault(model, fault):
-    result = search(model, FAULT_DEPTH)
+def _search_planted_fault(model, fault, max_depth=FAULT_DEPTH):
+    result = search(model, max_depth)
     print(
         f"planted, {fault.value}: {result.states} states, "
         f"found: {_describe(result.violation)}"
--- a/tests/test_verify.py
+++ b/tests/test_verify.py
@@ -4,6 +4,14 @@
 
 from plantainhitch.verify.endpoint_orders import EndpointOrderModel, OrderFault
 from plantainhitch.verify.keys import KeyFault, KeyModel
+from plantainhitch.verify.nested_leases import (
+    NOTICE,
+    OWNER,
+    RUN_END,
+    LeaseFault,
+    NestedLeaseModel,
+    Run,
+)
 from plantainhitch.verify.replaced_links import LinkFault, ReplacedLinkModel
 from plantainhitch.verify.search import search
 from plantainhitch.verify.starts import StartModel
@@ -13,6 +21,7 @@
 KEY_DEPTH = 40
 ORDER_DEPTH = 40
 LINK_DEPTH = 40
+LEASE_DEPTH = 40
 
 
 class _AllStates:
@@ -122,3 +131,41 @@
                     model = ReplacedLinkModel(fault, max_links=2)
                     result = search(model, LINK_DEPTH)
                     self.assertIsNotNone(result.violation)
+
+
+class NestedLeaseModelTests(unittest.TestCase):
+    """Model of the leases of a run whose owner and agent die (issue 40)."""
+
+    def test_protocol_has_no_violation_in_any_state(self):
+        result = search(NestedLeaseModel(), LEASE_DEPTH)
+        self.assertIsNone(result.violation)
+        self.assertTrue(result.is_exhausted)
+        self.assertGreater(result.states, 100_000)
+
+    def test_each_planted_fault_is_found(self):
+        for fault in LeaseFault:
+            if fault is not LeaseFault.NONE:
+                with self.subTest(fault=fault.value):
+                    result = search(NestedLeaseModel(fault, max_notice=0), LEASE_DEPTH)
+                    self.assertIsNotNone(result.violation)
+
+    def test_with_the_old_rule_the_entry_and_then_its_agent_die(self):
+        model = NestedLeaseModel(LeaseFault.IGNORES_OWNERS, max_notice=0)
+        result = search(model, LEASE_DEPTH)
+        trace = result.violation.trace
+        after = trace[trace.index("the entry dies") + 1 :]
+        self.assertTrue({"the agent dies", "the agent's stop is lost"} & set(after))
+
+    def test_a_run_can_go_on_for_longer_than_its_owner_lease(self):
+        # Otherwise the search would not come near the bound that it is to check.
+        def is_late(state):
+            is_at_work = state.run == Run.AT_WORK and not state.placed_again
+            return "late" if is_at_work and OWNER < state.contact < RUN_END else ""
+
+        result = search(NestedLeaseModel(), LEASE_DEPTH, is_late)
+        self.assertIsNotNone(result.violation)
+
+    def test_an_entry_that_notices_too_late_that_its_caller_left(self):
+        # No lease helps then: the owner renews it on behalf of a caller that is gone.
+        result = search(NestedLeaseModel(max_notice=NOTICE + 1), LEASE_DEPTH)
+        self.assertIsNotNone(result.violation)
