An entry's echoes say that its callers were looked after

Cause: an echo renews the leases of the entry's runs and was sent as soon as a frame of the agent was read. An entry that resumes after a suspension echoed fresh stamps first, and then stopped the runs of callers that had left meanwhile.

Change: on links to agents a stamp is echoed, and a heartbeat answered, after the round of decisions that follows its arrival. The frames of that round still echo the one before.

Test: a stop of such runs arrives before any echo of that time; on the code before it fails under both event loops.

--- a/plantainhitch/coordination/jobs/entry_node.py
+++ b/plantainhitch/coordination/jobs/entry_node.py
@@ -221,6 +221,10 @@
                     log.exception("event not handled", kind=type(event).__name__)
             for agent, message in scheduler.run_round():
                 agent.link.send(message)
+            # An echo says that the callers of this entry's runs were looked after.
+            for agent in scheduler.fleet.agents.values():
+                if agent.link is not None:
+                    agent.link.release_echoes()
             last_round_ms = self._clock.now_ms()
 
     def _handle_event(self, event):
@@ -229,6 +233,7 @@
             case e.AgentMessageReceived(incarnation, message):
                 scheduler.handle_agent_message(incarnation, message)
             case e.AgentLinked(hello=hello, link=link):
+                link.defer_echoes()
                 scheduler.agent_linked(hello, link)
                 # Before the first orders, which the next round returns.
                 self._send_evacuations(scheduler.fleet.get(hello.incarnation))
--- a/plantainhitch/transport/links.py
+++ b/plantainhitch/transport/links.py
@@ -67,6 +67,8 @@
         self._last_sent_ms = clock.now_ms()
         self._last_received_ms = clock.now_ms()
         self._peer_stamp_ms = 0
+        # The peer's stamp to echo while echoes are deferred, None if they are not.
+        self._released_stamp_ms = None
         self._echo_ms = 0
         self._ack = 0
         self._last_sent_ack = 0
@@ -117,6 +119,20 @@
         """Set whether the peer needs recent echoes, see ``LinkTiming``."""
         self._is_busy = is_busy
 
+    def defer_echoes(self):
+        """Echo later stamps of the peer only after a call of ``release_echoes``.
+
+        For a peer that takes an echo as the proof that its owner still wants what it
+        has ordered, and not only that its sockets are read.
+        """
+        self._released_stamp_ms = self._peer_stamp_ms
+
+    def release_echoes(self):
+        """Echo all stamps received so far, and answer the peer if that is due."""
+        if self._released_stamp_ms != self._peer_stamp_ms:
+            self._released_stamp_ms = self._peer_stamp_ms
+            self._reply_if_due()
+
     def acknowledge(self, number):
         """Send ``number`` in later frames as the newest report batch received."""
         self._ack = max(self._ack, number)
@@ -136,7 +152,7 @@
             m.Envelope(
                 message,
                 self._clock.now_ms(),
-                self._peer_stamp_ms,
+                self._stamp_to_echo(),
                 self._ack_to_send(message),
             )
         )
@@ -231,7 +247,8 @@
                 log.exception("message not handled", kind=kind)
                 self._abort("a message could not be handled", bad_frame=True)
                 return
-        self._reply_if_due()
+        if self._released_stamp_ms is None:
+            self._reply_if_due()
 
     def _abort(self, detail, *, bad_frame=False):
         """Close the connection at once, discarding frames that are not sent yet."""
@@ -243,6 +260,11 @@
         self._closed = self._closed or closed
         self._wake_event.set()
 
+    def _stamp_to_echo(self):
+        if self._released_stamp_ms is None:
+            return self._peer_stamp_ms
+        return self._released_stamp_ms
+
     def _ack_to_send(self, message):
         """Return the acknowledgement to send; 0 in a heartbeat if sent before."""
         if isinstance(message, m.Heartbeat) and self._ack == self._last_sent_ack:
--- a/tests/test_resumed_entry.py
+++ b/tests/test_resumed_entry.py
@@ -34,6 +34,7 @@
 from plantainhitch.transport.http_server import serve
 
 from .deployed_world import World
+from .deployment import LEASE_TIMES
 from .harness import Forwarder, ProcessTestCase
 
 CAPACITY = Room(4_000, 1_000, 0)
@@ -55,6 +56,8 @@
     def __init__(self):
         self.starts = []
         self.stops = []
+        # The newest echo when the last stops arrived.
+        self.echo_at_stop_ms = None
         self._link = None
         self._socket = None
         self._linked = asyncio.Event()
@@ -78,13 +81,18 @@
     def report_stops(self):
         """Report that all runs were stopped, without a turn of the event loop."""
         reason = "owner silent"
-        ends = [
-            m.RunEnd(start.key, End.STOPPED, reason, "", 9) for start in self.starts
-        ]
-        data = codec.encode(m.Envelope(self._report(ends), Clock().now_ms()))
+        self.report(
+            [m.RunEnd(start.key, End.STOPPED, reason, "", 9) for start in self.starts]
+        )
+
+    def report(self, ends):
+        """Send a report without a turn of the event loop; return its time stamp."""
+        stamp_ms = Clock().now_ms()
+        data = codec.encode(m.Envelope(self._report(ends), stamp_ms))
         descriptor = self._link._transport.get_extra_info("socket").fileno()
         with socket.socket(fileno=os.dup(descriptor)) as duplicate:
             duplicate.send(links.LENGTH_PREFIX.pack(len(data)) + data)
+        return stamp_ms
 
     def _report(self, ends):
         free = (CAPACITY.cpu_millis,) * 6
@@ -95,6 +103,8 @@
             case m.RunOrders(starts=starts, stops=stops):
                 self.starts.extend(starts)
                 self.stops.extend(stops)
+                if stops:
+                    self.echo_at_stop_ms = self._link.echo_ms
 
 
 class EntryUnderTest:
@@ -113,7 +123,7 @@
         table = SimpleNamespace(
             version=1, max_body_bytes=10_000, find=lambda host, path: ROUTE
         )
-        self.scheduler = Scheduler(clock, 1_000)
+        self.scheduler = Scheduler(clock, LEASE_TIMES)
         node = JobEntryNode(
             SimpleNamespace(region="r"),
             own,
@@ -187,6 +197,25 @@
         return JOBS, starts - JOBS, len(entry.scheduler.jobs)
 
 
+async def echo_of_report_before_stops():
+    """Suspend an entry whose callers leave meanwhile.
+
+    Return whether it echoes a report of that time before it stops their runs.
+    """
+    entry = EntryUnderTest()
+    async with entry.running():
+        callers = [entry.submit(number) for number in range(JOBS)]
+        await entry.agent.wait_for_starts(JOBS)
+        for caller in callers:
+            caller.close()
+        stamp_ms = entry.agent.report([])
+        time.sleep(SUSPENDED_S)
+        async with asyncio.timeout(TIMEOUT_S):
+            while len(entry.agent.stops) < JOBS:
+                await asyncio.sleep(0.005)
+        return entry.agent.echo_at_stop_ms >= stamp_ms
+
+
 class ResumedEntryTests(unittest.TestCase):
     """What has arrived at the entry is read before tasks are started."""
 
@@ -202,6 +231,11 @@
         for is_reset in (False, True):
             self.check((JOBS, 0, 0), suspend_with_jobs, True, is_reset)
 
+    def test_no_echo_renews_the_lease_of_jobs_whose_callers_left_meanwhile(self):
+        # Guards against runs that go on for a lease after a suspension if their stop is
+        # lost: the entry answered the agent first, and stopped them then.
+        self.check(False, echo_of_report_before_stops)
+
     def test_jobs_of_callers_that_wait_are_started_again(self):
         self.check((JOBS, JOBS, JOBS), suspend_with_jobs, False)
 
