--- a/tests/deployed_soak.py
+++ b/tests/deployed_soak.py
@@ -7,6 +7,7 @@
 
 import argparse
 import asyncio
+import itertools
 import random
 import signal
 import sys
@@ -20,6 +21,15 @@
 FAULT_DURATION_S = (0.2, 2.5)
 # Entries close a link after 1.5 s of silence.
 SILENCE_S = 1.6
+# Of an entry and of an agent that has runs; covers both leases of a run.
+MAX_LOSS_INTERVAL_S = 1.5
+LOST_PAIRS = (4, 6)
+PAIR_INTERVAL_S = (1.0, 2.5)
+LOSS_DURATION_S = (0.8, 2.5)
+LATE_STOP_S = (0.3, 3.0)
+AGENT_FIRST_SHARE = 1 / 3
+LONG_JOBS_PER_AGENT_S = 1.8
+LONG_RUN_MS = (700, 2_500)
 # A connection that was silent delivers at most this much later.
 MAX_LATENESS_S = 0.6
 STOP_TIMEOUT_S = 8.0
@@ -224,6 +234,36 @@
         world.end_evacuation(zone)
 
 
+async def lose_entries_and_agents(world, rng, duration_s):
+    """Lose entries, and shortly before or after each an agent that has its runs."""
+    pairs = []
+    for _ in range(rng.randint(*LOST_PAIRS)):
+        pairs.append(asyncio.create_task(_lose_pair(world, rng)))
+        await asyncio.sleep(rng.uniform(*PAIR_INTERVAL_S))
+    await asyncio.gather(*pairs)
+
+
+async def lose_stops(world, rng, duration_s):
+    """Carry out stops late and without a reply, while entries die or callers leave."""
+    for _ in range(rng.randint(2, 4)):
+        for endpoint in rng.sample(world.endpoints, 2):
+            endpoint.unanswered_stops = rng.randint(1, 6)
+            endpoint.late_stop_s = rng.uniform(*LATE_STOP_S)
+        lose = rng.choice((_kill, _break_callers))
+        await _lose(world, lose, rng.choice(world.entries), duration_s)
+        await asyncio.sleep(rng.uniform(*PAIR_INTERVAL_S))
+    for endpoint in world.endpoints:
+        endpoint.unanswered_stops = 0
+
+
+async def break_callers_of_paused_entries(world, rng, duration_s):
+    """Suspend entries in turn, and reset their callers' connections meanwhile."""
+    for _ in range(rng.randint(1, 3)):
+        entry = rng.choice(world.entries)
+        pause_s = rng.uniform(*FAULT_DURATION_S)
+        await _lose(world, _pause_and_break_callers, entry, pause_s)
+
+
 FAULTS = (
     kill_entry,
     kill_agent,
@@ -256,12 +296,20 @@
 # Seeds after that silence connections during all other faults in place of it, and send
 # odd heartbeats.
 LAST_SEED_WITH_EVACUATION = 2_000
+# Seeds after that lose entries with agents in place of it, while long jobs run; every
+# fourth has as many processes as ``LARGE_WORLD`` says.
+LAST_SEED_WITH_SILENCE = 3_000
+LARGE_WORLD = {"entries": 4, "agents": 8}
 ZONES = ("z1", "z2")
 
 
 async def _kill(node, duration_s):
+    await _kill_for(node, duration_s / 4)
+
+
+async def _kill_for(node, duration_s):
     await node.process.kill()
-    await asyncio.sleep(duration_s / 4)
+    await asyncio.sleep(duration_s)
     await node.start()
 
 
@@ -277,6 +325,72 @@
     forwarder.heal()
 
 
+async def _break_callers(entry, duration_s):
+    entry.front.cut()
+    entry.front.heal()
+
+
+async def _pause_and_break_callers(entry, duration_s):
+    entry.process.pause()
+    await asyncio.sleep(duration_s / 4)
+    await _break_callers(entry, duration_s)
+    await asyncio.sleep(duration_s * 3 / 4)
+    entry.process.resume()
+
+
+async def _hold_entry(entry, duration_s):
+    await asyncio.gather(
+        _inject(entry.front, "hold", duration_s),
+        _inject(entry.link, "hold", duration_s),
+    )
+
+
+async def _hold_link(agent, duration_s):
+    await _inject(agent.link, "hold", duration_s)
+
+
+async def _hold_endpoint(agent, duration_s):
+    await _inject(agent.endpoint, "hold", duration_s)
+
+
+async def _lose(world, lose, node, duration_s):
+    world.add_event(f"{lose.__name__} {node.name} for {duration_s:.2f} s")
+    await lose(node, duration_s)
+    world.add_event(f"{lose.__name__} {node.name} ends")
+
+
+async def _lose_pair(world, rng):
+    pairs = [
+        (entry, agent)
+        for entry in world.entries
+        for agent in world.agents_at_work(entry)
+    ]
+    entry, agent = rng.choice(
+        pairs or list(itertools.product(world.entries, world.agents))
+    )
+    lose_entry = rng.choice((_kill_for, _pause, _pause_and_break_callers, _hold_entry))
+    lose_agent = rng.choice((_kill_for, _pause, _hold_link, _hold_endpoint))
+    losses = [(lose_entry, entry), (lose_agent, agent)]
+    durations_s = [rng.uniform(*LOSS_DURATION_S) for _ in losses]
+    interval_s = rng.uniform(0, MAX_LOSS_INTERVAL_S)
+    if rng.random() < AGENT_FIRST_SHARE:
+        losses.reverse()
+
+    async def lose_later(delay_s, loss, duration_s):
+        await asyncio.sleep(delay_s)
+        await _lose(world, *loss, duration_s)
+
+    delays_s = (0, interval_s)
+    await asyncio.gather(*map(lose_later, delays_s, losses, durations_s))
+
+
+async def _submit_long(world):
+    """Submit a job, often a long one, and submit it again at another entry."""
+    entry, next_entry = world.rng.sample(world.entries, 2)
+    run_ms = world.rng.choice((30, 200, *(world.rng.randint(*LONG_RUN_MS),) * 2))
+    return await world.submit(entry, run_ms=run_ms, next_entry=next_entry)
+
+
 async def run_schedule(world, rng, faults=None):
     """Run one schedule; return the names of its faults and the violations.
 
@@ -288,13 +402,22 @@
 
     async def inject_later(fault):
         await asyncio.sleep(rng.uniform(0, TRAFFIC_DURATION_S / 2))
-        await fault(world, rng, rng.uniform(*FAULT_DURATION_S))
+        duration_s = rng.uniform(*FAULT_DURATION_S)
+        world.add_event(f"{fault.__name__}, {duration_s:.2f} s")
+        await fault(world, rng, duration_s)
 
     injections = [asyncio.create_task(inject_later(fault)) for fault in faults]
+    submit, jobs_per_s = World.submit, JOBS_PER_S
+    if lose_entries_and_agents in faults:
+        submit, jobs_per_s = _submit_long, LONG_JOBS_PER_AGENT_S * len(world.agents)
     end_s = time.monotonic() + TRAFFIC_DURATION_S
-    while time.monotonic() < end_s or world.is_evacuating:
-        jobs.append(asyncio.create_task(world.submit()))
-        await asyncio.sleep(rng.expovariate(JOBS_PER_S))
+    while (
+        time.monotonic() < end_s
+        or world.is_evacuating
+        or (submit is _submit_long and not all(task.done() for task in injections))
+    ):
+        jobs.append(asyncio.create_task(submit(world)))
+        await asyncio.sleep(rng.expovariate(jobs_per_s))
     await asyncio.gather(*injections)
     fault_names = [fault.__name__ for fault in faults]
     await world.check_recovery(" + ".join(fault_names))
@@ -309,15 +432,20 @@
     Copies the logs to the folder ``keep`` where there are violations.
     """
     rng = random.Random(seed)
-    if faults is None and seed > LAST_SEED_OF_FIRST_FAULTS:
+    if faults is None and seed > LAST_SEED_WITH_SILENCE:
+        faults = rng.sample(ALL_FAULTS, rng.choice((0, 1, 1, 2)))
+        faults.append(lose_entries_and_agents)
+        faults.append(rng.choice((lose_stops, break_callers_of_paused_entries)))
+    elif faults is None and seed > LAST_SEED_OF_FIRST_FAULTS:
         faults = rng.sample(ALL_FAULTS, rng.choice((1, 2, 2, 3)))
         if seed > LAST_SEED_WITH_EVACUATION:
             faults += [silence_connections, silence_connections, odd_heartbeats]
         elif seed > LAST_SEED_WITHOUT_EVACUATION:
             faults.append(evacuate_zones)
     zones = ZONES if faults and evacuate_zones in faults else ZONES[:1]
+    size = LARGE_WORLD if seed > LAST_SEED_WITH_SILENCE and seed % 4 == 0 else {}
     began_s = time.monotonic()
-    async with World(rng, zones=zones) as world:
+    async with World(rng, zones=zones, **size) as world:
         fault_names, violations = await run_schedule(world, rng, faults)
         answers = [job.statuses[-1] for job in world.submissions if job.statuses]
         answered_share = answers.count(200) / len(answers)
@@ -332,6 +460,7 @@
         if violations and keep:
             for node in world.nodes:
                 (keep / f"{seed}-{node.name}.log").write_bytes(node.log.read_bytes())
+            (keep / f"{seed}-history.log").write_text(world.history())
     return violations
 
 
--- a/tests/deployed_world.py
+++ b/tests/deployed_world.py
@@ -13,6 +13,7 @@
 import tempfile
 import time
 from dataclasses import dataclass, field
+from datetime import UTC, datetime
 from pathlib import Path
 
 import httpx
@@ -24,6 +25,7 @@
 from plantainhitch.standins.run_endpoint import DEADLY_PAYLOAD, RunEndpointStandIn
 from plantainhitch.standins.store_rows import RowsStandIn
 from plantainhitch.transport.addresses import Address
+from plantainhitch.transport.asgi import MAX_SMALL_BODY_BYTES, read_body
 from plantainhitch.transport.http_client import HttpClient, HttpResponse
 from plantainhitch.transport.http_server import serve
 
@@ -89,10 +91,16 @@
     tasks: int
     statuses: list[int] = field(default_factory=list)
     state: str = ""
+    # The entry of the latest submission.
+    entry: "Node | None" = None
 
 
 class LedgerEndpoint(RunEndpointStandIn):
-    """An endpoint that records when each run began and ended."""
+    """An endpoint that records when each run began and ended.
+
+    ``unanswered_stops`` is the number of next stop orders that are applied after
+    ``late_stop_s`` without an answer.
+    """
 
     def __init__(self, name, zone="z1"):
         super().__init__(name, POOL, CPU_MILLIS)
@@ -104,8 +112,20 @@
         self.late_starts = []
         # Starts that brought the endpoint over its capacity.
         self.excess_starts = []
+        self.unanswered_stops = 0
+        self.late_stop_s = 0.0
         self._capacities = [(0.0, CPU_MILLIS)]
 
+    async def __call__(self, scope, receive, send):
+        """Serve one request."""
+        if self.unanswered_stops and scope["path"] == "/run-stop":
+            self.unanswered_stops -= 1
+            order = msgspec.json.decode(await read_body(receive, MAX_SMALL_BODY_BYTES))
+            await asyncio.sleep(self.late_stop_s)
+            self._handle_order("/run-stop", order)
+            await asyncio.Event().wait()
+        await super().__call__(scope, receive, send)
+
     def resize(self, cpu_millis):
         """Change the capacity, which the next heartbeat says."""
         self.cpu_millis = cpu_millis
@@ -147,13 +167,14 @@
 class Node:
     """One entry or agent process with the forwarders of its connections.
 
-    ``link`` forwards to its link address, ``store`` and ``endpoint`` from it to those.
+    ``link`` forwards to its link address, ``front`` to the address for callers,
+    ``store`` and ``endpoint`` from it to those.
     """
 
     def __init__(self, role, name, folder, zone):
         self.role, self.name, self.zone = role, name, zone
         self.host = HOSTS.next_host()
-        self.link = self.store = self.endpoint = None
+        self.link = self.front = self.store = self.endpoint = None
         self.process = None
         self._start_count = 0
         self._start_lock = asyncio.Lock()
@@ -183,7 +204,9 @@
         ]
         listen = [f'control = "{self.address(4)}"']
         if endpoint is None:
-            listen.append(f'front = "{self.address(2)}"')
+            self.front = await Forwarder.start()
+            self.front.target = self.address(2)
+            listen.append(f'front = "{self.front.target}"')
             listen.append(f'readiness = "{self.address(3)}"')
         else:
             self.endpoint = await Forwarder.start()
@@ -201,6 +224,11 @@
         ]
         self._settings.write_text("\n".join(lines), encoding="utf-8")
 
+    @property
+    def _forwarders(self):
+        forwarders = (self.link, self.front, self.store, self.endpoint)
+        return [forwarder for forwarder in forwarders if forwarder is not None]
+
     @property
     def has_started(self):
         """Whether the latest process has logged that it started."""
@@ -227,18 +255,16 @@
 
     def heal(self):
         """End all connection faults and resume the process."""
-        for forwarder in (self.link, self.store, self.endpoint):
-            if forwarder is not None:
-                forwarder.heal()
+        for forwarder in self._forwarders:
+            forwarder.heal()
         self.process.send_signal(signal.SIGCONT)
 
     async def aclose(self):
         """Kill the process and close the forwarders."""
         if self.process is not None:
             await self.process.kill()
-        for forwarder in (self.link, self.store, self.endpoint):
-            if forwarder is not None:
-                await forwarder.aclose()
+        for forwarder in self._forwarders:
+            await forwarder.aclose()
 
 
 class World:
@@ -257,6 +283,8 @@
         ]
         self.submissions = []
         self.problems = []
+        # Faults as (time in s of the monotonic clock, text).
+        self.events = []
         self.version = 1
         self._folder = tempfile.TemporaryDirectory(prefix="plantainhitch-soak-")
         folder = Path(self._folder.name)
@@ -280,6 +308,37 @@
         """All entries and agents."""
         return [*self.entries, *self.agents]
 
+    def agents_at_work(self, entry):
+        """Return the agents whose endpoints run tasks of jobs submitted at an entry."""
+        job_ids = {job.job_id for job in self.submissions if job.entry is entry}
+        return [
+            agent
+            for agent, endpoint in zip(self.agents, self.endpoints, strict=True)
+            if any(
+                run.ended_s is None and run.task.split(".")[0] in job_ids
+                for run in endpoint.runs
+            )
+        ]
+
+    def add_event(self, text):
+        """Record a fault that begins now."""
+        self.events.append((time.monotonic(), text))
+
+    def history(self):
+        """Return the faults and runs by UTC time, one a line."""
+        events = list(self.events)
+        for endpoint in self.endpoints:
+            for run in endpoint.runs:
+                text = f"{run.task} run {run.run} at {endpoint.name}"
+                events.append((run.began_s, f"{text} begins, {run.payload} ms"))
+                if run.ended_s is not None:
+                    events.append((run.ended_s, f"{text} ends {run.outcome}"))
+        offset_s = time.time() - time.monotonic()
+        return "".join(
+            f"{datetime.fromtimestamp(at_s + offset_s, UTC).isoformat()} {text}\n"
+            for at_s, text in sorted(events)
+        )
+
     async def __aenter__(self):
         self.configure()
         store = await self._serve(self.store)
@@ -354,7 +413,7 @@
         step = {"count": tasks, "cpu": 1_000, "mem_mb": 10, "est_runtime_ms": run_ms}
         body = {"spec": job.payload, "steps": [step], "best_effort": True}
         for _ in range(SUBMIT_ATTEMPTS):
-            target = entry or self.rng.choice(self.entries)
+            target = job.entry = entry or self.rng.choice(self.entries)
             status, answer = await self._post(target, prefix + job.job_id, body)
             job.statuses.append(status)
             if status == 200:
@@ -435,7 +494,7 @@
         return found_violations
 
     async def _post(self, entry, path, body):
-        url = f"http://{entry.address(2)}{path}"
+        url = f"http://{entry.front.address}{path}"
         headers = {"X-Deadline-Ms": str(int(CALLER_TIMEOUT_S * 1_000))}
         try:
             answer = await self._http.post(url, json=body, headers=headers)
