--- a/tests/deployed_soak.py
+++ b/tests/deployed_soak.py
@@ -24,11 +24,12 @@
 # Of an entry and of an agent that has runs; covers both leases of a run.
 MAX_LOSS_INTERVAL_S = 1.5
 LOST_PAIRS = (4, 6)
-PAIR_INTERVAL_S = (1.0, 2.5)
+PAIR_INTERVAL_S = (1.0, 3.0)
+MAX_WAIT_FOR_RUN_S = 2.0
 LOSS_DURATION_S = (0.8, 2.5)
 LATE_STOP_S = (0.3, 3.0)
-AGENT_FIRST_SHARE = 1 / 3
-LONG_JOBS_PER_AGENT_S = 1.8
+AGENT_FIRST_SHARE = 1 / 4
+LONG_JOBS_PER_AGENT_S = 1.2
 LONG_RUN_MS = (700, 2_500)
 # A connection that was silent delivers at most this much later.
 MAX_LATENESS_S = 0.6
@@ -353,6 +354,10 @@
     await _inject(agent.endpoint, "hold", duration_s)
 
 
+ENTRY_LOSSES = (_kill_for, _pause_and_break_callers, _pause, _hold_entry)
+ENTRY_LOSS_WEIGHTS = (3, 3, 1, 1)
+
+
 async def _lose(world, lose, node, duration_s):
     world.add_event(f"{lose.__name__} {node.name} for {duration_s:.2f} s")
     await lose(node, duration_s)
@@ -360,19 +365,17 @@
 
 
 async def _lose_pair(world, rng):
-    pairs = [
-        (entry, agent)
-        for entry in world.entries
-        for agent in world.agents_at_work(entry)
-    ]
+    end_s = time.monotonic() + MAX_WAIT_FOR_RUN_S
+    while not (pairs := world.owners_at_work()) and time.monotonic() < end_s:
+        await asyncio.sleep(0.02)
     entry, agent = rng.choice(
         pairs or list(itertools.product(world.entries, world.agents))
     )
-    lose_entry = rng.choice((_kill_for, _pause, _pause_and_break_callers, _hold_entry))
+    (lose_entry,) = rng.choices(ENTRY_LOSSES, ENTRY_LOSS_WEIGHTS)
     lose_agent = rng.choice((_kill_for, _pause, _hold_link, _hold_endpoint))
     losses = [(lose_entry, entry), (lose_agent, agent)]
     durations_s = [rng.uniform(*LOSS_DURATION_S) for _ in losses]
-    interval_s = rng.uniform(0, MAX_LOSS_INTERVAL_S)
+    interval_s = rng.triangular(0, MAX_LOSS_INTERVAL_S)
     if rng.random() < AGENT_FIRST_SHARE:
         losses.reverse()
 
--- a/tests/deployed_world.py
+++ b/tests/deployed_world.py
@@ -308,16 +308,20 @@
         """All entries and agents."""
         return [*self.entries, *self.agents]
 
-    def agents_at_work(self, entry):
-        """Return the agents whose endpoints run tasks of jobs submitted at an entry."""
-        job_ids = {job.job_id for job in self.submissions if job.entry is entry}
+    def owners_at_work(self):
+        """Return the pairs of an entry and an agent with a long run of its jobs.
+
+        The run has more time left than callers wait before they submit again.
+        """
+        owners = {job.job_id: job.entry for job in self.submissions}
+        least_s = time.monotonic() + RESUBMIT_DELAY_S
         return [
-            agent
+            (owners[run.task.split(".")[0]], agent)
             for agent, endpoint in zip(self.agents, self.endpoints, strict=True)
-            if any(
-                run.ended_s is None and run.task.split(".")[0] in job_ids
-                for run in endpoint.runs
-            )
+            for run in endpoint.runs
+            if run.ended_s is None
+            and run.payload.isdigit()
+            and run.began_s + int(run.payload) / 1_000 > least_s
         ]
 
     def add_event(self, text):
