--- a/tests/deployed_soak.py
+++ b/tests/deployed_soak.py
@@ -21,7 +21,7 @@
 FAULT_DURATION_S = (0.2, 2.5)
 # Entries close a link after 1.5 s of silence.
 SILENCE_S = 1.6
-# Of an entry and of an agent that has runs; covers both leases of a run.
+# Between the losses of an entry and of an agent with its runs, either one first.
 MAX_LOSS_INTERVAL_S = 1.5
 LOST_PAIRS = (4, 6)
 PAIR_INTERVAL_S = (1.0, 3.0)
@@ -298,7 +298,7 @@
 # odd heartbeats.
 LAST_SEED_WITH_EVACUATION = 2_000
 # Seeds after that lose entries with agents in place of it, while long jobs run; every
-# fourth has as many processes as ``LARGE_WORLD`` says.
+# fourth uses ``LARGE_WORLD``.
 LAST_SEED_WITH_SILENCE = 3_000
 LARGE_WORLD = {"entries": 4, "agents": 8}
 ZONES = ("z1", "z2")
--- a/tests/deployed_world.py
+++ b/tests/deployed_world.py
@@ -319,7 +319,8 @@
             (owners[run.task.split(".")[0]], agent)
             for agent, endpoint in zip(self.agents, self.endpoints, strict=True)
             for run in endpoint.runs
-            if run.ended_s is None
+            if run.task.split(".")[0] in owners
+            and run.ended_s is None
             and run.payload.isdigit()
             and run.began_s + int(run.payload) / 1_000 > least_s
         ]
--- a/tests/test_deployed_soak.py
+++ b/tests/test_deployed_soak.py
@@ -44,6 +44,7 @@
 # Between the deaths of an entry and of an agent; within the lease of the entry.
 DEATH_INTERVAL_S = 0.7
 REPLACED_LINK_SEED = 2_001
+LOST_OWNERS_SEED = 3_002
 # Seeds that once gave violations, with the cause.
 REGRESSION_SEEDS = {
     18: "a start that arrived in the endpoint's next lifetime ran beside another run",
@@ -82,6 +83,11 @@
         faults = (soak.silence_connections, soak.pause_agent, soak.odd_heartbeats)
         self.assertEqual([], await soak.run_seed(REPLACED_LINK_SEED, faults))
 
+    async def test_entries_and_agents_of_their_runs_are_lost(self):
+        # Issue 40: runs outlived their entries and ran beside the next ones.
+        faults = (soak.lose_entries_and_agents,)
+        self.assertEqual([], await soak.run_seed(LOST_OWNERS_SEED, faults))
+
 
 class LateStartTests(ProcessTestCase):
     """Starts that a connection or an endpoint holds up and that arrive late."""
