--- a/tests/deployed_world.py
+++ b/tests/deployed_world.py
@@ -527,6 +527,11 @@
             await asyncio.sleep(HEARTBEAT_INTERVAL_S)
 
 
+def active_run_count(endpoint):
+    """Return the number of runs that are at work at a ``LedgerEndpoint``."""
+    return sum(run.ended_s is None for run in endpoint.runs)
+
+
 def overlapping_runs(runs):
     """Yield a text for each pair of consecutive runs of a task that overlap."""
     by_task = {}
--- a/tests/test_deployed_soak.py
+++ b/tests/test_deployed_soak.py
@@ -28,6 +28,7 @@
     Submission,
     TaskRun,
     World,
+    active_run_count,
     contradictions,
     evacuated_starts,
     excessive_starts,
@@ -152,11 +153,6 @@
             self.assertEqual([], world.violations())
 
 
-def active_run_count(endpoint):
-    """Return the number of runs that are at work at a ``LedgerEndpoint``."""
-    return sum(run.ended_s is None for run in endpoint.runs)
-
-
 class RestartTests(ProcessTestCase):
     """Faults that restart the same process."""
 
--- a/tests/test_resumed_entry.py
+++ b/tests/test_resumed_entry.py
@@ -33,9 +33,9 @@
 from plantainhitch.transport.addresses import Address
 from plantainhitch.transport.http_server import serve
 
-from .deployed_world import World
+from .deployed_world import World, active_run_count
 from .deployment import LEASE_TIMES
-from .harness import Forwarder, ProcessTestCase
+from .harness import ProcessTestCase
 
 CAPACITY = Room(4_000, 1_000, 0)
 ROUTE = Route("queue", "host", "/q/", "pool", 0, 2, stretch=2.0, target_ms=100)
@@ -240,17 +240,6 @@
         self.check((JOBS, JOBS, JOBS), suspend_with_jobs, False)
 
 
-class Front:
-    """The address of a forwarder, as that of an entry for ``World.submit``."""
-
-    def __init__(self, forwarder):
-        self._forwarder = forwarder
-
-    def address(self, offset):
-        """Return the forwarder's address, whatever the offset."""
-        return self._forwarder.address
-
-
 class SuspendedProcessTests(ProcessTestCase):
     """An entry process that is suspended for longer than its callers wait."""
 
@@ -259,12 +248,9 @@
         # 1.5 s are closed, so it resumes between that and the resubmissions at 1.3 s.
         async with World(random.Random(1), entries=2, agents=3) as world:
             first, second = world.entries
-            forwarder = await Forwarder.start()
-            forwarder.target = first.address(2)
-            front = Front(forwarder)
             jobs = [
                 asyncio.create_task(
-                    world.submit(front, count, RUN_MS, next_entry=second)
+                    world.submit(first, count, RUN_MS, next_entry=second)
                 )
                 for count in (3, 2, 2)
             ]
@@ -273,21 +259,15 @@
                     await asyncio.sleep(0.01)
             logged_bytes = len(first.log.read_bytes())
             first.process.pause()
-            forwarder.cut()
+            first.front.cut()
             await asyncio.sleep(1.4)
             first.process.resume()
             states = [(await job).state for job in jobs]
-            await forwarder.aclose()
             self.assertEqual(["completed"] * 3, states)
             resumed_log = first.log.read_bytes()[logged_bytes:]
             self.assertEqual(0, resumed_log.count(b'"message":"run placed"'))
             self.assertEqual([], world.violations())
 
 
-def active_run_count(endpoint):
-    """Return the number of runs that are at work at a ``LedgerEndpoint``."""
-    return sum(run.ended_s is None for run in endpoint.runs)
-
-
 if __name__ == "__main__":
     unittest.main()
