Refuse a renewal that is carried out after newer orders

Cause: where the time of a late renewal counts from its arrival, the lease ends later than the agent takes it to. A start without an answer raised the fence, a renewal did not, so the endpoint still accepted it seconds later.

Change: an inventory without an answer raises the fence as well. The next one that arrives makes the endpoint refuse it. What is left: an agent that dies before its next order.

The test fails on the code before.

--- a/plantainhitch/coordination/runs/agent_node.py
+++ b/plantainhitch/coordination/runs/agent_node.py
@@ -14,6 +14,7 @@
     Accepted,
     EndpointReport,
     Inventory,
+    NoAnswer,
     OrderResult,
     Rejected,
     Rejection,
@@ -338,6 +339,8 @@
                 self._controller.endpoint_not_listening(fence)
             case Rejected(Rejection.FENCE):
                 self._controller.fence_rejected(fence)
+            case NoAnswer():
+                self._controller.inventory_not_answered(fence)
 
     def _start_lease_renewal(self, report, client):
         """Renew the lease of a new lifetime of the endpoint from now on."""
--- a/plantainhitch/coordination/runs/run_controller.py
+++ b/plantainhitch/coordination/runs/run_controller.py
@@ -478,6 +478,13 @@
         """Handle the rejection of an order whose ``fence`` was too low."""
         self._fence.rejected(fence)
 
+    def inventory_not_answered(self, fence):
+        """Handle an inventory without an answer, whose renewal may take effect late.
+
+        The endpoint refuses it once it has accepted an order with a higher fence.
+        """
+        self._fence.raise_above(fence)
+
     def handle_inventory(self, inventory: Inventory, fence=None):
         """Reconcile the runs with an inventory that was requested with ``fence``.
 
--- a/tests/test_lifetime_check.py
+++ b/tests/test_lifetime_check.py
@@ -68,6 +68,15 @@
             while not condition():
                 await asyncio.sleep(POLL_S)
 
+    async def test_a_renewal_without_an_answer_is_refused_if_it_arrives_later(self):
+        # Guards against a lease that a late renewal lengthens when nobody expects it.
+        fence = self.controller.fence
+        self.endpoint.is_silent = True
+        await self.wait_until(lambda: self.controller.fence > fence)
+        self.assertIn(KEY, self.controller.runs)  # the endpoint is not given up
+        self.endpoint.is_silent = False
+        await self.wait_until(lambda: self.endpoint.fence > fence)
+
     def send(self, **changes):
         """Send a heartbeat with these differences to the true one."""
         report = replace(REPORT, **changes)
