Submit a job only if its caller's connection is not known to be closed

Cause: a request that was held up on the network arrives with its caller's close right behind it, after the caller has submitted elsewhere. The job was submitted, and its tasks started, in the turns of the event loop in which the close passed through the server and the application.

Ruled out: the check of a suspension; the loop has no gap here.

Change: ``run_job`` lets the loop handle the closes that have arrived, and submits the job if its caller has not left.

Open: a close that arrives later than the request by more than these turns, as before.

--- a/plantainhitch/coordination/jobs/entry_node.py
+++ b/plantainhitch/coordination/jobs/entry_node.py
@@ -145,6 +145,10 @@
         ``caller_timeout_ms`` is how long the caller waits, ``disconnected`` a future
         that is done when the caller leaves.
         """
+        # A request that was held up may have its caller's close right behind it.
+        await _read_closes()
+        if disconnected.done():
+            return GaveUp("the caller left")
         if self._is_intake_closed():
             return NeverRan("the entry stops")
         outcome_future = asyncio.get_running_loop().create_future()
--- a/tests/test_resumed_entry.py
+++ b/tests/test_resumed_entry.py
@@ -1,4 +1,4 @@
-"""An entry that reads late what arrived while it was suspended.
+"""An entry that reads late what arrived while it was suspended, or was held up.
 
 The loop of the entry is blocked while its callers and its agent act, so that everything
 is waiting at its sockets when it goes on. Each scenario runs under the event loop of
@@ -187,6 +187,19 @@
         return JOBS, starts - JOBS, len(entry.scheduler.jobs)
 
 
+async def deliver_late(is_reset):
+    """Deliver requests together with the ends of their connections.
+
+    Return the numbers of starts and of jobs that are left.
+    """
+    entry = EntryUnderTest()
+    async with entry.running():
+        for number in range(JOBS):
+            leave(entry.submit(number), is_reset)
+        await asyncio.sleep(SETTLE_S)
+        return len(entry.agent.starts), len(entry.scheduler.jobs)
+
+
 class ResumedEntryTests(unittest.TestCase):
     """What has arrived at the entry is read before tasks are started."""
 
@@ -205,6 +218,12 @@
     def test_jobs_of_callers_that_wait_are_started_again(self):
         self.check((JOBS, JOBS, JOBS), suspend_with_jobs, False)
 
+    def test_a_late_request_whose_caller_has_left_is_not_submitted(self):
+        # Guards against a second run for a request that was held up, and whose caller
+        # has turned to another entry.
+        for is_reset in (False, True):
+            self.check((0, 0), deliver_late, is_reset)
+
 
 class Front:
     """The address of a forwarder, as that of an entry for ``World.submit``."""
