--- a/tests/test_job_scheduler.py
+++ b/tests/test_job_scheduler.py
@@ -33,6 +33,12 @@
         """Record whether the agent needs echoes."""
         self.is_busy = is_busy
 
+    def defer_echoes(self):
+        """Do nothing: no echo is sent."""
+
+    def release_echoes(self):
+        """Do nothing, as above."""
+
     def send(self, message):
         """Record a message."""
         self.sent.append(message)
