--- a/plantainhitch/coordination/runs/lease_times.py
+++ b/plantainhitch/coordination/runs/lease_times.py
@@ -8,6 +8,8 @@
 
 from dataclasses import dataclass
 
+from ... import logs
+
 # The factor by which the endpoint's steady clock may be slower than the agent's.
 CLOCK_DRIFT_FACTOR = 1.02
 # The time that the endpoint takes to stop a run after its lease has expired.
@@ -25,6 +27,8 @@
 # Shorter leases would expire between two heartbeats.
 MIN_RUN_END_MS = 800
 
+log = logs.get_logger("leases")
+
 
 @dataclass(frozen=True, slots=True)
 class LeaseTimes:
@@ -48,11 +52,16 @@
 
     @classmethod
     def from_limits(cls, max_endpoint_ms, resubmit_ms):
-        """Return the times for callers that submit again after ``resubmit_ms``."""
+        """Return the times for callers that submit again after ``resubmit_ms``.
+
+        If that is too soon for any lease, runs may go on beside the next ones.
+        """
         run_end_ms = min(
             resubmit_ms - RESUBMIT_MARGIN_MS, MAX_OWNER_LEASE_MS + STOP_ALLOWANCE_MS
         )
-        run_end_ms = max(run_end_ms, MIN_RUN_END_MS)
+        if run_end_ms < MIN_RUN_END_MS:
+            log.warning("callers submit again too soon", resubmit_ms=resubmit_ms)
+            run_end_ms = MIN_RUN_END_MS
         usual_ms = int(longest_lease_ms(run_end_ms - USUAL_CONTACT_AGE_MS))
         return cls(
             owner_ms=run_end_ms - STOP_ALLOWANCE_MS,
@@ -65,7 +74,7 @@
 def longest_lease_ms(remaining_ms):
     """Return the longest lease under which runs have ended after ``remaining_ms``.
 
-    It is 0 or negative if there is none.
+    It is a number of ms, 0 or negative if there is none.
     """
     return (remaining_ms - LAPSE_MARGIN_MS) / CLOCK_DRIFT_FACTOR
 
