End unanswered calls of the stand-ins with their connections

The soak printed a traceback for each call that a stand-in left unanswered, as the server cancelled it at the end of the world: the stand-ins waited for ever, also when the caller had gone. They wait for the disconnect now, as the store already did for lost replies. In one process (tests.test_deployment) one is left, where the caller goes later than the server.

test_tasks_of_a_crashed_endpoint_run_elsewhere crashed an endpoint 200 ms after a submission and failed in 2 of 7 runs at a load of 25 on 8 cores, without a start by then. It waits for the start now.

--- a/plantainhitch/platform/job_app.py
+++ b/plantainhitch/platform/job_app.py
@@ -7,7 +7,7 @@
 
 from .. import logs
 from ..coordination.jobs.outcomes import Ended, GaveUp, NeverRan
-from ..transport.asgi import Reply, read_body, send_reply
+from ..transport.asgi import Reply, read_body, send_reply, wait_for_disconnect
 from . import jobs
 
 JOB_ID_PATTERN = re.compile(r"[0-9a-f]{16}", re.ASCII)
@@ -70,7 +70,7 @@
             return self._error(503, f"not supported: {error}", retry_after_s=60)
         except ValueError as error:
             return self._error(400, str(error))
-        disconnected = asyncio.ensure_future(_wait_for_disconnect(receive))
+        disconnected = asyncio.ensure_future(wait_for_disconnect(receive))
         try:
             caller_timeout_ms = _caller_timeout_ms(headers)
             outcome = await self._node.run_job(
@@ -113,11 +113,6 @@
         await send_reply(send, Reply(200 if self._node.ready else 503, b"{}"))
 
 
-async def _wait_for_disconnect(receive):
-    while (await receive())["type"] != "http.disconnect":
-        pass
-
-
 def _caller_timeout_ms(headers):
     text = headers.get(_DEADLINE_HEADER, b"")
     if text.isdigit() and len(text) <= MAX_DEADLINE_DIGITS:
--- a/plantainhitch/standins/run_endpoint.py
+++ b/plantainhitch/standins/run_endpoint.py
@@ -12,7 +12,13 @@
 
 import msgspec
 
-from ..transport.asgi import MAX_SMALL_BODY_BYTES, Reply, read_body, send_reply
+from ..transport.asgi import (
+    MAX_SMALL_BODY_BYTES,
+    Reply,
+    read_body,
+    send_reply,
+    wait_for_disconnect,
+)
 
 MAX_LEASE_MS = 1_000
 DEFAULT_RUN_MS = 50
@@ -95,7 +101,8 @@
             self.unanswered_starts -= 1
             await asyncio.sleep(self.late_order_s)
             self._handle_order(scope["path"], call)
-            await asyncio.Event().wait()
+            await wait_for_disconnect(receive)
+            return
         if scope["path"] == "/hold":
             status, result = await self._handle_hold(call)
         else:
--- a/plantainhitch/standins/store_rows.py
+++ b/plantainhitch/standins/store_rows.py
@@ -10,7 +10,13 @@
 
 import msgspec
 
-from ..transport.asgi import MAX_SMALL_BODY_BYTES, Reply, read_body, send_reply
+from ..transport.asgi import (
+    MAX_SMALL_BODY_BYTES,
+    Reply,
+    read_body,
+    send_reply,
+    wait_for_disconnect,
+)
 
 _POLL_INTERVAL_S = 0.005
 
@@ -49,7 +55,7 @@
         """Serve one request."""
         body = await read_body(receive, MAX_SMALL_BODY_BYTES)
         if self.silent:
-            await _wait_for_disconnect(receive)
+            await wait_for_disconnect(receive)
             return
         if self.busy:
             await send_reply(send, Reply(503, b"{}"))
@@ -60,12 +66,21 @@
                 status, result = self._transaction(msgspec.json.decode(body))
                 if status == 200 and self.lose_replies:
                     self.lose_replies -= 1
-                    await _wait_for_disconnect(receive)
+                    await wait_for_disconnect(receive)
                     return
             case "GET", "/rows-get":
                 status, result = 200, self._select(query)
             case "GET", "/rows-feed":
-                status, result = await self._feed(query)
+                feed = asyncio.create_task(self._feed(query))
+                disconnected = asyncio.create_task(wait_for_disconnect(receive))
+                await asyncio.wait(
+                    (feed, disconnected), return_when=asyncio.FIRST_COMPLETED
+                )
+                disconnected.cancel()
+                if not feed.done():
+                    feed.cancel()
+                    return
+                status, result = feed.result()
             case _:
                 status, result = 404, {}
         result |= {"ver": self._ver, "now_ms": 0}
@@ -126,11 +141,5 @@
             await asyncio.sleep(_POLL_INTERVAL_S)
 
 
-async def _wait_for_disconnect(receive):
-    """Send no answer; return once the caller has disconnected."""
-    while (await receive())["type"] != "http.disconnect":
-        pass
-
-
 def _row_key(item):
     return item["table"], item.get("part", ""), item["key"]
--- a/plantainhitch/transport/asgi.py
+++ b/plantainhitch/transport/asgi.py
@@ -41,6 +41,12 @@
             return b"".join(chunks)
 
 
+async def wait_for_disconnect(receive):
+    """Return once the client has disconnected; its request has been read."""
+    while (await receive())["type"] != "http.disconnect":
+        pass
+
+
 class MetricsApp:
     """An ASGI application that serves the text from ``render()`` at ``/metrics``."""
 
--- a/tests/deployed_world.py
+++ b/tests/deployed_world.py
@@ -25,7 +25,11 @@
 from plantainhitch.standins.run_endpoint import DEADLY_PAYLOAD, RunEndpointStandIn
 from plantainhitch.standins.store_rows import RowsStandIn
 from plantainhitch.transport.addresses import Address
-from plantainhitch.transport.asgi import MAX_SMALL_BODY_BYTES, read_body
+from plantainhitch.transport.asgi import (
+    MAX_SMALL_BODY_BYTES,
+    read_body,
+    wait_for_disconnect,
+)
 from plantainhitch.transport.http_client import HttpClient, HttpResponse
 from plantainhitch.transport.http_server import serve
 
@@ -123,7 +127,8 @@
             order = msgspec.json.decode(await read_body(receive, MAX_SMALL_BODY_BYTES))
             await asyncio.sleep(self.late_stop_s)
             self._handle_order("/run-stop", order)
-            await asyncio.Event().wait()
+            await wait_for_disconnect(receive)
+            return
         await super().__call__(scope, receive, send)
 
     def resize(self, cpu_millis):
--- a/tests/test_deployment.py
+++ b/tests/test_deployment.py
@@ -6,6 +6,7 @@
 from .deployment import PREFIX, LoopbackDeployment, configuration
 
 JOB = "00000000000000{:02x}"
+START_TIMEOUT_S = 5.0
 
 
 class DeploymentCase(unittest.IsolatedAsyncioTestCase):
@@ -83,8 +84,11 @@
         job = asyncio.create_task(
             self.deployment.submit(JOB.format(1), run_ms=600, tasks=2)
         )
-        await asyncio.sleep(0.2)
-        busy = [e for e in self.deployment.endpoints if e.ledger]
+        busy = []
+        async with asyncio.timeout(START_TIMEOUT_S):
+            while not busy:
+                await asyncio.sleep(0.01)
+                busy = [e for e in self.deployment.endpoints if e.ledger]
         busy[0].crash()
         answer = await job
         self.assertEqual(200, answer.status)
