--- a/plantainhitch/transport/links.py
+++ b/plantainhitch/transport/links.py
@@ -122,8 +122,8 @@
     def defer_echoes(self):
         """Echo later stamps of the peer only after a call of ``release_echoes``.
 
-        For a peer that takes an echo as the proof that its owner still wants what it
-        has ordered, and not only that its sockets are read.
+        For a peer that takes an echo as proof that this process still wants what it has
+        ordered, and not only that it reads its sockets.
         """
         self._released_stamp_ms = self._peer_stamp_ms
 
--- a/tests/test_run_controller.py
+++ b/tests/test_run_controller.py
@@ -868,6 +868,13 @@
         self.assertEqual([StartOrder(second)], orders)
         self.assert_ends_before_resubmission(echo_ms)
 
+    def test_a_new_lifetime_under_the_same_id_may_have_the_longest_lease(self):
+        # A renewal sent to the lifetime before may arrive there and count anew.
+        self.deliver_inventory([self.first.key])
+        self.controller.handle_heartbeat(heartbeat(born_ms=2))
+        longest_end_ms = self.clock.now_ms() + LEASE_TIMES.max_endpoint_ms
+        self.assertGreater(self.controller.lease.end_ms, longest_end_ms)
+
     def test_a_start_with_a_usual_echo_begins(self):
         self.link_owner(OTHER)
         self.pass_time(350, [self.first.key], heard_owners=[OWNER])
