--- a/plantainhitch/coordination/runs/agent_node.py
+++ b/plantainhitch/coordination/runs/agent_node.py
@@ -336,7 +336,7 @@
             case Inventory():
                 self._controller.handle_inventory(result, fence)
             case Rejected(Rejection.NOT_LISTENING):
-                self._controller.endpoint_not_listening(fence)
+                self._controller.connection_refused(fence)
             case Rejected(Rejection.FENCE):
                 self._controller.fence_rejected(fence)
             case NoAnswer():
--- a/plantainhitch/coordination/runs/run_controller.py
+++ b/plantainhitch/coordination/runs/run_controller.py
@@ -91,6 +91,8 @@
         self._end_counts = Counter()
         self._crash_count = 0
         self._endpoint = None
+        # Whether its address has refused connections since its last answer.
+        self._is_refusing = False
         self._is_reconciled = False
         self._last_end_number = 0
         self._last_inventory_ms = 0
@@ -160,6 +162,7 @@
         return (
             self._endpoint is not None
             and self._is_reconciled
+            and not self._is_refusing
             and not self._endpoint.draining
             and not self._is_stopping
             and not self.is_evacuated
@@ -290,32 +293,38 @@
             self._refuse_waiting_starts("draining")
         return is_new_lifetime
 
-    def endpoint_not_listening(self, fence=None):
-        """Handle proof that the endpoint's process has ended: a refused connection.
+    def connection_refused(self, fence=None):
+        """Handle a refused connection to the endpoint.
 
         ``fence`` is that of the order that was refused, by default the present one. One
         from before the last loss says nothing about a lifetime that has begun since.
-        A start that the endpoint has not answered may be carried out by its next
-        lifetime, which may have the same id.
+
+        The process has probably ended, which is reported as a crash at once. But its
+        network may refuse connections while its runs go on. So they are lost only with
+        the lease, which isn't renewed until the endpoint answers, or once it has
+        answered as its next lifetime.
         """
-        if not self._fence.is_valid(fence):
+        if self._is_refusing or not self._fence.is_valid(fence):
             return
-        self._endpoint_ended(
-            "nothing listens at the endpoint", self._runs_that_may_begin_later()
-        )
-
-    def _endpoint_ended(self, reason, uncertain):
-        """Handle proof that the endpoint's process has ended.
+        self._record_end_of_lifetime("nothing listens at the endpoint")
+        self._is_refusing = True
+        self._refuse_waiting_starts("the endpoint refuses connections")
 
-        It has crashed if it had not announced its end and was not lost before. The
-        runs in ``uncertain`` may begin in its next lifetime.
-        """
+    def _record_end_of_lifetime(self, reason):
+        """Record a crash, unless the endpoint's end was announced or noticed before."""
         runs = [run for run in self._runs.values() if may_be_at_endpoint(run)]
-        is_noticed = not self._is_reconciled and all(
+        is_lost = not self._is_reconciled and all(
             run.is_of_earlier_lifetime for run in runs
         )
-        if not is_noticed and not self._endpoint.draining:
+        if not (is_lost or self._is_refusing or self._endpoint.draining):
             self._record_crash(reason, runs)
+
+    def _endpoint_ended(self, reason, uncertain):
+        """Handle the end of the present lifetime of the endpoint.
+
+        The runs in ``uncertain`` may begin in its next lifetime.
+        """
+        self._record_end_of_lifetime(reason)
         for run in uncertain:
             run.is_of_earlier_lifetime = True
         self._declare_endpoint_lost(reason, uncertain)
@@ -350,6 +359,7 @@
         if self._is_reconciled:
             log.warning("endpoint lost", why=reason, unconfirmed=len(uncertain_keys))
         self._is_reconciled = False
+        self._is_refusing = False
         self._crash_suspects.clear()
         self._last_end_number = 0
         self._lease.reset()
@@ -409,7 +419,8 @@
         that it is not too long for the next one.
         """
         runs_at_endpoint = list(filter(may_be_at_endpoint, self._runs.values()))
-        if not self._is_reconciled or not runs_at_endpoint:
+        is_renewable = self._is_reconciled and not self._is_refusing
+        if not is_renewable or not runs_at_endpoint:
             return None
         return self._lease.renew(min(map(self._latest_end_ms, runs_at_endpoint)))
 
@@ -442,7 +453,7 @@
                 self._stop_unconfirmed(run)
             case Rejected(Rejection.NOT_LISTENING):
                 self._finish(key, End.NOT_STARTED, "not_listening")
-                self.endpoint_not_listening(fence)
+                self.connection_refused(fence)
             case Rejected(Rejection.OTHER_LIFETIME):
                 self._finish(key, End.NOT_STARTED, "other_lifetime")
             case Rejected(Rejection.FENCE, clock_ms):
@@ -470,7 +481,7 @@
                     self._needs_inventory or run.phase is Phase.UNCONFIRMED
                 )
             case Rejected(Rejection.NOT_LISTENING):
-                self.endpoint_not_listening(fence)
+                self.connection_refused(fence)
             case Rejected(Rejection.FENCE):
                 self._fence.rejected(fence)
 
@@ -497,7 +508,7 @@
                 "inventory of another lifetime ignored", born_ms=inventory.born_ms
             )
             return
-        self._lease.record_answer(inventory.clock_ms)
+        self._endpoint_answered(inventory.clock_ms)
         self._last_inventory_ms = self._clock.now_ms()
         for ended in inventory.ended:
             if ended.number > self._last_end_number:
@@ -549,7 +560,13 @@
 
     def _record_answer(self, clock_ms, fence):
         if self._fence.is_valid(fence):
-            self._lease.record_answer(clock_ms)
+            self._endpoint_answered(clock_ms)
+
+    def _endpoint_answered(self, clock_ms):
+        self._lease.record_answer(clock_ms)
+        if self._is_refusing:
+            self._is_refusing = False
+            log.warning("endpoint answers again", runs=len(self._runs))
 
     def _handle_start(self, incarnation, start, echo_ms):
         key = start.key
@@ -788,9 +805,15 @@
         """Declare the endpoint lost once its lease has certainly expired.
 
         The runs that it has begun have ended then. One whose start was not answered may
-        begin as soon as the lease is renewed.
+        begin as soon as the lease is renewed. An endpoint that has refused connections
+        until then has ended.
         """
-        if self._lease.is_expired:
+        if self._is_refusing and self._clock.now_ms() > self._lease.end_ms:
+            self._endpoint_ended(
+                "connections refused for longer than the lease",
+                self._runs_that_may_begin_later(),
+            )
+        elif self._lease.is_expired:
             self._declare_endpoint_lost(
                 "no answer for longer than the lease", self._runs_that_may_begin_later()
             )
--- a/plantainhitch/state/endpoints.py
+++ b/plantainhitch/state/endpoints.py
@@ -97,8 +97,8 @@
 class Rejection(enum.Enum):
     """Why an order was not carried out; the endpoint has done nothing then.
 
-    ``NOT_LISTENING`` means that the connection was refused, so nothing listens at the
-    endpoint's address any more; ``UNREACHABLE`` only that no connection could be made.
+    ``NOT_LISTENING`` means that the connection was refused, as when the endpoint's
+    process has ended; ``UNREACHABLE`` that no connection could be made.
     ``WITHDRAWN`` is the agent's own: the order was not sent, as it was no longer valid.
     """
 
--- a/plantainhitch/transport/http_client.py
+++ b/plantainhitch/transport/http_client.py
@@ -36,7 +36,7 @@
 class NotSent:
     """No byte of the request was written.
 
-    ``refused`` is set if the connection was refused: nothing listens at the address.
+    ``refused`` is set if the connection was refused, by the host or by the network.
     """
 
     detail: str
--- a/tests/test_deployed_soak.py
+++ b/tests/test_deployed_soak.py
@@ -44,6 +44,8 @@
 EVACUATION_SEED = 1_001
 # Between the deaths of an entry and of an agent; within the lease of the entry.
 DEATH_INTERVAL_S = 0.7
+# Longer than the lease of an endpoint.
+REFUSAL_S = 1.2
 REPLACED_LINK_SEED = 2_001
 LOST_OWNERS_SEED = 3_002
 # Seeds that once gave violations, with the cause.
@@ -153,6 +155,36 @@
             self.assertEqual([], world.violations())
 
 
+class RefusedEndpointTests(ProcessTestCase):
+    """Endpoints whose addresses refuse connections while their runs go on."""
+
+    async def test_runs_of_endpoints_that_refuse_connections_do_not_begin_elsewhere(
+        self,
+    ):
+        # Issue 43: a refused connection was taken for the end of the endpoint.
+        async with World(random.Random(43), entries=2, agents=4) as world:
+            jobs = [
+                asyncio.create_task(world.submit(tasks=2, run_ms=2_500))
+                for _ in range(3)
+            ]
+            async with asyncio.timeout(5):
+                while sum(map(active_run_count, world.endpoints)) < 6:
+                    await asyncio.sleep(0.01)
+            refusing = [
+                agent
+                for agent, endpoint in zip(world.agents, world.endpoints, strict=True)
+                if active_run_count(endpoint)
+            ][:2]
+            for agent in refusing:
+                agent.endpoint.refuse()
+            await asyncio.sleep(REFUSAL_S)
+            for agent in refusing:
+                agent.endpoint.heal()
+            for job in jobs:
+                self.assertEqual("completed", (await job).state)
+            self.assertEqual([], world.violations())
+
+
 class RestartTests(ProcessTestCase):
     """Faults that restart the same process."""
 
