Echo no stamp that is newer than an unread close of a caller

What callers saw: an entry that is starved or suspended could let runs of a caller that has left go on beside those of the resubmission, and could place them again.

Cause: an entry read closed connections first only after more than 100 ms without a round, counted from the end of the round before. So it didn't notice that it had stood still within a round, nor for less than 100 ms. A close takes five turns of the event loop to reach the decisions, a stamp or a report that was read with it takes one: the next round echoed a stamp that was newer than the close, by as long as the process had stood still, and handled reports of stopped runs before it. Runs have 50 ms between their end and the resubmission, and whatever came next (another hold-up, a lost stop) found their lease renewed. Class of fault: something that is only likely is taken for proof, here the time since the last round for closes that were read.

Evidence: two tests in process that hold the entry up for 60 ms within a round and, 0 to 9 turns of the loop later, again, while its callers leave and an agent reports.

Change: an entry with jobs lets eight turns of the loop pass, 50 times a second at most, and handles the closes that they bring before it decides. The time counts from the beginning of one such reading to the next, so no moment is left out. The round echoes stamps, and handles reports, from before the reading only.

--- a/plantainhitch/coordination/inbox.py
+++ b/plantainhitch/coordination/inbox.py
@@ -29,6 +29,10 @@
     async def take_all(self):
         """Wait until the consumer is woken; return all events, oldest first."""
         await self._wake_event.wait()
+        return self.take_present()
+
+    def take_present(self):
+        """Return all events so far, oldest first."""
         self._wake_event.clear()
         events, self._events = self._events, []
         return events
--- a/plantainhitch/coordination/jobs/entry_node.py
+++ b/plantainhitch/coordination/jobs/entry_node.py
@@ -19,9 +19,9 @@
 TICK_MS = 25
 # Interval of the scheduler's rounds while a job waits, for which room may be free.
 WAITING_TICK_MS = 8
-# After so long without a round the process was suspended. Rounds are ``TICK_MS`` apart,
-# and callers submit again over a second after their connections have broken.
-SUSPENDED_AFTER_MS = 100
+# An entry with jobs reads the closes of callers' connections this often. Runs end
+# before their caller submits again if no echo is over 50 ms newer than its close.
+CLOSES_INTERVAL_MS = 20
 # Turns of the event loop after which the close of a caller's connection that has
 # arrived is in the inbox. Up to five: the server reads it, loses the connection and
 # tells the application, whose task ends, which wakes ``run_job``.
@@ -209,27 +209,47 @@
 
     async def _run_scheduler(self):
         scheduler = self._scheduler
-        last_round_ms = self._clock.now_ms()
+        # The closes of callers' connections that arrived before this were handled.
+        closes_read_ms = self._clock.now_ms()
         while True:
-            events = await self._inbox.take_all()
-            if self._clock.now_ms() - last_round_ms > SUSPENDED_AFTER_MS:
-                # Callers may have left and submitted their jobs elsewhere.
+            self._handle_events(await self._inbox.take_all())
+            # An echo says that the callers of this entry's runs were looked after until
+            # its stamp was received.
+            stamps = [
+                (agent.link, agent.link.peer_stamp_ms)
+                for agent in scheduler.fleet.agents.values()
+                if agent.link is not None
+            ]
+            now_ms = self._clock.now_ms()
+            if scheduler.jobs and now_ms - closes_read_ms > CLOSES_INTERVAL_MS:
+                # The process may have been suspended, at any moment of the last round
+                # too. Callers may have left since then, and submitted elsewhere.
+                closes_read_ms = now_ms
                 await _read_closes()
-                self._inbox.post(e.TimerTicked())  # there is something to take
-                events += await self._inbox.take_all()
-            for event in events:
-                try:
-                    self._handle_event(event)
-                except Exception:
-                    # One event must not end the process, and with it all its jobs.
-                    log.exception("event not handled", kind=type(event).__name__)
+                self._handle_events(self._take_caller_events())
             for agent, message in scheduler.run_round():
                 agent.link.send(message)
-            # An echo says that the callers of this entry's runs were looked after.
-            for agent in scheduler.fleet.agents.values():
-                if agent.link is not None:
-                    agent.link.release_echoes()
-            last_round_ms = self._clock.now_ms()
+            for link, stamp_ms in stamps:
+                link.release_echoes(stamp_ms)
+
+    def _take_caller_events(self):
+        """Return the events of callers so far; those of agents wait for the next round.
+
+        They may be newer than a close that has not been read.
+        """
+        events = self._inbox.take_present()
+        for event in events:
+            if not callable(event):
+                self._post_agent_event(event)
+        return filter(callable, events)
+
+    def _handle_events(self, events):
+        for event in events:
+            try:
+                self._handle_event(event)
+            except Exception:
+                # One event must not end the process, and with it all its jobs.
+                log.exception("event not handled", kind=type(event).__name__)
 
     def _handle_event(self, event):
         scheduler = self._scheduler
--- a/plantainhitch/transport/links.py
+++ b/plantainhitch/transport/links.py
@@ -127,10 +127,10 @@
         """
         self._released_stamp_ms = self._peer_stamp_ms
 
-    def release_echoes(self):
-        """Echo all stamps received so far, and answer the peer if that is due."""
-        if self._released_stamp_ms != self._peer_stamp_ms:
-            self._released_stamp_ms = self._peer_stamp_ms
+    def release_echoes(self, stamp_ms):
+        """Echo the peer's stamps up to ``stamp_ms``, and answer it if that is due."""
+        if self._released_stamp_ms != stamp_ms:
+            self._released_stamp_ms = stamp_ms
             self._reply_if_due()
 
     def acknowledge(self, number):
--- a/tests/test_job_scheduler.py
+++ b/tests/test_job_scheduler.py
@@ -36,7 +36,7 @@
     def defer_echoes(self):
         """Do nothing: no echo is sent."""
 
-    def release_echoes(self):
+    def release_echoes(self, stamp_ms):
         """Do nothing, as above."""
 
     def send(self, message):
--- a/tests/test_resumed_entry.py
+++ b/tests/test_resumed_entry.py
@@ -43,6 +43,10 @@
 JOBS = 3
 RUN_MS = 2_500
 SUSPENDED_S = 0.3
+# Longer than an entry may be held up without reading closed connections before it acts.
+HELD_UP_S = 0.06
+# A close takes up to five turns of the event loop to have an effect.
+HELD_UP_TURNS = range(10)
 # Longer than what has arrived takes to have an effect here.
 SETTLE_S = 0.1
 TIMEOUT_S = 5.0
@@ -113,7 +117,7 @@
     def __init__(self):
         self.agent = FakeAgent()
         self._callers = []
-        self._server = None
+        self._node = self._server = None
 
     @contextlib.asynccontextmanager
     async def running(self):
@@ -124,7 +128,7 @@
             version=1, max_body_bytes=10_000, find=lambda host, path: ROUTE
         )
         self.scheduler = Scheduler(clock, LEASE_TIMES)
-        node = JobEntryNode(
+        node = self._node = JobEntryNode(
             SimpleNamespace(region="r"),
             own,
             clock,
@@ -159,6 +163,24 @@
             listener.close()
             await self._server.aclose(grace_ms=0)
 
+    def hold_up_twice(self, turns, action):
+        """Hold up the entry in a round, and again some turns of its event loop later.
+
+        ``action()`` is called at the second time.
+        """
+
+        def count_down(turns):
+            if turns:
+                asyncio.get_running_loop().call_soon(count_down, turns - 1)
+            else:
+                action()
+
+        def hold_up():
+            time.sleep(HELD_UP_S)
+            count_down(turns)
+
+        self._node._inbox.post(hold_up)
+
     def submit(self, number):
         """Send a job over a connection of its own, without a turn of the event loop."""
         address = self._server.address
@@ -197,6 +219,27 @@
         return JOBS, starts - JOBS, len(entry.scheduler.jobs)
 
 
+async def hold_up_with_jobs(turns):
+    """Hold up an entry twice, while its callers leave and its runs are stopped.
+
+    Return the numbers of starts after it, and of jobs that are left.
+    """
+    entry = EntryUnderTest()
+    async with entry.running():
+        callers = [entry.submit(number) for number in range(JOBS)]
+        await entry.agent.wait_for_starts(JOBS)
+
+        def leave_and_report():
+            for caller in callers:
+                caller.close()
+            time.sleep(HELD_UP_S)
+            entry.agent.report_stops()
+
+        entry.hold_up_twice(turns, leave_and_report)
+        await asyncio.sleep(2 * HELD_UP_S + SETTLE_S)
+        return len(entry.agent.starts) - JOBS, len(entry.scheduler.jobs)
+
+
 async def deliver_late(is_reset):
     """Deliver requests together with the ends of their connections.
 
@@ -229,6 +272,30 @@
         return entry.agent.echo_at_stop_ms >= stamp_ms
 
 
+async def echo_of_held_up_entry_before_stops(turns):
+    """Hold up an entry twice, while its callers leave and an agent reports later.
+
+    Return whether it echoes the report before it stops their runs.
+    """
+    entry = EntryUnderTest()
+    async with entry.running():
+        callers = [entry.submit(number) for number in range(JOBS)]
+        await entry.agent.wait_for_starts(JOBS)
+        stamps_ms = []
+
+        def leave_and_report():
+            for caller in callers:
+                caller.close()
+            time.sleep(HELD_UP_S)
+            stamps_ms.append(entry.agent.report([]))
+
+        entry.hold_up_twice(turns, leave_and_report)
+        async with asyncio.timeout(TIMEOUT_S):
+            while len(entry.agent.stops) < JOBS:
+                await asyncio.sleep(0.005)
+        return entry.agent.echo_at_stop_ms >= stamps_ms[0]
+
+
 class ResumedEntryTests(unittest.TestCase):
     """What has arrived at the entry is read before tasks are started."""
 
@@ -249,6 +316,18 @@
         # lost: the entry answered the agent first, and stopped them then.
         self.check(False, echo_of_report_before_stops)
 
+    def test_no_echo_is_newer_than_the_close_of_a_caller_of_a_held_up_entry(self):
+        # Guards against runs that go on beside the resubmitted ones if the entry is
+        # starved: a hold-up within a round, or of less than 100 ms, was not noticed.
+        for turns in HELD_UP_TURNS:
+            self.check(False, echo_of_held_up_entry_before_stops, turns)
+
+    def test_a_held_up_entry_starts_no_task_of_a_caller_that_left(self):
+        # Guards against a second run: after a hold-up within a round the report of the
+        # stopped runs was handled before the closed connection.
+        for turns in HELD_UP_TURNS:
+            self.check((0, 0), hold_up_with_jobs, turns)
+
     def test_jobs_of_callers_that_wait_are_started_again(self):
         self.check((JOBS, JOBS, JOBS), suspend_with_jobs, False)
 
