Give up a job whose submission failed with an unexpected error

What callers saw: nothing so far; found by reading. An unexpected error in a submission is answered with 504, after which the caller submits the job again at any entry. If the error came after the job had been added, the first entry ran it as well: two owners, both heard.

Cause: the answer was sent without giving the job up.

Evidence: the test, in which the check that follows the addition fails, found the job still there.

Change: the caller is detached, which cancels the job if no other caller waits for it.

Result: the test passes, with the others of test_unexpected_errors.

--- a/plantainhitch/coordination/jobs/entry_node.py
+++ b/plantainhitch/coordination/jobs/entry_node.py
@@ -161,7 +161,10 @@
             try:
                 self._scheduler.submit(spec, route, caller_timeout_ms, set_outcome)
             except Exception:
-                set_outcome(GaveUp("internal error"))
+                reason = "internal error"
+                set_outcome(GaveUp(reason))
+                # The caller will submit it elsewhere, and it may be known here already.
+                self._scheduler.detach_caller(spec.job_id, set_outcome, reason)
                 raise
 
         self._inbox.post(submit)
--- a/tests/test_unexpected_errors.py
+++ b/tests/test_unexpected_errors.py
@@ -3,6 +3,7 @@
 import asyncio
 import unittest
 from types import SimpleNamespace
+from unittest import mock
 
 import logbook
 
@@ -71,6 +72,17 @@
         self.scheduler.submit = submit
         self.assertIsInstance(await self.submit(), NeverRan)
 
+    async def test_a_submission_that_failed_half_way_leaves_no_job(self):
+        # Guards against two owners: its caller reads 504 and submits elsewhere, and
+        # this entry started the tasks as well.
+        with (
+            mock.patch.object(self.scheduler, "_refusal", return_value=""),
+            mock.patch.object(self.scheduler, "_contain", side_effect=LookupError),
+        ):
+            self.assertIsInstance(await self.submit(), GaveUp)
+        self.assert_error_is_logged()
+        self.assertEqual({}, self.scheduler.jobs)
+
     async def test_an_error_in_a_message_of_an_agent_leaves_the_entry_running(self):
         self.node._post_agent_event(agent_node.HeartbeatReceived(None))
         self.assertIsInstance(await self.submit(), NeverRan)
