Model an endpoint whose network refuses connections while its run goes on

The model refused connections only of an endpoint that had ended, so that the rule "a refused connection ends the run" was sound in it.

Change: the network may refuse the agent's connections while the endpoint is up and carries out orders that are under way. The agent then renews nothing, and gives the endpoint up when the lease has ended, or goes on with it after an answer. The old rule is a planted fault.

--- a/plantainhitch/verify/endpoint_orders.py
+++ b/plantainhitch/verify/endpoint_orders.py
@@ -3,8 +3,9 @@
 The agent's order to start the run can be carried out at any later time. The endpoint
 keeps the highest fence that it has seen, and a lease that any accepted order may renew.
 The agent can be suspended for longer than all leases, after which the owner places the
-task again. The endpoint can end and begin a new lifetime under the same id, and another
-writer can send a heartbeat of a lifetime that doesn't exist.
+task again. The endpoint can end and begin a new lifetime under the same id, another
+writer can send a heartbeat of a lifetime that doesn't exist, and the network can refuse
+the agent's connections while the endpoint is up.
 """
 
 import enum
@@ -19,6 +20,7 @@
     NONE = "none"
     LEASE_MEANS_NOT_BEGUN = "expired lease means that no start is under way"
     REFUSAL_MEANS_NOT_BEGUN = "refused connection means that no start is under way"
+    REFUSAL_MEANS_ENDED = "refused connection means that the run has ended"
     HEARTBEAT_MEANS_NEW_LIFETIME = "heartbeat means that a new lifetime has begun"
 
 
@@ -50,7 +52,9 @@
     its own lease is valid. ``fence`` is the agent's. ``known_lifetime`` is the lifetime
     that the agent takes for the present one, ``stop_known`` whether that has accepted
     the stop, ``is_listed`` whether it has listed the run. ``placed_again`` is 1 once
-    the owner may start the task elsewhere.
+    the owner may start the task elsewhere. ``is_refused`` is 1 while the network
+    refuses connections, ``knows_refusal`` from the agent's first refused connection
+    until it gives the endpoint up or has an answer.
     """
 
     phase: int = RunPhase.ORDERED
@@ -61,8 +65,10 @@
     stop_known: int = 0
     is_listed: int = 0
     placed_again: int = 0
-    # The endpoint.
+    knows_refusal: int = 0
+    # The endpoint and the network.
     is_up: int = 1
+    is_refused: int = 0
     lifetime: int = 1
     seen_fence: int = 0
     # Whether it has had an order from an agent that knew of its lifetime.
@@ -74,6 +80,7 @@
     suspensions: int = 1
     restarts: int = 1
     odd_heartbeats: int = 1
+    refusals: int = 1
 
 
 class EndpointOrderModel:
@@ -90,9 +97,11 @@
         """Yield every ``(label, next state)``."""
         if state.is_up:
             yield from self._start_steps(state)
-            yield from self._order_steps(state)
+            if not state.is_refused:
+                yield from self._order_steps(state)
         if state.phase == RunPhase.ORDERED:
             yield "the answer of the start is lost", self._unconfirm(state)
+        yield from self._refusal_steps(state)
         yield from self._fault_steps(state)
 
     def violation(self, state):
@@ -126,7 +135,7 @@
             return
         is_known = int(state.known_lifetime == state.lifetime)
         accepted = state._replace(seen_fence=state.fence, has_order=is_known)
-        renewed = accepted._replace(is_leased=1)
+        renewed = accepted if state.knows_refusal else accepted._replace(is_leased=1)
         yield "renewal accepted", renewed
         yield "inventory received", self._reconciled(renewed)
         if state.phase != RunPhase.UNCONFIRMED:
@@ -140,6 +149,7 @@
         """Return the state after an inventory; one of another lifetime is ignored."""
         if state.known_lifetime != state.lifetime:
             return state
+        state = state._replace(knows_refusal=0)
         if state.at_work != AtWork.NO:
             return state._replace(is_listed=1)
         if state.phase != RunPhase.UNCONFIRMED:
@@ -148,6 +158,29 @@
             return _ended(state)
         return state
 
+    def _refusal_steps(self, state):
+        if state.refusals and state.is_up:
+            refused = state._replace(is_refused=1, refusals=state.refusals - 1)
+            yield "the network refuses connections", refused
+        if state.is_refused:
+            yield "the network is whole again", state._replace(is_refused=0)
+        if (state.is_refused or not state.is_up) and not state.knows_refusal:
+            yield "a connection is refused", self._connection_refused(state)
+        if state.knows_refusal:
+            yield "the lease ends without an answer", self._lease_ended(state)
+
+    def _connection_refused(self, state):
+        if self._fault is OrderFault.REFUSAL_MEANS_ENDED:
+            return self._lost(state, OrderFault.REFUSAL_MEANS_NOT_BEGUN)
+        return state._replace(knows_refusal=1)
+
+    def _lease_ended(self, state):
+        """Return the state after the lease of the lifetime that the agent knows."""
+        ended = state._replace(knows_refusal=0, start_in_time=0)
+        if state.known_lifetime == state.lifetime:
+            ended = ended._replace(at_work=AtWork.NO, is_leased=0)
+        return self._lost(ended, OrderFault.REFUSAL_MEANS_NOT_BEGUN)
+
     def _fault_steps(self, state):
         if state.suspensions and state.is_up:
             yield "the agent is suspended over all leases", self._suspended(state)
@@ -157,10 +190,6 @@
             )
             yield "the endpoint ends", down
         if not state.is_up:
-            yield (
-                "a connection is refused",
-                self._lost(state, OrderFault.REFUSAL_MEANS_NOT_BEGUN),
-            )
             yield (
                 "the endpoint begins again",
                 state._replace(
@@ -185,6 +214,7 @@
             is_leased=0,
             start_in_time=0,
             placed_again=1,
+            knows_refusal=0,
         )
         return self._lost(lapsed, OrderFault.LEASE_MEANS_NOT_BEGUN)
 
@@ -197,7 +227,9 @@
             lost = _ended(state)
         else:
             lost = self._unconfirm(state)
-        return lost._replace(known_lifetime=state.lifetime, stop_known=0, is_listed=0)
+        return lost._replace(
+            known_lifetime=state.lifetime, stop_known=0, is_listed=0, knows_refusal=0
+        )
 
     def _lost(self, state, fault):
         """Return the state in which the agent has given up what the endpoint ran.
--- a/tests/test_verify.py
+++ b/tests/test_verify.py
@@ -2,7 +2,11 @@
 
 import unittest
 
-from plantainhitch.verify.endpoint_orders import EndpointOrderModel, OrderFault
+from plantainhitch.verify.endpoint_orders import (
+    AtWork,
+    EndpointOrderModel,
+    OrderFault,
+)
 from plantainhitch.verify.keys import KeyFault, KeyModel
 from plantainhitch.verify.nested_leases import (
     NOTICE,
@@ -114,6 +118,22 @@
                     result = search(EndpointOrderModel(fault), ORDER_DEPTH)
                     self.assertIsNotNone(result.violation)
 
+    def test_with_the_old_rule_a_run_goes_on_beside_the_next_one(self):
+        # Issue 43: the endpoint was up when its network refused a connection.
+        model = EndpointOrderModel(OrderFault.REFUSAL_MEANS_ENDED)
+        trace = search(model, ORDER_DEPTH).violation.trace
+        self.assertIn("the network refuses connections", trace)
+        self.assertEqual("a connection is refused", trace[-1])
+
+    def test_a_run_can_go_on_while_its_endpoint_refuses_connections(self):
+        # Otherwise the search would not reach what it is to check.
+        def is_at_work(state):
+            is_refused = state.is_refused and state.knows_refusal
+            return "at work" if is_refused and state.at_work == AtWork.YES else ""
+
+        result = search(EndpointOrderModel(), ORDER_DEPTH, is_at_work)
+        self.assertIsNotNone(result.violation)
+
 
 class ReplacedLinkModelTests(unittest.TestCase):
     """Model of a start on links that are replaced (review case 1)."""
