Warn of runs that an endpoint lists as running after their end

What operators saw: nothing. An end that an endpoint has not listed rests on a bound: of its lease, its clock, or the time of a stop.

An inventory counts only if it was requested after the endpoint was last lost and is newer, by the endpoint's own clock, than the newest one when the end was decided, so that answers which overtake each other or wait while the process is suspended prove nothing. The ends that are kept move to a module of their own.

--- a/plantainhitch/coordination/runs/run_controller.py
+++ b/plantainhitch/coordination/runs/run_controller.py
@@ -8,7 +8,7 @@
 endpoint has accepted its stop, or any order with a higher fence than that of its start.
 """
 
-from collections import Counter, OrderedDict
+from collections import Counter
 
 from ... import logs
 from ...protocol import messages as m
@@ -30,12 +30,11 @@
 from .forecast import Forecast
 from .isolation import Isolation
 from .owners import Owners
+from .recent_ends import RecentEnds
 from .run import Phase, Run, StartOrder, StopOrder, may_be_at_endpoint
 from .waiting_starts import WaitingStarts
 from .warm_up import WarmUp
 
-# The number of recent ends that are kept for owners that ask for them again.
-MAX_KEPT_ENDS = 2_000
 # An order to stop is sent again if the run has not ended after this long.
 STOP_RETRY_MS = 100
 # A run whose progress has not risen for this long is stalled: a healthy short run has
@@ -87,7 +86,7 @@
         # The processor of the start that was received last.
         self._last_start_millis = 0
         self._last_check_ms = 0
-        self._recent_ends = OrderedDict()
+        self._recent_ends = RecentEnds(clock)
         self._end_counts = Counter()
         self._crash_count = 0
         self._endpoint = None
@@ -122,6 +121,11 @@
         """The number of times that the endpoint ended without notice."""
         return self._crash_count
 
+    @property
+    def late_run_count(self):
+        """The number of runs that were listed as running after their end."""
+        return self._recent_ends.late_count
+
     @property
     def endpoint(self):
         """The newest ``EndpointReport``, or None."""
@@ -510,18 +514,22 @@
             return
         self._endpoint_answered(inventory.clock_ms)
         self._last_inventory_ms = self._clock.now_ms()
+        lifetime = self._endpoint.lifetime
+        self._recent_ends.record_inventory(lifetime, inventory.clock_ms)
         for ended in inventory.ended:
             if ended.number > self._last_end_number:
                 self._last_end_number = ended.number
                 self._record_end(ended)
         self._record_progress(inventory.running)
         running_keys = {listed.key for listed in inventory.running}
+        is_valid = self._fence.is_valid(fence)
         for key, run in list(self._runs.items()):
             if key not in running_keys:
                 self._check_absent_run(key, run, inventory.clock_ms, fence)
         unknown_keys = [key for key in running_keys if key not in self._runs]
+        if is_valid:
+            self._recent_ends.check_running(lifetime, inventory.clock_ms, unknown_keys)
         self._orders.extend(map(StopOrder, unknown_keys))
-        is_valid = self._fence.is_valid(fence)
         if is_valid and not self._is_reconciled and not unknown_keys:
             self._is_reconciled = True
             log.info("endpoint reconciled", last_end_number=self._last_end_number)
@@ -844,9 +852,7 @@
         run_ms = self._clock.now_ms() - run.started_ms if run.started_ms else 0
         run_end = m.RunEnd(key, end, reason, checkpoint, run_ms)
         self._end_counts[end.name.lower()] += 1
-        self._recent_ends[key] = run_end
-        while len(self._recent_ends) > MAX_KEPT_ENDS:
-            self._recent_ends.popitem(last=False)
+        self._recent_ends.add(run_end)
         self._owners.get_or_create(run.owner).unsent_ends.append(run_end)
         if end is not End.DONE:
             self._events.write(
--- a/tests/test_run_controller.py
+++ b/tests/test_run_controller.py
@@ -4,8 +4,10 @@
 import random
 import unittest
 from dataclasses import replace
+from unittest import mock
 
 from plantainhitch.clock import ManualClock
+from plantainhitch.coordination.runs import recent_ends
 from plantainhitch.coordination.runs.endpoint_lease import SUSPECT_AFTER_MS
 from plantainhitch.coordination.runs.run import Phase, StartOrder, StopOrder
 from plantainhitch.coordination.runs.run_controller import (
@@ -827,6 +829,71 @@
         self.assertEqual({self.run_start.key: End.LOST}, self.reported_ends())
 
 
+class LateRunTests(RunControllerCase):
+    """Runs that are listed as running after their end was reported (issue 43).
+
+    Nothing told of them, so that a lapse or a stop that came late could not be seen.
+    """
+
+    def setUp(self):
+        super().setUp()
+        self.run_start = run_start()
+        self.start_runs(self.run_start)
+
+    def assert_warns(self, logged, late_ms):
+        (fields,) = [
+            call.kwargs
+            for call in logged.warning.call_args_list
+            if call.args == ("run at work after its end",)
+        ]
+        self.assertEqual(
+            (self.run_start.key.task, self.run_start.key.run, late_ms),
+            (fields["task"], fields["run"], fields["late_ms"]),
+        )
+
+    def test_a_run_at_work_after_the_lease_is_logged_and_counted_once(self):
+        self.let_lease_end()
+        self.assertEqual({self.run_start.key: End.LOST}, self.reported_ends())
+        with mock.patch.object(recent_ends, "log") as logged:
+            self.clock.advance(30)
+            self.deliver_inventory([self.run_start.key])
+            self.deliver_inventory([self.run_start.key])
+        self.assert_warns(logged, late_ms=30)
+        self.assertEqual(1, self.controller.late_run_count)
+        self.assertIn(StopOrder(self.run_start.key), self.controller.next_orders())
+
+    def test_a_run_carried_out_in_the_next_lifetime_is_counted(self):
+        self.let_lease_end()
+        self.controller.handle_heartbeat(heartbeat(born_ms=2))
+        self.deliver_inventory([self.run_start.key], born_ms=2)
+        self.assertEqual(1, self.controller.late_run_count)
+
+    def test_an_inventory_that_was_overtaken_proves_nothing(self):
+        self.clock.advance(10)
+        older = Inventory(
+            self.clock.now_ms(), 1, (ActiveRun(self.run_start.key, "", 10),), ()
+        )
+        self.clock.advance(10)
+        self.deliver_inventory(ended=[EndedRun(1, self.run_start.key, End.DONE, "")])
+        self.controller.handle_inventory(older)
+        self.assertEqual(0, self.controller.late_run_count)
+
+    def test_an_inventory_requested_before_the_loss_proves_nothing(self):
+        fence = self.controller.fence
+        self.let_lease_end()
+        rows = (ActiveRun(self.run_start.key, "", 10),)
+        self.controller.handle_inventory(
+            Inventory(self.clock.now_ms(), 1, rows, ()), fence
+        )
+        self.assertEqual(0, self.controller.late_run_count)
+
+    def test_a_run_that_is_being_stopped_is_not_late(self):
+        self.send_orders(stops=[self.run_start.key])
+        self.clock.advance(40)
+        self.deliver_inventory([self.run_start.key])
+        self.assertEqual(0, self.controller.late_run_count)
+
+
 class NestedLeaseTests(RunControllerCase):
     """The agent may die at any time: the endpoint's lease then ends the runs.
 
