Let the stand-in endpoint stop late and have a slow clock

The platform allows an endpoint stop_timeout_ms for a stop or a lapse, in which the run is at work, and a steady clock that is 2% slow.

Change: RunEndpointStandIn has stop_ms (0) and clock_rate (1.0). A run that is being stopped is listed as running, and a second stop doesn't put its end off.

--- a/plantainhitch/standins/run_endpoint.py
+++ b/plantainhitch/standins/run_endpoint.py
@@ -4,7 +4,9 @@
 the endpoint after ``CRASH_DELAY_S`` if the payload is ``DEADLY_PAYLOAD``. Faults:
 ``fail_all`` ends each run as failed, ``unanswered_starts`` is the number of next
 start orders that are applied after ``late_order_s`` without an answer, and ``crash``
-discards all state and begins a new lifetime.
+discards all state and begins a new lifetime. A stop and a lapse take ``stop_ms``, in
+which the run is at work and listed as running; ``clock_rate`` is the speed of the
+endpoint's steady clock.
 """
 
 import asyncio
@@ -38,6 +40,8 @@
         self.fail_all = False
         self.unanswered_starts = 0
         self.late_order_s = LATE_ORDER_S
+        self.stop_ms = 0
+        self.clock_rate = 1.0
         self.draining = False
         # All runs started so far, as (task, run), oldest first.
         self.ledger = []
@@ -61,7 +65,7 @@
         """End all runs as lapsed if the lease has expired."""
         if self._running and self._clock_ms() > self._lease_until_ms:
             for task in list(self._running):
-                self._end(task, "lapsed")
+                self._stop(task, "lapsed")
 
     def raise_fence(self, fence):
         """Reject orders below ``fence`` from now on.
@@ -116,6 +120,8 @@
         self._fence = 0
         self._lease_until_ms = 0
         self._running = {}
+        # The runs that are being stopped, by task.
+        self._stopping = {}
         self._run_times = {}
         self._timers = {}
         self._unacknowledged_ends = []
@@ -123,7 +129,8 @@
         self._highest_runs = {}
 
     def _clock_ms(self):
-        return int((time.monotonic() - self._lifetime_started_s) * 1_000) + 1
+        elapsed_s = time.monotonic() - self._lifetime_started_s
+        return int(elapsed_s * 1_000 * self.clock_rate) + 1
 
     def _handle_order(self, path, call):
         if call["fence"] < self._fence:
@@ -164,11 +171,25 @@
     def _handle_stop(self, call):
         task, run = call["task"], call["run"]
         if self._running.get(task) == run:
-            self._end(task, "stopped")
+            self._stop(task, "stopped")
         self._highest_runs[task] = max(run, self._highest_runs.get(task, 0))
         return 200, {}
 
+    def _stop(self, task, end):
+        """End a run after ``stop_ms``, unless it is being stopped already."""
+        run = self._running[task]
+        if self._stopping.get(task) == run:
+            return
+        if not self.stop_ms:
+            self._end(task, end)
+            return
+        self._stopping[task] = run
+        self._timers[task].cancel()
+        loop = asyncio.get_running_loop()
+        self._timers[task] = loop.call_later(self.stop_ms / 1_000, self._end, task, end)
+
     def _end(self, task, end):
+        self._stopping.pop(task, None)
         run = self._running.pop(task, None)
         if run is None:
             return
@@ -179,7 +200,8 @@
     def _renew(self, until_ms):
         latest_ms = self._clock_ms() + MAX_LEASE_MS
         self._lease_until_ms = max(self._lease_until_ms, min(until_ms, latest_ms))
-        remaining_s = (self._lease_until_ms - self._clock_ms() + 1) / 1_000
+        remaining_ms = self._lease_until_ms - self._clock_ms() + 1
+        remaining_s = remaining_ms / self.clock_rate / 1_000
         asyncio.get_running_loop().call_later(max(remaining_s, 0), self.expire_lease)
 
     async def _handle_hold(self, call):
