Take no inventory from before a start for proof that its run is gone

What callers may see: a task that runs twice at the same time.

Cause: a run that an inventory lists neither as running nor as ended was lost once it was older than the longest lease.

Change: the inventory must be newer, by the endpoint's own clock, than the answer that accepted the run or last listed it.

Evidence: two of the three AbsentRunTests failed before, {} != {run: LOST}. The third one passed before: a run that newer inventories leave out is lost.

--- a/plantainhitch/coordination/runs/run.py
+++ b/plantainhitch/coordination/runs/run.py
@@ -33,7 +33,9 @@
     stop, None before. ``last_progress_ms`` is when ``percent`` was last seen to rise.
     ``is_listed`` is true once the present lifetime of the endpoint has listed the run
     as running, and ``is_accepted`` once the endpoint has answered the start: it can't
-    be carried out again. ``start_fence`` is the fence that the start was sent with.
+    be carried out again. ``seen_clock_ms`` is the endpoint's clock in the newest of
+    these answers, 0 before the first. ``start_fence`` is the fence that the start was
+    sent with.
     ``abandoned_contact_ms`` is the last contact at which the owner may have wanted the
     run, infinite until it gives the run up. All other times are on the agent's clock.
     """
@@ -51,6 +53,7 @@
     last_progress_ms: int = 0
     is_listed: bool = False
     is_accepted: bool = False
+    seen_clock_ms: int = 0
     start_fence: int = 0
     abandoned_contact_ms: float = math.inf
     # The progress and the time up to which ``EndpointPerformance`` has counted it.
--- a/plantainhitch/coordination/runs/run_controller.py
+++ b/plantainhitch/coordination/runs/run_controller.py
@@ -447,6 +447,7 @@
             case Accepted(clock_ms):
                 self._record_answer(clock_ms, fence)
                 run.is_accepted = True
+                run.seen_clock_ms = max(run.seen_clock_ms, clock_ms)
                 if run.phase is Phase.STARTING:
                     run.phase = Phase.RUNNING
             case NoAnswer() if run.is_listed and run.phase is Phase.STARTING:
@@ -520,7 +521,7 @@
             if ended.number > self._last_end_number:
                 self._last_end_number = ended.number
                 self._record_end(ended)
-        self._record_progress(inventory.running)
+        self._record_progress(inventory.running, inventory.clock_ms)
         running_keys = {listed.key for listed in inventory.running}
         is_valid = self._fence.is_valid(fence)
         for key, run in list(self._runs.items()):
@@ -771,13 +772,14 @@
         limit_millis = max(limit_millis, self._used_room.cpu_millis)
         return Room(limit_millis, capacity.memory_mb, capacity.gpus)
 
-    def _record_progress(self, running):
+    def _record_progress(self, running, clock_ms):
         now_ms = self._clock.now_ms()
         for listed in running:
             run = self._runs.get(listed.key)
             if run is None:
                 continue
             run.is_listed = True
+            run.seen_clock_ms = max(run.seen_clock_ms, clock_ms)
             if run.phase is Phase.RUNNING:
                 self._performance.record_progress(run, listed.percent)
             if listed.percent > run.percent:
@@ -800,13 +802,11 @@
                     end = End.LOST if may_have_begun else End.NOT_STARTED
                     self._finish(key, end, run.stop_reason or "no answer")
             case Phase.RUNNING:
-                # Listed neither as running nor as ended. This is only seen when the
-                # answers to the start and to an inventory arrive out of order, so the
-                # run is lost only if later inventories don't list it either.
-                if (
-                    self._clock.now_ms() - run.started_ms
-                    > self._lease_times.max_endpoint_ms
-                ):
+                # Listed neither as running nor as ended. An inventory from before the
+                # start may arrive after its answer, and be read late.
+                run_ms = self._clock.now_ms() - run.started_ms
+                is_newer = clock_ms > run.seen_clock_ms
+                if is_newer and run_ms > self._lease_times.max_endpoint_ms:
                     self._finish(key, End.LOST, "not listed")
 
     def _check_endpoint_lease(self):
--- a/tests/test_run_controller.py
+++ b/tests/test_run_controller.py
@@ -829,6 +829,36 @@
         self.assertEqual({self.run_start.key: End.LOST}, self.reported_ends())
 
 
+class AbsentRunTests(RunControllerCase):
+    """Accepted runs that an inventory lists neither as running nor as ended.
+
+    An old inventory that is read late was taken for proof that a run is gone, which may
+    then begin elsewhere beside it (the class of fault of issue 43).
+    """
+
+    def setUp(self):
+        super().setUp()
+        self.older = Inventory(self.clock.now_ms(), 1, (), ())
+        self.clock.advance(10)
+        self.run_start = run_start()
+        self.start_runs(self.run_start)
+
+    def test_an_inventory_from_before_the_start_proves_nothing(self):
+        self.pass_time(LEASE_MS + 50, [self.run_start.key], [OWNER])
+        self.controller.handle_inventory(self.older)
+        self.assertEqual({}, self.reported_ends())
+
+    def test_an_inventory_read_after_a_pause_proves_nothing(self):
+        self.clock.advance(LEASE_MS + 50)
+        self.renew_owner_lease()
+        self.controller.handle_inventory(self.older)
+        self.assertEqual({}, self.reported_ends())
+
+    def test_a_run_that_newer_inventories_do_not_list_is_lost(self):
+        self.pass_time(LEASE_MS + 50, [], [OWNER])
+        self.assertEqual({self.run_start.key: End.LOST}, self.reported_ends())
+
+
 class LateRunTests(RunControllerCase):
     """Runs that are listed as running after their end was reported (issue 43).
 
