Derive the leases from the time that the deployment allows for a stop

What callers may see: a task that runs twice at the same time, in a deployment whose endpoints may take longer than 80 ms to stop a run.

Cause: the time for a lapse was a constant, beside a bound of the settings that nothing but an entry's shutdown read. With stop_timeout_ms = 150 the longest lease let a run go on for 1,320 ms after its owner's last contact, and callers submit again after 1,300.

Change: LeaseTimes has lapse_ms, the deployment's bound and 30 ms. The least time of a run grows with it.

Evidence: for 150 ms, longest_lease_ms(1250) was 1,147 ms before, at work until 1,320.

--- a/plantainhitch/coordination/runs/endpoint_lease.py
+++ b/plantainhitch/coordination/runs/endpoint_lease.py
@@ -7,8 +7,6 @@
 
 import math
 
-from .lease_times import longest_lease_ms, longest_run_ms
-
 # An endpoint that has not answered for this long gets no new runs. The time is longer
 # than an inventory that waits for an end plus one that is lost.
 SUSPECT_AFTER_MS = 600
@@ -63,7 +61,7 @@
         is_known = self._clock_offset_ms is not None
         if not is_known or is_suspect or self._is_expired_at(now_ms):
             return None
-        remaining_ms = longest_lease_ms(limit_ms - now_ms)
+        remaining_ms = self._times.longest_lease_ms(limit_ms - now_ms)
         length_ms = min(self._times.endpoint_ms, remaining_ms)
         if length_ms <= 0:
             return None
@@ -98,7 +96,7 @@
         self._end_ms = None
 
     def _extend(self, now_ms, length_ms):
-        self._end_ms = max(self.end_ms, now_ms + longest_run_ms(length_ms))
+        self._end_ms = max(self.end_ms, now_ms + self._times.longest_run_ms(length_ms))
 
     def _is_expired_at(self, now_ms):
         return self._end_ms is not None and now_ms > self._end_ms
--- a/plantainhitch/coordination/runs/lease_times.py
+++ b/plantainhitch/coordination/runs/lease_times.py
@@ -12,8 +12,9 @@
 
 # The factor by which the endpoint's steady clock may be slower than the agent's.
 CLOCK_DRIFT_FACTOR = 1.02
-# The time that the endpoint takes to stop a run after its lease has expired.
-LAPSE_MARGIN_MS = 80
+# Added to the endpoint's bound for stopping a run: for the drift of its clock since its
+# last answer, and for lateness.
+LAPSE_ALLOWANCE_MS = 30
 # Runs have ended this much sooner than callers submit again.
 RESUBMIT_MARGIN_MS = 50
 # The longest lease of an owner: three heartbeats and a retransmission.
@@ -24,8 +25,8 @@
 # The last contact of an owner whose runs don't shorten the endpoint's lease: an owner
 # answers within two heartbeats of the agent.
 USUAL_CONTACT_AGE_MS = 400
-# Shorter leases would expire between two heartbeats.
-MIN_RUN_END_MS = 800
+# Shorter leases would expire between two heartbeats. The time of a stop is added.
+MIN_RUN_END_MS = 750
 
 log = logs.get_logger("leases")
 
@@ -37,48 +38,51 @@
     An agent stops the runs of an owner that it has not heard from for ``owner_ms``. The
     runs have ended ``run_end_ms`` after the last contact, even if the agent has not
     stopped them. A renewal of an endpoint's lease is for ``endpoint_ms`` at most;
-    endpoints grant ``max_endpoint_ms`` at most.
+    endpoints grant ``max_endpoint_ms`` at most. Its runs have ended ``lapse_ms`` after
+    it has expired.
     """
 
     owner_ms: int
     run_end_ms: int
     endpoint_ms: int
     max_endpoint_ms: int
+    lapse_ms: int
 
     @classmethod
     def from_bounds(cls, bounds):
         """Return the times for a deployment's ``Bounds``."""
-        return cls.from_limits(bounds.lease_ms, bounds.resubmit_ms)
+        return cls.from_limits(bounds.lease_ms, bounds.resubmit_ms, bounds.stop_ms)
 
     @classmethod
-    def from_limits(cls, max_endpoint_ms, resubmit_ms):
+    def from_limits(cls, max_endpoint_ms, resubmit_ms, stop_ms):
         """Return the times for callers that submit again after ``resubmit_ms``.
 
-        If that is too soon for any lease, runs may go on beside the next ones.
+        Endpoints stop a run within ``stop_ms``. If callers submit again too soon for
+        any lease, runs may go on beside the next ones.
         """
         run_end_ms = min(
             resubmit_ms - RESUBMIT_MARGIN_MS, MAX_OWNER_LEASE_MS + STOP_ALLOWANCE_MS
         )
-        if run_end_ms < MIN_RUN_END_MS:
+        if run_end_ms < MIN_RUN_END_MS + stop_ms:
             log.warning("callers submit again too soon", resubmit_ms=resubmit_ms)
-            run_end_ms = MIN_RUN_END_MS
-        usual_ms = int(longest_lease_ms(run_end_ms - USUAL_CONTACT_AGE_MS))
+            run_end_ms = MIN_RUN_END_MS + stop_ms
+        lapse_ms = stop_ms + LAPSE_ALLOWANCE_MS
+        usual_ms = run_end_ms - USUAL_CONTACT_AGE_MS - lapse_ms
         return cls(
             owner_ms=run_end_ms - STOP_ALLOWANCE_MS,
             run_end_ms=run_end_ms,
-            endpoint_ms=min(max_endpoint_ms, usual_ms),
+            endpoint_ms=min(max_endpoint_ms, int(usual_ms / CLOCK_DRIFT_FACTOR)),
             max_endpoint_ms=max_endpoint_ms,
+            lapse_ms=lapse_ms,
         )
 
+    def longest_lease_ms(self, remaining_ms):
+        """Return the longest lease under which runs have ended after ``remaining_ms``.
 
-def longest_lease_ms(remaining_ms):
-    """Return the longest lease under which runs have ended after ``remaining_ms``.
-
-    It is a number of ms, 0 or negative if there is none.
-    """
-    return (remaining_ms - LAPSE_MARGIN_MS) / CLOCK_DRIFT_FACTOR
-
+        It is a number of ms, 0 or negative if there is none.
+        """
+        return (remaining_ms - self.lapse_ms) / CLOCK_DRIFT_FACTOR
 
-def longest_run_ms(lease_ms):
-    """Return how long a run can go on under a lease of ``lease_ms``."""
-    return lease_ms * CLOCK_DRIFT_FACTOR + LAPSE_MARGIN_MS
+    def longest_run_ms(self, lease_ms):
+        """Return how long a run can go on under a lease of ``lease_ms``."""
+        return lease_ms * CLOCK_DRIFT_FACTOR + self.lapse_ms
