Report the crash of an endpoint's lifetime once

What operators see: an endpoint whose address refuses connections, while its open ones are answered, is counted and logged as crashed with each refused connection, up to 20 times a second. Each report is sent to all entries, and twenty of them push out the crashes that are kept for entries that link later.

Cause: since a refused connection doesn't end a lifetime, so one lifetime could end many times.

Change: a crash is reported once for a lifetime, as entries count it once. One without runs is not reported and doesn't count.

--- a/plantainhitch/coordination/runs/run_controller.py
+++ b/plantainhitch/coordination/runs/run_controller.py
@@ -89,6 +89,8 @@
         self._recent_ends = RecentEnds(clock)
         self._end_counts = Counter()
         self._crash_count = 0
+        # The lifetime whose crash was reported last; each ends only once.
+        self._crashed_lifetime = None
         self._endpoint = None
         # Whether its address has refused connections since its last answer.
         self._is_refusing = False
@@ -320,7 +322,8 @@
         is_lost = not self._is_reconciled and all(
             run.is_of_earlier_lifetime for run in runs
         )
-        if not (is_lost or self._is_refusing or self._endpoint.draining):
+        is_known = is_lost or self._endpoint.draining
+        if not is_known and self._endpoint.lifetime != self._crashed_lifetime:
             self._record_crash(reason, runs)
 
     def _endpoint_ended(self, reason, uncertain):
@@ -337,6 +340,7 @@
         self._crash_count += 1
         crash = self._crash_suspects.crash_of(self._endpoint, runs_at_endpoint)
         if crash.runs:
+            self._crashed_lifetime = crash.lifetime
             self._owners.record_crash(crash)
         log.warning(
             "endpoint crashed",
--- a/tests/test_run_controller.py
+++ b/tests/test_run_controller.py
@@ -8,6 +8,7 @@
 
 from plantainhitch.clock import ManualClock
 from plantainhitch.coordination.runs import recent_ends
+from plantainhitch.coordination.runs.crash_suspects import CRASH_DELAY_MS
 from plantainhitch.coordination.runs.endpoint_lease import SUSPECT_AFTER_MS
 from plantainhitch.coordination.runs.run import Phase, StartOrder, StopOrder
 from plantainhitch.coordination.runs.run_controller import (
@@ -815,6 +816,34 @@
         self.controller.next_orders()
         self.assertIs(Phase.RUNNING, self.controller.runs[self.run_start.key].phase)
 
+    def test_it_is_reported_as_crashed_once_although_it_answers_between(self):
+        # An endpoint that has closed its listener still answers on open connections.
+        for _ in range(3):
+            self.controller.connection_refused()
+            self.clock.advance(50)
+            self.renew_owner_lease()
+            self.deliver_inventory([self.run_start.key])
+        self.assertEqual(1, self.controller.crash_count)
+        self.assertEqual(1, len(self.controller.next_report(OWNER).crashes))
+        self.assertIs(Phase.RUNNING, self.controller.runs[self.run_start.key].phase)
+
+    def test_its_crash_is_reported_after_it_had_no_runs_when_it_refused(self):
+        self.deliver_inventory(ended=[EndedRun(1, self.run_start.key, End.DONE, "")])
+        self.clock.advance(CRASH_DELAY_MS + 1)
+        self.controller.connection_refused()
+        self.assertEqual([], self.controller.next_report(OWNER).crashes)
+        self.deliver_inventory()
+        self.start_runs(run_start("other.0.0.0"))
+        self.controller.connection_refused()
+        self.assertEqual(1, len(self.controller.next_report(OWNER).crashes))
+
+    def test_the_crash_of_its_next_lifetime_is_reported_as_well(self):
+        self.controller.connection_refused()
+        self.controller.handle_heartbeat(heartbeat(born_ms=2))
+        self.deliver_inventory(born_ms=2)
+        self.controller.connection_refused()
+        self.assertEqual(2, self.controller.crash_count)
+
     def test_it_gets_no_new_run(self):
         self.controller.connection_refused()
         refused = run_start("other.0.0.0")
