--- a/tests/test_run_endpoint.py
+++ b/tests/test_run_endpoint.py
@@ -18,9 +18,10 @@
 # The agent has listed a run by then; the end of an unconfirmed one needs a proof.
 ACCEPT_S = 0.4
 # An endpoint that takes far longer to stop a run than its bound.
-BROKEN_STOP_MS = 1_500
-# Longer than the lease of an endpoint, shorter than it and such a stop.
-HOLD_S = 1.2
+BROKEN_STOP_MS = 2_500
+# Longer than a lease and the time for which the agent renews it without an answer;
+# shorter than a lease and such a stop.
+HOLD_S = 1.8
 
 
 class LateEndTests(unittest.IsolatedAsyncioTestCase):
