--- a/plantainhitch/coordination/runs/run_controller.py
+++ b/plantainhitch/coordination/runs/run_controller.py
@@ -8,7 +8,7 @@
 endpoint has accepted its stop, or any order with a higher fence than that of its start.
 """
 
-from collections import Counter, OrderedDict
+from collections import Counter
 
 from ... import logs
 from ...protocol import messages as m
@@ -30,12 +30,11 @@
 from .forecast import Forecast
 from .isolation import Isolation
 from .owners import Owners
+from .recent_ends import RecentEnds
 from .run import Phase, Run, StartOrder, StopOrder, may_be_at_endpoint
 from .waiting_starts import WaitingStarts
 from .warm_up import WarmUp
 
-# The number of recent ends that are kept for owners that ask for them again.
-MAX_KEPT_ENDS = 2_000
 # An order to stop is sent again if the run has not ended after this long.
 STOP_RETRY_MS = 100
 # A run whose progress has not risen for this long is stalled: a healthy short run has
@@ -87,9 +86,11 @@
         # The processor of the start that was received last.
         self._last_start_millis = 0
         self._last_check_ms = 0
-        self._recent_ends = OrderedDict()
+        self._recent_ends = RecentEnds(clock)
         self._end_counts = Counter()
         self._crash_count = 0
+        # The lifetime whose crash was reported last; each ends only once.
+        self._crashed_lifetime = None
         self._endpoint = None
         # Whether its address has refused connections since its last answer.
         self._is_refusing = False
@@ -122,6 +123,11 @@
         """The number of times that the endpoint ended without notice."""
         return self._crash_count
 
+    @property
+    def late_run_count(self):
+        """The number of runs that were listed as running after their end."""
+        return self._recent_ends.late_count
+
     @property
     def endpoint(self):
         """The newest ``EndpointReport``, or None."""
@@ -316,7 +322,8 @@
         is_lost = not self._is_reconciled and all(
             run.is_of_earlier_lifetime for run in runs
         )
-        if not (is_lost or self._is_refusing or self._endpoint.draining):
+        is_known = is_lost or self._endpoint.draining
+        if not is_known and self._endpoint.lifetime != self._crashed_lifetime:
             self._record_crash(reason, runs)
 
     def _endpoint_ended(self, reason, uncertain):
@@ -333,6 +340,7 @@
         self._crash_count += 1
         crash = self._crash_suspects.crash_of(self._endpoint, runs_at_endpoint)
         if crash.runs:
+            self._crashed_lifetime = crash.lifetime
             self._owners.record_crash(crash)
         log.warning(
             "endpoint crashed",
@@ -443,6 +451,7 @@
             case Accepted(clock_ms):
                 self._record_answer(clock_ms, fence)
                 run.is_accepted = True
+                run.seen_clock_ms = max(run.seen_clock_ms, clock_ms)
                 if run.phase is Phase.STARTING:
                     run.phase = Phase.RUNNING
             case NoAnswer() if run.is_listed and run.phase is Phase.STARTING:
@@ -510,18 +519,22 @@
             return
         self._endpoint_answered(inventory.clock_ms)
         self._last_inventory_ms = self._clock.now_ms()
+        lifetime = self._endpoint.lifetime
+        self._recent_ends.record_inventory(lifetime, inventory.clock_ms)
         for ended in inventory.ended:
             if ended.number > self._last_end_number:
                 self._last_end_number = ended.number
                 self._record_end(ended)
-        self._record_progress(inventory.running)
+        self._record_progress(inventory.running, inventory.clock_ms)
         running_keys = {listed.key for listed in inventory.running}
+        is_valid = self._fence.is_valid(fence)
         for key, run in list(self._runs.items()):
             if key not in running_keys:
                 self._check_absent_run(key, run, inventory.clock_ms, fence)
         unknown_keys = [key for key in running_keys if key not in self._runs]
+        if is_valid:
+            self._recent_ends.check_running(lifetime, inventory.clock_ms, unknown_keys)
         self._orders.extend(map(StopOrder, unknown_keys))
-        is_valid = self._fence.is_valid(fence)
         if is_valid and not self._is_reconciled and not unknown_keys:
             self._is_reconciled = True
             log.info("endpoint reconciled", last_end_number=self._last_end_number)
@@ -763,13 +776,14 @@
         limit_millis = max(limit_millis, self._used_room.cpu_millis)
         return Room(limit_millis, capacity.memory_mb, capacity.gpus)
 
-    def _record_progress(self, running):
+    def _record_progress(self, running, clock_ms):
         now_ms = self._clock.now_ms()
         for listed in running:
             run = self._runs.get(listed.key)
             if run is None:
                 continue
             run.is_listed = True
+            run.seen_clock_ms = max(run.seen_clock_ms, clock_ms)
             if run.phase is Phase.RUNNING:
                 self._performance.record_progress(run, listed.percent)
             if listed.percent > run.percent:
@@ -792,13 +806,11 @@
                     end = End.LOST if may_have_begun else End.NOT_STARTED
                     self._finish(key, end, run.stop_reason or "no answer")
             case Phase.RUNNING:
-                # Listed neither as running nor as ended. This is only seen when the
-                # answers to the start and to an inventory arrive out of order, so the
-                # run is lost only if later inventories don't list it either.
-                if (
-                    self._clock.now_ms() - run.started_ms
-                    > self._lease_times.max_endpoint_ms
-                ):
+                # Listed neither as running nor as ended. An inventory from before the
+                # start may arrive after its answer, and be read late.
+                run_ms = self._clock.now_ms() - run.started_ms
+                is_newer = clock_ms > run.seen_clock_ms
+                if is_newer and run_ms > self._lease_times.max_endpoint_ms:
                     self._finish(key, End.LOST, "not listed")
 
     def _check_endpoint_lease(self):
@@ -844,9 +856,7 @@
         run_ms = self._clock.now_ms() - run.started_ms if run.started_ms else 0
         run_end = m.RunEnd(key, end, reason, checkpoint, run_ms)
         self._end_counts[end.name.lower()] += 1
-        self._recent_ends[key] = run_end
-        while len(self._recent_ends) > MAX_KEPT_ENDS:
-            self._recent_ends.popitem(last=False)
+        self._recent_ends.add(run_end)
         self._owners.get_or_create(run.owner).unsent_ends.append(run_end)
         if end is not End.DONE:
             self._events.write(
