Let the forwarder of the tests fail as hosts do

What was missing: nothing that callers saw.

Cause: the forwarder accepted connections for as long as it existed. Its resets were mostly closes: an aborted transport sends FIN where nothing is unread.

Change: it owns its listening socket. It refuses connections while the process behind it is down, as found by the process's log and end; refuses new ones and keeps the open ones; accepts late with a full backlog; tells one side only that connections are lost; resets in the middle of an answer. Its resets are resets. A refusal that began while the last one ended was ignored; it is not any more. A world waits until all its processes have started: six entries and 22 agents took 12 s to start beside other plays, and each entry was reported as not serving.

has_started reads the log from the start of the latest process: one that was killed before it had started hid the starts of all later ones.

--- a/tests/deployed_world.py
+++ b/tests/deployed_world.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import copy
 import itertools
 import os
 import signal
@@ -59,6 +60,9 @@
 LINK_PORT = 7_700
 # Nothing starts in a zone from this long after its row was stored.
 EVACUATE_S = 5.0
+START_CHECK_INTERVAL_S = 0.02
+# For many processes on a busy machine.
+START_TIMEOUT_S = 60.0
 
 
 @dataclass(eq=False)
@@ -181,7 +185,9 @@
         self.host = HOSTS.next_host()
         self.link = self.front = self.store = self.endpoint = None
         self.process = None
-        self._start_count = 0
+        self._following = None
+        # Where the latest process begins in the log.
+        self._log_start = 0
         self._start_lock = asyncio.Lock()
         self._settings = folder / f"{name}.toml"
         self.log = folder / f"{name}.log"
@@ -237,7 +243,9 @@
     @property
     def has_started(self):
         """Whether the latest process has logged that it started."""
-        return self.log.read_bytes().count(b'"message":"started"') == self._start_count
+        with self.log.open("rb") as log:
+            log.seek(self._log_start)
+            return b'"message":"started"' in log.read()
 
     async def start(self):
         """Start a process of the program, unless another fault has started one."""
@@ -246,8 +254,9 @@
                 await self._start_process()
 
     async def _start_process(self):
-        self._start_count += 1
+        self._set_down(True)
         with self.log.open("ab") as log:
+            self._log_start = log.tell()
             process = await asyncio.create_subprocess_exec(
                 *(sys.executable, "-m", "tests.deployed_process", self.role),
                 cwd=ROOT,
@@ -257,6 +266,23 @@
                 stderr=log,
             )
         self.process = Process(self.name, process, {}, self.log)
+        if self._following is not None:
+            self._following.cancel()
+        self._following = asyncio.create_task(self._follow(self.process))
+
+    async def _follow(self, process):
+        """Refuse connections while the process is down, as its host does."""
+        ended = asyncio.create_task(process.wait(timeout_s=None))
+        while not (self.has_started or ended.done()):
+            await asyncio.sleep(START_CHECK_INTERVAL_S)
+        self._set_down(ended.done())
+        await ended
+        self._set_down(True)
+
+    def _set_down(self, is_down):
+        for forwarder in (self.link, self.front):
+            if forwarder is not None:
+                forwarder.is_target_down = is_down
 
     def heal(self):
         """End all connection faults and resume the process."""
@@ -268,6 +294,7 @@
         """Kill the process and close the forwarders."""
         if self.process is not None:
             await self.process.kill()
+            await self._following
         for forwarder in self._forwarders:
             await forwarder.aclose()
 
@@ -280,6 +307,8 @@
 
     def __init__(self, rng, entries=2, agents=4, zones=("z1",)):
         self.rng = rng
+        # For faults whose draws must not depend on the traffic's.
+        self.fault_rng = copy.copy(rng)
         self.zones = zones
         self.evacuations = []
         self.store = RowsStandIn()
@@ -363,6 +392,9 @@
             self._tasks.append(asyncio.create_task(heartbeats))
         for node in self.nodes:
             await node.start()
+        async with asyncio.timeout(START_TIMEOUT_S):
+            while not all(node.has_started for node in self.nodes):
+                await asyncio.sleep(START_CHECK_INTERVAL_S)
         await self.check_recovery("the start")
         return self
 
--- a/tests/harness.py
+++ b/tests/harness.py
@@ -11,6 +11,7 @@
 import os
 import signal
 import socket
+import struct
 import sys
 import tempfile
 import time
@@ -30,6 +31,9 @@
 CALL_TIMEOUT_S = 60
 CLIENT_COUNT = 16
 LOG_TAIL_LINES = 15
+BACKLOG = 100
+# The socket option SO_LINGER of a connection that is reset when it is closed.
+RESET = struct.pack("ii", 1, 0)
 CLASSES = {
     "render": {"answers_within_ms": 1_000, "timeout_ms": 30_000},
     "ping": {"answers_within_ms": 1_000, "timeout_ms": 30_000},
@@ -122,7 +126,7 @@
 
 
 class Forwarder:
-    """A TCP proxy to a target that can hold, delay, reset and refuse connections.
+    """A TCP proxy to a target that injects connection faults, until ``heal``.
 
     ``cut`` accepts a connection before it resets it; ``refuse`` accepts none, like an
     address at which nothing listens.
@@ -133,32 +137,43 @@
     def __init__(self):
         self.target = None
         self.delay_s = 0.0
+        self.address = ""
+        # Bound to the address, also while it refuses connections.
+        self._socket = None
+        self._is_listening = False
+        self._is_refusing = False
+        self._is_target_down = False
         self._is_target_held = False
-        self._server = None
-        # Keeps the address while it refuses connections; bound and not listening.
-        self._closed_socket = None
+        self._is_cutting = False
+        self._is_cutting_answers = False
         self._released = asyncio.Event()
         self._released.set()
-        self._is_refusing = False
         self._writers = set()
+        self._target_writers = set()
         # Those of the connections that ``hold_present`` holds.
         self._held_writers = set()
+        # Those of the connections of which one side isn't told that they have ended.
+        self._half_open_writers = set()
         self._tasks = set()
 
     @classmethod
     async def start(cls, host="127.0.0.1", port=0):
         forwarder = cls()
-        forwarder._server = await asyncio.start_server(forwarder._accept, host, port)
+        forwarder._bind((host, port))
+        host, port = forwarder._socket.getsockname()
+        forwarder.address = f"{host}:{port}"
+        forwarder._update_listener()
         return forwarder
 
     @property
-    def address(self):
-        host, port = self._listening_socket.getsockname()
-        return f"{host}:{port}"
+    def is_target_down(self):
+        """Whether nothing listens at the target, so that connections are refused."""
+        return self._is_target_down
 
-    @property
-    def _listening_socket(self):
-        return self._closed_socket or self._server.sockets[0]
+    @is_target_down.setter
+    def is_target_down(self, is_target_down):
+        self._is_target_down = is_target_down
+        self._update_listener()
 
     def hold(self):
         """Stop forwarding in both directions until ``heal``, losing no bytes."""
@@ -174,52 +189,101 @@
 
     def cut(self):
         """Reset all connections, losing bytes in flight, and refuse new ones."""
-        self._is_refusing = True
-        for writer in list(self._writers):
-            writer.transport.abort()
+        self._is_cutting = True
+        self._reset_all(self._writers)
+
+    def cut_answers(self):
+        """Reset each connection in the middle of the target's next bytes."""
+        self._is_cutting_answers = True
 
     def refuse(self):
         """Stop listening until ``heal``, and reset all connections."""
-        if self._closed_socket is not None:
-            return
-        address = self._listening_socket.getsockname()
-        self._server.close()
-        self._closed_socket = socket.socket()
-        self._closed_socket.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        self._closed_socket.bind(address)
-        for writer in list(self._writers):
-            writer.transport.abort()
+        self.refuse_new()
+        self._reset_all(self._writers)
+
+    def refuse_new(self):
+        """Stop listening until ``heal``; the open connections work."""
+        self._is_refusing = True
+        self._update_listener()
+
+    def accept_late(self):
+        """Accept no connection until ``heal``; the backlog is full with the first."""
+        if self._is_listening:
+            asyncio.get_running_loop().remove_reader(self._socket)
+            self._socket.listen(0)
+
+    def lose_callers(self):
+        """Reset all connections on the callers' side; the target isn't told."""
+        self._half_open_writers |= self._writers
+        self._reset_all(self._writers - self._target_writers)
+
+    def lose_target(self):
+        """Reset all connections on the target's side; the callers aren't told."""
+        self._half_open_writers |= self._writers
+        self._reset_all(self._target_writers)
 
     def heal(self):
         """End all faults."""
-        if self._closed_socket is not None:
-            self._closed_socket.listen()
-            reopening = asyncio.create_task(self._reopen(self._closed_socket))
-            self._tasks.add(reopening)
-            reopening.add_done_callback(self._tasks.discard)
         self._is_refusing = False
+        self._is_cutting = False
+        self._is_cutting_answers = False
         self._is_target_held = False
         self.delay_s = 0.0
         self._held_writers = set()
+        self._half_open_writers = set()
         self._released.set()
-
-    async def _reopen(self, listening_socket):
-        self._server = await asyncio.start_server(self._accept, sock=listening_socket)
-        self._closed_socket = None
+        self._update_listener()
 
     async def aclose(self):
-        self._server.close()
-        if self._closed_socket is not None:
-            self._closed_socket.close()
-        self.cut()
+        self.refuse()
+        self._socket.close()
         for task in list(self._tasks):
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
 
-    async def _accept(self, reader, writer):
-        self._writers.add(writer)
-        task = asyncio.current_task()
+    def _bind(self, address):
+        self._socket = socket.socket()
+        self._socket.setblocking(False)
+        self._socket.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        self._socket.bind(address)
+
+    def _update_listener(self):
+        loop = asyncio.get_running_loop()
+        if not (self._is_refusing or self._is_target_down):
+            self._socket.listen(BACKLOG)
+            loop.add_reader(self._socket, self._accept)
+            self._is_listening = True
+        elif self._is_listening:
+            loop.remove_reader(self._socket)
+            address = self._socket.getsockname()
+            self._socket.close()
+            self._bind(address)
+            self._is_listening = False
+
+    @staticmethod
+    def _reset_all(writers):
+        for writer in list(writers):
+            connection = writer.get_extra_info("socket")
+            if connection is not None and connection.fileno() >= 0:
+                connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
+            writer.transport.abort()
+
+    def _accept(self):
+        try:
+            connection, _ = self._socket.accept()
+        except (BlockingIOError, ConnectionAbortedError):
+            return
+        task = asyncio.create_task(self._serve(connection))
         self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _serve(self, connection):
+        try:
+            reader, writer = await asyncio.open_connection(sock=connection)
+        except OSError:
+            connection.close()
+            return
+        self._writers.add(writer)
         try:
             await self._forward(reader, writer)
         except (OSError, asyncio.CancelledError):
@@ -227,14 +291,14 @@
         finally:
             writer.transport.abort()
             self._writers.discard(writer)
-            self._tasks.discard(task)
 
     async def _forward(self, reader, writer):
-        if self._is_refusing or self.target is None:
+        if self._is_cutting or self.target is None:
             return
         host, _, port = self.target.rpartition(":")
         target_reader, target_writer = await asyncio.open_connection(host, int(port))
         self._writers.add(target_writer)
+        self._target_writers.add(target_writer)
         relays = [
             asyncio.create_task(self._relay(reader, target_writer)),
             asyncio.create_task(
@@ -244,11 +308,14 @@
         try:
             await asyncio.wait(relays, return_when=asyncio.FIRST_COMPLETED)
             await asyncio.sleep(0)
+            while writer in self._half_open_writers:
+                await asyncio.sleep(0.01)
         finally:
             for relay in relays:
                 relay.cancel()
             target_writer.transport.abort()
             self._writers.discard(target_writer)
+            self._target_writers.discard(target_writer)
 
     async def _relay(self, reader, writer, is_from_target=False):
         while data := await reader.read(65_536):
@@ -258,9 +325,14 @@
             await asyncio.sleep(self.delay_s)
             while is_from_target and self._is_target_held:
                 await asyncio.sleep(0.01)
+            if is_from_target and self._is_cutting_answers:
+                writer.write(data[: len(data) // 2])
+                self._reset_all([writer])
+                return
             writer.write(data)
             await writer.drain()
-        writer.write_eof()
+        if writer not in self._half_open_writers:
+            writer.write_eof()
 
 
 @dataclass
