Test agents that refuse connections and then lose their endpoints (TWICE)

An agent's address refused connections, and its runs began elsewhere 1.2 s later, while it could not stop them: its connections to the endpoint were held by then, or it was suspended.

Cause: a refused connection was taken for the proof of its death, and the leases of owner and endpoint followed each other.

Change: two tests with the deployed programs.

--- a/tests/test_deployed_soak.py
+++ b/tests/test_deployed_soak.py
@@ -8,6 +8,7 @@
 import random
 import time
 import unittest
+from contextlib import asynccontextmanager
 from dataclasses import replace
 from unittest import mock
 
@@ -48,6 +49,10 @@
 REFUSAL_S = 1.2
 REPLACED_LINK_SEED = 2_001
 LOST_OWNERS_SEED = 3_002
+# Within the lease of the owner of an agent's runs.
+LOSS_BEHIND_S = 0.75
+# Until the runs of an agent that refuses connections have begun elsewhere.
+NEXT_RUN_S = 1.5
 # Seeds that once gave violations, with the cause.
 REGRESSION_SEEDS = {
     18: "a start that arrived in the endpoint's next lifetime ran beside another run",
@@ -155,13 +160,18 @@
             self.assertEqual([], world.violations())
 
 
-class RefusedEndpointTests(ProcessTestCase):
-    """Endpoints whose addresses refuse connections while their runs go on."""
+class RefusedConnectionTests(ProcessTestCase):
+    """Addresses that refuse connections while the runs behind them go on.
 
-    async def test_runs_of_endpoints_that_refuse_connections_do_not_begin_elsewhere(
-        self,
-    ):
-        # Issue 43: a refused connection was taken for the end of the endpoint.
+    Issue 43: a refused connection was taken for the end of a process.
+    """
+
+    @asynccontextmanager
+    async def agents_at_work(self):
+        """Yield two agents of a world whose endpoints are at work.
+
+        Afterwards all jobs are completed, and no task has run twice at the same time.
+        """
         async with World(random.Random(43), entries=2, agents=4) as world:
             jobs = [
                 asyncio.create_task(world.submit(tasks=2, run_ms=2_500))
@@ -170,20 +180,47 @@
             async with asyncio.timeout(5):
                 while sum(map(active_run_count, world.endpoints)) < 6:
                     await asyncio.sleep(0.01)
-            refusing = [
+            agents = [
                 agent
                 for agent, endpoint in zip(world.agents, world.endpoints, strict=True)
                 if active_run_count(endpoint)
             ][:2]
-            for agent in refusing:
-                agent.endpoint.refuse()
-            await asyncio.sleep(REFUSAL_S)
-            for agent in refusing:
-                agent.endpoint.heal()
+            yield agents
+            for agent in agents:
+                agent.heal()
             for job in jobs:
                 self.assertEqual("completed", (await job).state)
             self.assertEqual([], world.violations())
 
+    async def test_runs_of_endpoints_that_refuse_connections_do_not_begin_elsewhere(
+        self,
+    ):
+        async with self.agents_at_work() as agents:
+            for agent in agents:
+                agent.endpoint.refuse()
+            await asyncio.sleep(REFUSAL_S)
+
+    async def test_runs_of_agents_that_refuse_connections_and_lose_their_endpoints(
+        self,
+    ):
+        # They can't stop the runs when their owner's lease ends.
+        async with self.agents_at_work() as agents:
+            for agent in agents:
+                agent.link.refuse()
+            await asyncio.sleep(LOSS_BEHIND_S)
+            for agent in agents:
+                agent.endpoint.hold()
+            await asyncio.sleep(NEXT_RUN_S)
+
+    async def test_runs_of_agents_that_refuse_connections_and_are_suspended(self):
+        async with self.agents_at_work() as agents:
+            for agent in agents:
+                agent.link.refuse()
+            await asyncio.sleep(LOSS_BEHIND_S)
+            for agent in agents:
+                agent.process.pause()
+            await asyncio.sleep(NEXT_RUN_S)
+
 
 class RestartTests(ProcessTestCase):
     """Faults that restart the same process."""
