Let hosts fail in the soak: refusals, late accepts, half-open connections

Change: seeds above 4,000 draw, beside the lost owners of seeds above 3,000, four to six rounds in which the hosts of up to half of the entries or agents fail at the same moment: links, endpoints, store or the callers' front refuse connections (all, or new ones only), accept late with a full backlog, tell one side only, reset answers, or the process is killed and restarted at once. Half of them are suspended, or lose their endpoint, up to 0.9 s later. Every fourth seed has six entries and 22 agents. Earlier seeds draw what they drew. A front always tells its entry: one that isn't told that its callers have left is a known limit.

These faults draw from a generator of their own, as the traffic's draws depend on time; so a seed gives the same rounds each time.

--- a/tests/deployed_soak.py
+++ b/tests/deployed_soak.py
@@ -29,6 +29,10 @@
 LOSS_DURATION_S = (0.8, 2.5)
 LATE_STOP_S = (0.3, 3.0)
 AGENT_FIRST_SHARE = 1 / 4
+# Of the processes whose hosts fail, those that are lost as well, up to this much later.
+LOSS_BEHIND_SHARE = 1 / 2
+MAX_LOSS_BEHIND_S = 0.9
+RESTART_SHARE = 1 / 8
 LONG_JOBS_PER_AGENT_S = 1.2
 LONG_RUN_MS = (700, 2_500)
 # A connection that was silent delivers at most this much later.
@@ -265,6 +269,17 @@
         await _lose(world, _pause_and_break_callers, entry, pause_s)
 
 
+async def fail_as_hosts_do(world, rng, duration_s):
+    """Refuse, delay and break connections of several processes at a time, in series."""
+    rng = world.fault_rng
+    rounds = []
+    for _ in range(rng.randint(*LOST_PAIRS)):
+        round_rng = random.Random(rng.getrandbits(64))
+        rounds.append(asyncio.create_task(_fail_hosts(world, round_rng)))
+        await asyncio.sleep(rng.uniform(*PAIR_INTERVAL_S))
+    await asyncio.gather(*rounds)
+
+
 FAULTS = (
     kill_entry,
     kill_agent,
@@ -301,6 +316,9 @@
 # fourth uses ``LARGE_WORLD``.
 LAST_SEED_WITH_SILENCE = 3_000
 LARGE_WORLD = {"entries": 4, "agents": 8}
+# Seeds after that fail as hosts do as well; every fourth uses ``LARGEST_WORLD``.
+LAST_SEED_WITH_LOST_OWNERS = 4_000
+LARGEST_WORLD = {"entries": 6, "agents": 22}
 ZONES = ("z1", "z2")
 
 
@@ -354,6 +372,12 @@
     await _inject(agent.endpoint, "hold", duration_s)
 
 
+HOST_FAULTS = (
+    *("refuse", "refuse", "refuse_new", "accept_late"),
+    *("lose_callers", "lose_target", "cut_answers"),
+)
+# An entry that isn't told that its callers left may run their jobs beside the next one.
+FRONT_FAULTS = tuple(fault for fault in HOST_FAULTS if fault != "lose_callers")
 ENTRY_LOSSES = (_kill_for, _pause_and_break_callers, _pause, _hold_entry)
 ENTRY_LOSS_WEIGHTS = (3, 3, 1, 1)
 
@@ -387,6 +411,39 @@
     await asyncio.gather(*map(lose_later, delays_s, losses, durations_s))
 
 
+async def _fail_hosts(world, rng):
+    """Make the hosts of some entries or agents fail at the same moment, in one way."""
+    nodes, addresses = rng.choice(
+        (
+            (world.agents, ("link", "link", "endpoint", "endpoint", "store")),
+            (world.agents, ("link", "link", "endpoint", "endpoint", "store")),
+            (world.entries, ("link", "front", "store")),
+        )
+    )
+    nodes = rng.sample(nodes, rng.randint(1, len(nodes) // 2))
+    address = rng.choice(addresses)
+    fault = rng.choice(FRONT_FAULTS if address == "front" else HOST_FAULTS)
+    is_restart = rng.random() < RESTART_SHARE
+
+    async def fail(node):
+        duration_s = rng.uniform(*LOSS_DURATION_S)
+        if is_restart:
+            await _lose(world, _kill_for, node, 0)
+            return
+        world.add_event(f"{fault} {node.name} {address} for {duration_s:.2f} s")
+        failure = _inject(getattr(node, address), fault, duration_s)
+        await asyncio.gather(failure, lose_behind(node))
+
+    async def lose_behind(node):
+        if rng.random() < LOSS_BEHIND_SHARE:
+            loss = rng.choice((_pause, _hold_endpoint if node.endpoint else _pause))
+            duration_s = rng.uniform(*LOSS_DURATION_S)
+            await asyncio.sleep(rng.uniform(0, MAX_LOSS_BEHIND_S))
+            await _lose(world, loss, node, duration_s)
+
+    await asyncio.gather(*map(fail, nodes))
+
+
 async def _submit_long(world):
     """Submit a job, often a long one, and submit it again at another entry."""
     entry, next_entry = world.rng.sample(world.entries, 2)
@@ -411,7 +468,7 @@
 
     injections = [asyncio.create_task(inject_later(fault)) for fault in faults]
     submit, jobs_per_s = World.submit, JOBS_PER_S
-    if lose_entries_and_agents in faults:
+    if lose_entries_and_agents in faults or fail_as_hosts_do in faults:
         submit, jobs_per_s = _submit_long, LONG_JOBS_PER_AGENT_S * len(world.agents)
     end_s = time.monotonic() + TRAFFIC_DURATION_S
     while (
@@ -429,6 +486,12 @@
     return fault_names, world.violations()
 
 
+def _world_size(seed):
+    if seed <= LAST_SEED_WITH_SILENCE or seed % 4:
+        return {}
+    return LARGE_WORLD if seed <= LAST_SEED_WITH_LOST_OWNERS else LARGEST_WORLD
+
+
 async def run_seed(seed, faults=None, keep=None):
     """Run the schedule of a seed in a new world; return the violations.
 
@@ -439,6 +502,8 @@
         faults = rng.sample(ALL_FAULTS, rng.choice((0, 1, 1, 2)))
         faults.append(lose_entries_and_agents)
         faults.append(rng.choice((lose_stops, break_callers_of_paused_entries)))
+        if seed > LAST_SEED_WITH_LOST_OWNERS:
+            faults.append(fail_as_hosts_do)
     elif faults is None and seed > LAST_SEED_OF_FIRST_FAULTS:
         faults = rng.sample(ALL_FAULTS, rng.choice((1, 2, 2, 3)))
         if seed > LAST_SEED_WITH_EVACUATION:
@@ -446,7 +511,7 @@
         elif seed > LAST_SEED_WITHOUT_EVACUATION:
             faults.append(evacuate_zones)
     zones = ZONES if faults and evacuate_zones in faults else ZONES[:1]
-    size = LARGE_WORLD if seed > LAST_SEED_WITH_SILENCE and seed % 4 == 0 else {}
+    size = _world_size(seed)
     began_s = time.monotonic()
     async with World(rng, zones=zones, **size) as world:
         fault_names, violations = await run_schedule(world, rng, faults)
--- a/tests/test_deployed_soak.py
+++ b/tests/test_deployed_soak.py
@@ -49,6 +49,7 @@
 REFUSAL_S = 1.2
 REPLACED_LINK_SEED = 2_001
 LOST_OWNERS_SEED = 3_002
+HOST_FAILURES_SEED = 4_023
 # Within the lease of the owner of an agent's runs.
 LOSS_BEHIND_S = 0.75
 # Until the runs of an agent that refuses connections have begun elsewhere.
@@ -96,6 +97,11 @@
         faults = (soak.lose_entries_and_agents,)
         self.assertEqual([], await soak.run_seed(LOST_OWNERS_SEED, faults))
 
+    async def test_hosts_that_fail(self):
+        # Issue 43: runs began elsewhere when their endpoints refused connections.
+        faults = (soak.fail_as_hosts_do,)
+        self.assertEqual([], await soak.run_seed(HOST_FAILURES_SEED, faults))
+
 
 class LateStartTests(ProcessTestCase):
     """Starts that a connection or an endpoint holds up and that arrive late."""
