Write the events beyond the log's limit in batches instead of leaving them out

An entry places about 290 runs a second and wrote 40 lines of them; which ones were left out didn't depend on the request. Lines that were cut short showed the identity of the process instead of the event's fields.

Cause: EventLog counted what was beyond its limit and dropped it. Nothing marks the request of a second run either: an entry that gets a job again from another entry's caller can't know that it does.

Change: 10 lines a second of each event are written singly, and 50 of those that are out of the ordinary (`write_unusual`). What is beyond that goes into batches, one line per 100 ms with a row for each event. A batch takes 100 rows, and 200 with those out of the ordinary; more are counted as before. The fields of an event precede process and incarnation.

--- a/plantainhitch/coordination/jobs/scheduler.py
+++ b/plantainhitch/coordination/jobs/scheduler.py
@@ -219,6 +219,7 @@
 
         They are pairs of an ``AgentView`` and a message.
         """
+        self._events.flush_if_due()
         self._check_deadlines()
         self._place_tasks()
         messages = self._orders.take_messages()
--- a/plantainhitch/coordination/runs/run_controller.py
+++ b/plantainhitch/coordination/runs/run_controller.py
@@ -540,6 +540,7 @@
         To be called after all events received so far were handled. Each order is
         returned once: a ``StartOrder`` or a ``StopOrder``.
         """
+        self._events.flush_if_due()
         now_ms = self._clock.now_ms()
         if not any(map(may_be_at_endpoint, self._runs.values())):
             self._lease.discard_if_expired()
--- a/plantainhitch/logs.py
+++ b/plantainhitch/logs.py
@@ -1,7 +1,8 @@
 """Structured logs: one JSON object per line, written with logbook.
 
-``EventLog`` limits the rate of lines of each event; ``DroppingStream`` drops lines
-instead of blocking while their reader is slow.
+``EventLog`` limits the rate of lines of each event, and writes what is beyond it in
+batches; ``DroppingStream`` drops lines instead of blocking while their reader is slow.
+See docs/design/logs.md.
 """
 
 import logging
@@ -15,16 +16,24 @@
 LEVELS = ("debug", "info", "notice", "warning", "error", "critical")
 
 
-# Limit for the lines of one event from one process. At the sites' load a process stays
-# below it; in a flood of events it bounds the cost to a few percent of a core.
-MAX_LINES_PER_S = 40
+# Limit for the ordinary lines of one event from one process, and for all of them: the
+# rest is reserved for what is out of the ordinary.
+MAX_LINES_PER_S = 10
+MAX_LINES_WITH_RESERVE_PER_S = 50
+# Events beyond the limit are written in batches. What a process has not written is lost
+# if it is killed.
+BATCH_INTERVAL_MS = 100
+# The same limits for the rows of a batch.
+MAX_BATCH_ROWS = 100
+MAX_BATCH_ROWS_WITH_RESERVE = 200
 
 
 class JsonLineFormatter:
-    """Formats a record as one JSON object; the fields of the event come last.
+    """Formats a record as one JSON object.
 
     ``process`` and ``incarnation`` identify the writer; both are omitted if
-    ``process`` is empty.
+    ``process`` is empty. They come last, so that a line that is cut short still has the
+    first fields of its event.
     """
 
     def __init__(self, process="", incarnation=""):
@@ -40,8 +49,8 @@
             "logger": record.channel,
             "message": record.message,
         }
-        line.update(self._identity)
         line.update(record.kwargs)
+        line.update(self._identity)
         if record.exc_info:
             line["exception"] = record.formatted_exception
         return msgspec.json.encode(line, enc_hook=str).decode()
@@ -70,35 +79,94 @@
 
 
 class EventLog:
-    """Writes events to a logger, at most ``per_second`` lines of each event.
-
-    Lines beyond that are counted; the next line of the event has their count in its
-    field ``left_out``.
+    """Writes events to a logger, in a limited number of lines a second.
+
+    At most ``per_second`` lines of each event are written singly, and of those that are
+    out of the ordinary ``with_reserve``. Events beyond that are written in batches: one
+    line with the names of their fields in ``columns`` and the values of each in
+    ``rows``, whose first value is how many ms before the line the event was. A batch
+    that is full leaves events out; the next line of the event has their count in its
+    field ``left_out``. ``flush_if_due`` is to be called regularly.
     """
 
-    def __init__(self, logger, clock, per_second=MAX_LINES_PER_S):
+    def __init__(
+        self,
+        logger,
+        clock,
+        per_second=MAX_LINES_PER_S,
+        with_reserve=MAX_LINES_WITH_RESERVE_PER_S,
+    ):
         self._logger = logger
         self._clock = clock
         self._per_second = per_second
+        self._with_reserve = with_reserve
         self._second = 0
         self._written_counts = {}
         self._left_out_counts = {}
+        # By level, event and field names: the time in ms and the values of each event.
+        self._batches = {}
+        self._batches_due_ms = 0
 
     def write(self, event, **fields):
-        """Write one line for ``event``, or count it as left out."""
-        second = self._clock.now_ms() // 1_000
+        """Write ``event``, at once or in a batch, or count it as left out."""
+        self._write(logbook.INFO, event, fields, self._per_second, MAX_BATCH_ROWS)
+
+    def write_unusual(self, event, **fields):
+        """Do the same for an event out of the ordinary, with the reserved share."""
+        self._write_with_reserve(logbook.INFO, event, fields)
+
+    def warn(self, event, **fields):
+        """Do the same at the level ``warning``."""
+        self._write_with_reserve(logbook.WARNING, event, fields)
+
+    def flush_if_due(self):
+        """Write the batches once the oldest event has waited for the interval."""
+        if self._batches and self._clock.now_ms() >= self._batches_due_ms:
+            self.flush()
+
+    def flush(self):
+        """Write the batches."""
+        now_ms = self._clock.now_ms()
+        batches, self._batches = self._batches, {}
+        for (level, event, *names), rows in batches.items():
+            fields = {
+                "columns": ["ms_ago", *names],
+                "rows": [(now_ms - time_ms, *values) for time_ms, *values in rows],
+            }
+            self._write_line(level, event, fields)
+
+    def _write_with_reserve(self, level, event, fields):
+        max_rows = MAX_BATCH_ROWS_WITH_RESERVE
+        self._write(level, event, fields, self._with_reserve, max_rows)
+
+    def _write(self, level, event, fields, max_lines, max_rows):
+        now_ms = self._clock.now_ms()
+        second = now_ms // 1_000
         if second != self._second:
             self._second = second
             self._written_counts.clear()
         written = self._written_counts.get(event, 0)
-        if written >= self._per_second:
-            self._left_out_counts[event] = self._left_out_counts.get(event, 0) + 1
+        if written < max_lines:
+            self._written_counts[event] = written + 1
+            self._write_line(level, event, fields)
             return
-        self._written_counts[event] = written + 1
+        if not self._batches:
+            self._batches_due_ms = now_ms + BATCH_INTERVAL_MS
+        elif now_ms >= self._batches_due_ms:
+            self.flush()
+            self._batches_due_ms = now_ms + BATCH_INTERVAL_MS
+        rows = self._batches.setdefault((level, event, *fields), [])
+        if len(rows) < max_rows:
+            rows.append((now_ms, *fields.values()))
+        else:
+            self._left_out_counts[event] = self._left_out_counts.get(event, 0) + 1
+
+    def _write_line(self, level, event, fields):
         left_out = self._left_out_counts.pop(event, 0)
         if left_out:
             fields["left_out"] = left_out
-        self._logger.info(event, **fields)
+        write = self._logger.info if level == logbook.INFO else self._logger.warning
+        write(event, **fields)
 
 
 class DroppingStream:
