Log who ordered and gave up each run, and on which knowledge of the others

Change: entries write `run given up` with the reason and the age of the last sign of life, for each run of a lost agent, a caller that left or a failed job; `caller left` where another caller waits; and name the tasks in `agent unlinked`, `agent presumed dead` and `runs lost`, 100 at most. Agents write `run being stopped` and `run ordered by another entry`, give the owner, its last contact, the endpoint's last renewal and the end of its lease with each end, write the end of a run that is done after its stop was ordered, and `endpoint refuses connections`. A run that the endpoint lists after its lease, or after the agent has reported it as lost, is a warning that names the task. These lines, second starts and resubmissions have the reserved share of the log. `explain` reads all of them and the rows of batches, and says which agents' logs and which lines are missing.

--- a/plantainhitch/coordination/jobs/job_registry.py
+++ b/plantainhitch/coordination/jobs/job_registry.py
@@ -3,7 +3,7 @@
 from collections import OrderedDict
 
 from ... import logs
-from .outcomes import Ended, JobState, describe
+from .outcomes import Ended, JobState, NeverRan, describe
 
 # Outcomes kept for callers that submit a job again because the answer was lost; at the
 # load of the sites this covers half a minute at each entry.
@@ -40,11 +40,13 @@
         """
         ended = self._recent_outcomes.get(job_id)
         if ended is not None:
-            self._events.write("job submitted again", job=job_id, state="ended")
+            self._events.write_unusual("job submitted again", job=job_id, state="ended")
             on_end(ended)
             return True
         if job_id in self._jobs:
-            self._events.write("job submitted again", job=job_id, state="active")
+            self._events.write_unusual(
+                "job submitted again", job=job_id, state="active"
+            )
             self._callbacks_by_job[job_id].append(on_end)
             return True
         return False
@@ -65,6 +67,10 @@
         callbacks = self._callbacks_by_job.get(job_id, ())
         if on_end in callbacks:
             callbacks.remove(on_end)
+            if callbacks:
+                self._events.write_unusual(
+                    "caller left", job=job_id, callers=len(callbacks)
+                )
         return job if job is not None and not callbacks else None
 
     def finish(self, job, outcome):
@@ -72,7 +78,9 @@
         del self._jobs[job.job_id]
         took_ms = self._clock.now_ms() - job.arrived_ms
         is_complete = outcome == Ended(JobState.COMPLETED)
-        self._events.write(
+        is_ordinary = is_complete or isinstance(outcome, NeverRan)
+        write = self._events.write if is_ordinary else self._events.write_unusual
+        write(
             "job completed" if is_complete else "job not completed",
             job=job.job_id,
             queue=job.route.name,
--- a/plantainhitch/coordination/jobs/scheduler.py
+++ b/plantainhitch/coordination/jobs/scheduler.py
@@ -30,6 +30,8 @@
 # Interval of the passes over all waiting jobs: below the age of what is known of the
 # agents' free room.
 FULL_PASS_INTERVAL_MS = 8
+# The most tasks that a log line of an agent names.
+MAX_LOGGED_TASKS = 100
 
 log = logs.get_logger("jobs")
 
@@ -186,14 +188,14 @@
         agent = self._fleet.get(incarnation)
         if agent is not None and agent.link is link:
             self._fleet.remove_link(agent)
-            log.warning("agent unlinked", agent=agent.name, runs=len(agent.tasks))
+            log.warning("agent unlinked", **self._runs_at(agent))
 
     def agent_presumed_dead(self, incarnation):
         """Record that an agent's address refuses connections, or is another's now."""
         agent = self._fleet.get(incarnation)
         if agent is not None and not agent.is_presumed_dead:
             agent.is_presumed_dead = True
-            log.warning("agent presumed dead", agent=agent.name, runs=len(agent.tasks))
+            log.warning("agent presumed dead", **self._runs_at(agent))
 
     def handle_agent_message(self, incarnation, message):
         """Handle a status, a report or the total queue loads from an agent."""
@@ -229,6 +231,31 @@
 
     # Internals
 
+    def _heard_ms_ago(self, agent):
+        heard_ms = agent.last_contact_ms
+        if agent.link is not None:
+            heard_ms = max(heard_ms, agent.link.last_received_ms)
+        return self._clock.now_ms() - heard_ms
+
+    def _runs_at(self, agent):
+        """Return the log fields of an agent's runs and of its last sign of life."""
+        return {
+            "agent": agent.name,
+            "runs": len(agent.tasks),
+            "heard_ms_ago": self._heard_ms_ago(agent),
+            "tasks": list(agent.tasks)[:MAX_LOGGED_TASKS],
+        }
+
+    def _log_given_up(self, task, agent, reason):
+        self._events.write_unusual(
+            "run given up",
+            task=task.name,
+            run=task.run_number,
+            agent=agent.name,
+            why=reason,
+            heard_ms_ago=self._heard_ms_ago(agent),
+        )
+
     def _load_messages(self):
         """Yield the messages that report this entry's queue loads to each agent."""
         linked = [agent for agent in self._fleet.agents.values() if agent.is_ready]
@@ -275,8 +302,9 @@
         """
         tasks = list(agent.tasks.values())
         if tasks:
-            log.warning("runs lost", agent=agent.name, runs=len(tasks), why=why)
+            log.warning("runs lost", **self._runs_at(agent), why=why)
         for task in tasks:
+            self._log_given_up(task, agent, why)
             self._requeue(task, agent)
         for task in tasks:
             self._run_lost(task)
@@ -300,7 +328,7 @@
         """Fail a job that is proven to crash endpoints, or isolate it if it may."""
         if self._containment.is_deadly(job):
             log.warning("job crashes its endpoints", job=job.job_id)
-            self._stop_runs(job)
+            self._stop_runs(job, "the job crashes its endpoints")
             self._finish_job(job, Ended(JobState.FAILED))
             return
         job.is_suspect = self._containment.is_suspect(job)
@@ -327,7 +355,9 @@
         job = task.job
         job.has_run = job.has_run or end.end is not End.NOT_STARTED
         if end.end is not End.DONE:
-            self._events.write(
+            is_ordinary = end.end is End.NOT_STARTED
+            write = self._events.write if is_ordinary else self._events.write_unusual
+            write(
                 "run not completed",
                 task=task.name,
                 run=task.run_number,
@@ -354,7 +384,7 @@
                 task.avoided_agents = (*task.avoided_agents, agent.incarnation)
                 self._fleet.record_failure(agent)
                 if task.failures >= job.route.max_attempts:
-                    self._stop_runs(job)
+                    self._stop_runs(job, "another task of the job failed")
                     self._finish_job(job, Ended(JobState.FAILED))
                     return
         if end.reason == OLD_CONTACT_REASON:
@@ -415,13 +445,14 @@
         """Stop a job; its outcome is ``NeverRan`` if no task may have started."""
         never_ran = NeverRan(reason, retry_after_s)
         outcome = GaveUp(reason) if job.has_started else never_ran
-        self._stop_runs(job)
+        self._stop_runs(job, reason)
         self._finish_job(job, outcome)
 
-    def _stop_runs(self, job):
+    def _stop_runs(self, job, reason):
         for task in job.placed_tasks():
             agent = self._fleet.get(task.agent)
             if agent is not None:
+                self._log_given_up(task, agent, reason)
                 agent.remove_task(task)
                 self._orders.add_stop(agent, task.key)
 
@@ -506,7 +537,9 @@
         agent.unreported_orders.append(
             (agent.last_order_number + 1, task.step_spec.room)
         )
-        self._events.write(
+        is_ordinary = task.run_number == 1
+        write = self._events.write if is_ordinary else self._events.write_unusual
+        write(
             "run placed",
             task=task.name,
             run=task.run_number,
--- a/plantainhitch/coordination/runs/endpoint_lease.py
+++ b/plantainhitch/coordination/runs/endpoint_lease.py
@@ -26,6 +26,19 @@
         # When all runs have certainly ended under the renewals so far, None before the
         # first.
         self._end_ms = None
+        # When the last renewal was sent, and the latest expiry of all renewals on the
+        # endpoint's clock; None before the first.
+        self._renewed_ms = self._expiry_clock_ms = None
+
+    @property
+    def renewed_ms(self):
+        """When the last renewal was sent, None before the first."""
+        return self._renewed_ms
+
+    @property
+    def expiry_clock_ms(self):
+        """The latest expiry that was sent, on the endpoint's clock; None if unknown."""
+        return self._expiry_clock_ms
 
     @property
     def end_ms(self):
@@ -69,7 +82,9 @@
             return None
         length_ms = int(length_ms)
         self._extend(now_ms, length_ms)
-        return now_ms + self._clock_offset_ms + length_ms
+        expiry_clock_ms = now_ms + self._clock_offset_ms + length_ms
+        self._expiry_clock_ms = max(self._expiry_clock_ms or 0, expiry_clock_ms)
+        return expiry_clock_ms
 
     def record_renewal(self):
         """Record a renewal that is not known, as long as the endpoint grants it."""
@@ -96,8 +111,10 @@
         self._last_answer_ms = self._clock.now_ms()
         self._clock_offset_ms = None
         self._end_ms = None
+        self._renewed_ms = self._expiry_clock_ms = None
 
     def _extend(self, now_ms, length_ms):
+        self._renewed_ms = now_ms
         self._end_ms = max(self.end_ms, now_ms + longest_run_ms(length_ms))
 
     def _is_expired_at(self, now_ms):
--- a/plantainhitch/coordination/runs/run_controller.py
+++ b/plantainhitch/coordination/runs/run_controller.py
@@ -8,6 +8,7 @@
 endpoint has accepted its stop, or any order with a higher fence than that of its start.
 """
 
+import math
 from collections import Counter, OrderedDict
 
 from ... import logs
@@ -29,6 +30,7 @@
 from .fence import Fence
 from .forecast import Forecast
 from .isolation import Isolation
+from .lease_times import LAPSE_MARGIN_MS
 from .owners import Owners
 from .run import Phase, Run, StartOrder, StopOrder, may_be_at_endpoint
 from .waiting_starts import WaitingStarts
@@ -308,6 +310,15 @@
             return
         self._record_end_of_lifetime("nothing listens at the endpoint")
         self._is_refusing = True
+        self._events.write_unusual(
+            "endpoint refuses connections",
+            tasks=[
+                run.start.key.task
+                for run in self._runs.values()
+                if may_be_at_endpoint(run)
+            ][:MAX_LOGGED_TASKS],
+            **self._lease_fields(),
+        )
         self._refuse_waiting_starts("the endpoint refuses connections")
 
     def _record_end_of_lifetime(self, reason):
@@ -515,6 +526,7 @@
                 self._last_end_number = ended.number
                 self._record_end(ended)
         self._record_progress(inventory.running)
+        self._report_late_runs(inventory)
         running_keys = {listed.key for listed in inventory.running}
         for key, run in list(self._runs.items()):
             if key not in running_keys:
@@ -576,8 +588,16 @@
         if key in self._runs:
             # The caller resubmitted its job at another entry, which owns the run now. A
             # stale start is that of the entry where the job was before.
+            run = self._runs[key]
+            if run.owner != incarnation:
+                self._events.write_unusual(
+                    "run ordered by another entry",
+                    **self._owner_fields(run),
+                    new_owner=incarnation.hex(),
+                    is_stale=is_stale,
+                )
             if not is_stale:
-                self._runs[key].owner = incarnation
+                run.owner = incarnation
             return
         if key in self._recent_ends:
             self._resend_end(incarnation, key)
@@ -685,6 +705,12 @@
                 self._finish(run.start.key, End.NOT_STARTED, reason)
             case Phase.STARTING | Phase.RUNNING:
                 run.phase = Phase.STOPPING
+                self._events.write_unusual(
+                    "run being stopped",
+                    **self._owner_fields(run),
+                    why=reason,
+                    **self._lease_fields(),
+                )
                 self._order_stop(run)
 
     def _unlisted_runs(self):
@@ -744,8 +770,11 @@
     def _record_end(self, ended):
         run = self._runs.get(ended.key)
         if run is None:
-            self._events.write(
-                "end of an unknown run", task=ended.key.task, end=ended.end.name
+            self._events.write_unusual(
+                "end of an unknown run",
+                task=ended.key.task,
+                run=ended.key.run,
+                end=ended.end.name,
             )
             return
         self._finish(ended.key, ended.end, run.stop_reason, ended.checkpoint)
@@ -834,6 +863,62 @@
             if run.phase is Phase.WAITING:
                 self._finish(key, End.NOT_STARTED, reason)
 
+    def _report_late_runs(self, inventory):
+        """Log the runs that an inventory lists after they must have ended."""
+        for listed in inventory.running:
+            key = listed.key
+            run, ended = self._runs.get(key), self._recent_ends.get(key)
+            if run is not None and self._is_past_lease(inventory):
+                self._events.warn(
+                    "run listed after its lease",
+                    **self._owner_fields(run),
+                    late_ms=inventory.clock_ms - self._lease.expiry_clock_ms,
+                    **self._lease_fields(),
+                )
+            # Ends that the endpoint has listed itself may overtake an inventory.
+            elif ended is not None and ended.end in (End.LOST, End.NOT_STARTED):
+                self._events.warn(
+                    "run listed after its end",
+                    task=key.task,
+                    run=key.run,
+                    end=ended.end.name,
+                    why=ended.reason,
+                    percent=listed.percent,
+                )
+
+    def _is_past_lease(self, inventory):
+        """Return whether the endpoint's clock is past its lease in an inventory."""
+        expiry_clock_ms = self._lease.expiry_clock_ms
+        return (
+            expiry_clock_ms is not None
+            and inventory.clock_ms > expiry_clock_ms + LAPSE_MARGIN_MS
+            and self._clock.now_ms() > self._lease.end_ms
+        )
+
+    def _owner_fields(self, run):
+        """Return the log fields of a run, its owner and the owner's last contact."""
+        contact_ms = self._owners.last_contact_ms(run.owner)
+        is_known = contact_ms > -math.inf
+        return {
+            "task": run.start.key.task,
+            "run": run.start.key.run,
+            "owner": run.owner.hex(),
+            "owner_heard_ms_ago": (
+                self._clock.now_ms() - contact_ms if is_known else None
+            ),
+        }
+
+    def _lease_fields(self):
+        """Return the log fields of the endpoint's lease, relative to now."""
+        now_ms, renewed_ms = self._clock.now_ms(), self._lease.renewed_ms
+        is_known = self._lease.end_ms > -math.inf
+        return {
+            "renewed_ms_ago": None if renewed_ms is None else now_ms - renewed_ms,
+            "lease_ends_in_ms": round(self._lease.end_ms - now_ms)
+            if is_known
+            else None,
+        }
+
     def _finish(self, key, end, reason="", checkpoint=""):
         run = self._runs.pop(key)
         self._isolated_count -= run.start.is_isolated
@@ -849,11 +934,13 @@
         while len(self._recent_ends) > MAX_KEPT_ENDS:
             self._recent_ends.popitem(last=False)
         self._owners.get_or_create(run.owner).unsent_ends.append(run_end)
-        if end is not End.DONE:
-            self._events.write(
+        if end is not End.DONE or run.stop_reason:
+            is_ordinary = not may_be_at_endpoint(run)
+            write = self._events.write if is_ordinary else self._events.write_unusual
+            write(
                 "run ended",
-                task=key.task,
-                run=key.run,
+                **self._owner_fields(run),
+                **self._lease_fields(),
                 end=end.name,
                 why=reason,
                 percent=run.percent,
--- a/plantainhitch/explain.py
+++ b/plantainhitch/explain.py
@@ -6,6 +6,7 @@
 """
 
 from dataclasses import dataclass, field
+from datetime import datetime, timedelta
 
 from .json_input import decode_json
 
@@ -15,14 +16,25 @@
 
     PLACED = "run placed"
     NOT_COMPLETED = "run not completed"
+    GIVEN_UP = "run given up"
     ENDED_AT_AGENT = "run ended"
+    STOPPED_AT_AGENT = "run being stopped"
+    ORDERED_AGAIN = "run ordered by another entry"
+    LISTED_AFTER_LEASE = "run listed after its lease"
+    LISTED_AFTER_END = "run listed after its end"
+    UNKNOWN_ENDED = "end of an unknown run"
 
 
 RUN_EVENTS = frozenset(
-    {RunEvent.PLACED, RunEvent.NOT_COMPLETED, RunEvent.ENDED_AT_AGENT}
+    value for name, value in vars(RunEvent).items() if name.isupper()
 )
 WORK_AHEAD = "work ahead of job"
 ENDPOINT_CRASHED = "endpoint crashed"
+# Events of an agent or an endpoint that name the tasks of the runs there.
+AGENT_EVENTS = frozenset({"agent unlinked", "agent presumed dead", "runs lost"})
+ENDPOINT_EVENTS = frozenset({ENDPOINT_CRASHED, "endpoint refuses connections"})
+RESUBMISSION_EVENTS = frozenset({"job submitted again", "caller left"})
+LINES_DROPPED = "lines dropped"
 JOB_OUTCOMES = frozenset(
     {"job completed", "job not completed", "job refused", "job not supported"}
 )
@@ -42,13 +54,15 @@
     """One log line.
 
     ``time`` is the ISO 8601 text of the line; ``source`` is the process, or the name of
-    the file if the line doesn't name one; ``fields`` are those of the event.
+    the file if the line doesn't name one; ``fields`` are those of the event, and
+    ``incarnation`` is that of the process, empty if the line doesn't give it.
     """
 
     time: str
     source: str
     event: str
     fields: dict
+    incarnation: str = ""
 
 
 @dataclass(slots=True)
@@ -67,17 +81,20 @@
     def from_lines(cls, job, lines):
         """Return the explanation of ``job`` from the lines of all logs."""
         job_lines = sorted(
-            (line for line in lines if _concerns(line, job)), key=lambda line: line.time
+            (line for line in _expand(lines, job) if _concerns(line, job)),
+            key=lambda line: line.time,
         )
         explanation = cls(job, job_lines)
         if not job_lines:
             explanation.missing.append(f"no line names {job}")
             return explanation
+        names = {line.incarnation: line.source for line in lines if line.incarnation}
         explanation.sentences.extend(_outcome_sentences(job_lines))
+        explanation.sentences.extend(_resubmission_sentences(job_lines))
         for task in sorted({_task(line) for line in job_lines} - {""}):
             task_lines = [line for line in job_lines if _task(line) == task]
-            explanation.sentences.append(_task_sentence(task, task_lines))
-        explanation.sentences.extend(_crash_sentences(job, job_lines))
+            explanation.sentences.append(_task_sentence(task, task_lines, names))
+        explanation.sentences.extend(_loss_sentences(job, job_lines))
         explanation.missing.extend(_find_gaps(job_lines, lines))
         return explanation
 
@@ -88,28 +105,52 @@
     for text in path.read_text(encoding="utf-8", errors="replace").splitlines():
         try:
             values = decode_json(text, object)
-            time, event = values["time"], values["message"]
+            event = values["message"]
+            time = "" if event == LINES_DROPPED else values["time"]
         except (ValueError, KeyError, TypeError):
             unreadable += 1
             continue
         fields = _Fields(
             (key, value) for key, value in values.items() if key not in _ENVELOPE
         )
-        lines.append(LogLine(time, values.get("process", path.name), event, fields))
+        source = values.get("process", path.name)
+        incarnation = values.get("incarnation", "")
+        lines.append(LogLine(time, source, event, fields, incarnation))
     return lines, unreadable
 
 
+def _expand(lines, job):
+    """Yield the lines, and for one that is a batch the rows that name the job."""
+    for line in lines:
+        if "rows" not in line.fields:
+            yield line
+            continue
+        columns = line.fields["columns"]
+        for row in line.fields["rows"]:
+            fields = _Fields(zip(columns, row, strict=True))
+            age = timedelta(milliseconds=fields.pop("ms_ago"))
+            time = datetime.fromisoformat(line.time) - age
+            if _names_job(fields, job):
+                yield LogLine(
+                    time.isoformat(timespec="milliseconds"),
+                    line.source,
+                    line.event,
+                    fields,
+                    line.incarnation,
+                )
+
+
+def _names_job(fields, job):
+    return fields.get("job") == job or fields.get("task", "").startswith(f"{job}.")
+
+
 def _concerns(line, job):
-    return (
-        line.fields.get("job") == job
-        or _task(line).startswith(f"{job}.")
-        or bool(_crashed_tasks(job, line))
-    )
+    return _names_job(line.fields, job) or bool(_tasks_at(job, line))
 
 
-def _crashed_tasks(job, line):
-    """Return the job's tasks that an endpoint may have been running as it crashed."""
-    if line.event != ENDPOINT_CRASHED:
+def _tasks_at(job, line):
+    """Return the job's tasks that an agent or an endpoint had in an event of it."""
+    if line.event not in AGENT_EVENTS | ENDPOINT_EVENTS:
         return []
     tasks = line.fields.get("tasks", ())
     return [task for task in tasks if task.startswith(f"{job}.")]
@@ -150,7 +191,31 @@
         yield ", ".join(clauses)
 
 
-def _task_sentence(task, lines):
+def _resubmission_sentences(lines):
+    for line in lines:
+        if line.event in RESUBMISSION_EVENTS:
+            values = line.fields
+            detail = values.get("state") or f"{values['callers']} others wait"
+            yield f"{line.time} {line.source}: {line.event} ({detail})"
+
+
+def _owner_clause(values, names):
+    """Return who owned a run at an agent, and when the agent last heard of it."""
+    owner = values["owner"]
+    return (
+        f"whose owner {names.get(owner, owner)} was last heard from "
+        f"{values['owner_heard_ms_ago']} ms before"
+    )
+
+
+def _lease_clause(values):
+    return (
+        f"with the endpoint's lease renewed {values['renewed_ms_ago']} ms before, "
+        f"under which runs end within {values['lease_ends_in_ms']} ms"
+    )
+
+
+def _task_sentence(task, lines, names):
     clauses = []
     for line in lines:
         values = line.fields
@@ -171,20 +236,74 @@
                     f"{values['failures']} earlier failures and {values['lost_runs']} "
                     "lost runs"
                 )
-            case RunEvent.ENDED_AT_AGENT:
+            case RunEvent.GIVEN_UP:
                 clauses.append(
+                    f"{_time_of_day(line)} {line.source} gave up run {values['run']} "
+                    f"on {values['agent']} ({_reason(values)}), last heard from "
+                    f"{values['heard_ms_ago']} ms before"
+                )
+            case RunEvent.ENDED_AT_AGENT:
+                clause = (
                     f"{_time_of_day(line)} {line.source} ended run {values['run']} as "
                     f"{values['end']} ({_reason(values)}) at {values['percent']}% "
                     f"progress, with {values['free_millis']} thousandths of a core free"
                 )
+                if "owner" in values:
+                    clause += f", {_owner_clause(values, names)}"
+                    clause += f", {_lease_clause(values)}"
+                clauses.append(clause)
+            case RunEvent.STOPPED_AT_AGENT:
+                clauses.append(
+                    f"{_time_of_day(line)} {line.source} began to stop run "
+                    f"{values['run']} ({_reason(values)}), "
+                    f"{_owner_clause(values, names)}, {_lease_clause(values)}"
+                )
+            case RunEvent.ORDERED_AGAIN:
+                new_owner = names.get(values["new_owner"], values["new_owner"])
+                effect = "a stale order" if values["is_stale"] else "which owns it now"
+                clauses.append(
+                    f"{_time_of_day(line)} {line.source} had run {values['run']}, "
+                    f"{_owner_clause(values, names)}, ordered by {new_owner}, {effect}"
+                )
+            case RunEvent.LISTED_AFTER_LEASE:
+                clauses.append(
+                    f"{_time_of_day(line)} {line.source}: the endpoint listed run "
+                    f"{values['run']} as running {values['late_ms']} ms after its lease"
+                )
+            case RunEvent.LISTED_AFTER_END:
+                clauses.append(
+                    f"{_time_of_day(line)} {line.source}: the endpoint listed run "
+                    f"{values['run']} as running after it was reported as "
+                    f"{values['end']} ({_reason(values)})"
+                )
+            case RunEvent.UNKNOWN_ENDED:
+                clauses.append(
+                    f"{_time_of_day(line)} {line.source}: the endpoint listed the end "
+                    f"of run {values['run']} as {values['end']}, which the agent "
+                    "doesn't know or has reported as ended"
+                )
             case _:
                 clauses.append(f"{_time_of_day(line)} {line.source}: {line.event}")
     return f"{task}: " + "; ".join(clauses)
 
 
-def _crash_sentences(job, lines):
+def _loss_sentences(job, lines):
     for line in lines:
-        if tasks := _crashed_tasks(job, line):
+        tasks, values = _tasks_at(job, line), line.fields
+        if not tasks:
+            continue
+        if line.event in AGENT_EVENTS:
+            yield (
+                f"{_time_of_day(line)} {line.source}: {line.event}, {values['agent']}, "
+                f"last heard from {values['heard_ms_ago']} ms before, with "
+                f"{values['runs']} runs, among them {', '.join(tasks)}"
+            )
+        elif line.event != ENDPOINT_CRASHED:
+            yield (
+                f"{_time_of_day(line)} {line.source}: {line.event}, "
+                f"{_lease_clause(values)}; runs there were {', '.join(tasks)}"
+            )
+        else:
             yield (
                 f"{_time_of_day(line)} {line.source}: the endpoint crashed "
                 f"({_reason(line.fields)}) with {line.fields['runs']} runs, "
@@ -211,6 +330,12 @@
     )
     for task, run in sorted(ended - placed):
         yield f"which entry placed run {run} of {task}"
+    sources = {line.source for line in lines}
+    agents = {
+        line.fields["agent"] for line in job_lines if line.event == RunEvent.PLACED
+    }
+    for agent in sorted(agents - sources):
+        yield f"what {agent} decided: none of its lines is here"
     # A run that ends as done is not logged.
     if not any(line.event == "job completed" for line in outcomes):
         for task, run in sorted(placed - ended):
@@ -219,6 +344,11 @@
     for line in lines:
         count = line.fields.get("left_out", 0)
         left_out[line.event] = left_out.get(line.event, 0) + count
+        if line.event == LINES_DROPPED:
+            yield (
+                f"{line.fields['count']} lines in {line.source}, of any events, "
+                "whose reader was too slow"
+            )
     for event, count in sorted(left_out.items()):
         if count and event in RUN_EVENTS | JOB_OUTCOMES:
             yield (
--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -54,6 +54,7 @@
     "waiting_jobs": 4,
     "left_out": 3,
 }
+ENVELOPE = ("time", "level", "logger", "message", "process")
 
 
 class ExplainTests(unittest.TestCase):
@@ -154,6 +155,101 @@
         self.assertIn("crashed (nothing listens at the endpoint) with 2 runs", text)
         self.assertIn(TASK, text)
 
+    def test_rows_of_batches_are_read_as_lines(self):
+        """A run that the limit put into a batch must not look as if it were missing."""
+        columns = ["ms_ago", *(key for key in PLACED if key not in ENVELOPE)]
+        row = [40, *(PLACED[key] for key in columns[1:])]
+        other = [30, "ff.0.0.0", *row[2:]]
+        batch = {key: PLACED[key] for key in ENVELOPE}
+        batch |= {"columns": columns, "rows": [other, row]}
+        _, out, _ = self.run_command(JOB, self.write("entry.log", batch, NOT_COMPLETED))
+        self.assertIn("10:54:53.818 entry-1 placed run 1 on agent-2, last heard", out)
+        self.assertNotIn("ff.0.0.0", out)
+
+    def test_who_ordered_a_run_and_why_it_was_given_up(self):
+        """Both sides of a second run: the entry's reason and the agent's lease."""
+        given_up = {
+            "time": "2026-12-04T10:54:54.100",
+            "message": "run given up",
+            "process": "entry-1",
+            "incarnation": "0a",
+            "task": TASK,
+            "run": 1,
+            "agent": "agent-2",
+            "why": "the caller left",
+            "heard_ms_ago": 210,
+        }
+        ended = ENDED | {
+            "owner": "0a",
+            "owner_heard_ms_ago": 333,
+            "renewed_ms_ago": 95,
+            "lease_ends_in_ms": 640,
+        }
+        stopped = ended | {"message": "run being stopped", "why": "owner silent"}
+        again = ended | {
+            "message": "run ordered by another entry",
+            "new_owner": "0b",
+            "is_stale": False,
+        }
+        late = ended | {"message": "run listed after its lease", "late_ms": 181}
+        lost = ended | {"message": "run listed after its end"}
+        path = self.write(
+            "all.log", PLACED, given_up, ended, stopped, again, late, lost
+        )
+        _, out, _ = self.run_command(JOB, path)
+        for text in (
+            "entry-1 gave up run 1 on agent-2 (the caller left), last heard from 210 "
+            "ms before",
+            "agent-2 began to stop run 1 (owner silent), whose owner entry-1 was last "
+            "heard from 333 ms before, with the endpoint's lease renewed 95 ms before, "
+            "under which runs end within 640 ms",
+            "agent-2 had run 1, whose owner entry-1 was last heard from 333 ms before, "
+            "ordered by 0b, which owns it now",
+            "listed run 1 as running 181 ms after its lease",
+            "listed run 1 as running after it was reported as LOST",
+        ):
+            self.assertIn(text, out)
+
+    def test_losses_of_agents_and_endpoints_name_the_tasks_of_the_job(self):
+        lost = {
+            "time": "2026-12-04T10:54:53.900",
+            "message": "agent presumed dead",
+            "process": "entry-1",
+            "agent": "agent-2",
+            "runs": 2,
+            "heard_ms_ago": 88,
+            "tasks": ["other.0.0.0", TASK],
+        }
+        refusing = {
+            "time": "2026-12-04T10:54:53.900",
+            "message": "endpoint refuses connections",
+            "process": "agent-2",
+            "tasks": [TASK],
+            "renewed_ms_ago": 95,
+            "lease_ends_in_ms": 640,
+        }
+        again = {
+            "time": "2026-12-04T10:54:53.900",
+            "message": "job submitted again",
+            "process": "entry-1",
+            "job": JOB,
+            "state": "active",
+        }
+        path = self.write("all.log", lost, refusing, again)
+        _, out, _ = self.run_command(JOB, path)
+        self.assertIn("agent presumed dead, agent-2, last heard from 88 ms before", out)
+        self.assertIn(f"with 2 runs, among them {TASK}", out)
+        self.assertIn("endpoint refuses connections, with the endpoint's lease", out)
+        self.assertIn("entry-1: job submitted again (active)", out)
+
+    def test_logs_that_are_missing_and_dropped_lines_are_said(self):
+        dropped = {"message": "lines dropped", "count": 7}
+        path = self.write("entry.log", PLACED, NOT_COMPLETED, dropped)
+        _, out, err = self.run_command(JOB, path)
+        self.assertIn("not in the logs: what agent-2 decided", out)
+        self.assertIn("not in the logs: 7 lines in entry.log", out)
+        self.assertEqual("", err)
+
 
 if __name__ == "__main__":
     unittest.main()
