Build the rows of a log batch once

The rows of a batch were built anew when it was written, only to replace each event's time by its age. They are lists now, changed in place.

--- a/plantainhitch/logs.py
+++ b/plantainhitch/logs.py
@@ -129,10 +129,9 @@
         now_ms = self._clock.now_ms()
         batches, self._batches = self._batches, {}
         for (level, event, *names), rows in batches.items():
-            fields = {
-                "columns": ["ms_ago", *names],
-                "rows": [(now_ms - time_ms, *values) for time_ms, *values in rows],
-            }
+            for row in rows:
+                row[0] = now_ms - row[0]
+            fields = {"columns": ["ms_ago", *names], "rows": rows}
             self._write_line(level, event, fields)
 
     def _write_with_reserve(self, level, event, fields):
@@ -157,7 +156,7 @@
             self._batches_due_ms = now_ms + BATCH_INTERVAL_MS
         rows = self._batches.setdefault((level, event, *fields), [])
         if len(rows) < max_rows:
-            rows.append((now_ms, *fields.values()))
+            rows.append([now_ms, *fields.values()])
         else:
             self._left_out_counts[event] = self._left_out_counts.get(event, 0) + 1
 
--- a/tests/test_logs.py
+++ b/tests/test_logs.py
@@ -95,7 +95,7 @@
         self.assertEqual(["flood", "flood", "other", "flood"], [m for m, _ in lines])
         batch = lines[-1][1]
         self.assertEqual(["ms_ago", "number", "name"], batch["columns"])
-        rows = [(110, 2, "n2"), (100, 3, "n3"), (90, 4, "n4")]
+        rows = [[110, 2, "n2"], [100, 3, "n3"], [90, 4, "n4"]]
         self.assertEqual(rows, batch["rows"])
 
     def test_a_batch_waits_for_its_interval_only(self):
