--- a/plantainhitch/standins/run_endpoint.py
+++ b/plantainhitch/standins/run_endpoint.py
@@ -36,6 +36,7 @@
         self.pool = pool
         self.cpu_millis = cpu_millis
         self.fail_all = False
+        self.poll_interval_s = _POLL_INTERVAL_S
         self.unanswered_starts = 0
         self.late_order_s = LATE_ORDER_S
         self.draining = False
@@ -193,7 +194,7 @@
         ]
         until = time.monotonic() + call.get("wait_ms", 0) / 1_000
         while not self._unacknowledged_ends and time.monotonic() < until:
-            await asyncio.sleep(_POLL_INTERVAL_S)
+            await asyncio.sleep(self.poll_interval_s)
             self.expire_lease()
         self.expire_lease()
         running = [
--- a/tests/deployed_world.py
+++ b/tests/deployed_world.py
@@ -176,6 +176,8 @@
     ``store`` and ``endpoint`` from it to those.
     """
 
+    module = "tests.deployed_process"
+
     def __init__(self, role, name, folder, zone):
         self.role, self.name, self.zone = role, name, zone
         self.host = HOSTS.next_host()
@@ -199,6 +201,15 @@
         self.link.target = self.address(LINK_PORT_OFFSET)
         self.store = await Forwarder.start()
         self.store.target = str(store)
+        if endpoint is None:
+            self.front = await Forwarder.start()
+            self.front.target = self.address(2)
+        else:
+            self.endpoint = await Forwarder.start()
+            self.endpoint.target = str(endpoint)
+        self._write_settings(seeds)
+
+    def _write_settings(self, seeds):
         lines = [
             f'node = "{self.name}"',
             f'zone = "{self.zone}"\nregion = "r1"',
@@ -208,14 +219,10 @@
             "heartbeat_ms = 200",
         ]
         listen = [f'control = "{self.address(4)}"']
-        if endpoint is None:
-            self.front = await Forwarder.start()
-            self.front.target = self.address(2)
+        if self.endpoint is None:
             listen.append(f'front = "{self.front.target}"')
             listen.append(f'readiness = "{self.address(3)}"')
         else:
-            self.endpoint = await Forwarder.start()
-            self.endpoint.target = str(endpoint)
             lines.append(f'app = "{self.endpoint.address}"\nservice = "{POOL}"')
         lines += ["[listen]", *listen, "[platform]", f'addr = "{self.store.address}"']
         lines += [
@@ -249,7 +256,7 @@
         self._start_count += 1
         with self.log.open("ab") as log:
             process = await asyncio.create_subprocess_exec(
-                *(sys.executable, "-m", "tests.deployed_process", self.role),
+                *(sys.executable, "-m", self.module, self.role),
                 cwd=ROOT,
                 env=os.environ | {"PLANTAINHITCH_CONFIG": str(self._settings)},
                 stdin=asyncio.subprocess.DEVNULL,
@@ -537,19 +544,25 @@
     return sum(run.ended_s is None for run in endpoint.runs)
 
 
-def overlapping_runs(runs):
-    """Yield a text for each pair of consecutive runs of a task that overlap."""
+def overlapping_pairs(runs):
+    """Yield each pair of consecutive runs of a task that overlap, earlier one first."""
     by_task = {}
     for run in runs:
         by_task.setdefault(run.task, []).append(run)
-    for task, task_runs in by_task.items():
+    for task_runs in by_task.values():
         task_runs.sort(key=lambda run: run.began_s)
         for first, second in itertools.pairwise(task_runs):
             if first.ended_s is None or first.ended_s > second.began_s:
-                yield (
-                    f"{task} ran twice at the same time: run {first.run} at "
-                    f"{first.endpoint}, run {second.run} at {second.endpoint}"
-                )
+                yield first, second
+
+
+def overlapping_runs(runs):
+    """Yield a text for each pair of consecutive runs of a task that overlap."""
+    for first, second in overlapping_pairs(runs):
+        yield (
+            f"{first.task} ran twice at the same time: run {first.run} at "
+            f"{first.endpoint}, run {second.run} at {second.endpoint}"
+        )
 
 
 def evacuated_starts(evacuations, endpoints):
