Signal a process that has ended before the event loop learnt of it

Cause: is_running asks the event loop, which learns of the end of a process later than the system does.

Change: send_signal does nothing then, as for a process known to have ended.

--- a/tests/harness.py
+++ b/tests/harness.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import contextlib
 import itertools
 import json
 import os
@@ -97,8 +98,10 @@
 
     def send_signal(self, signal_number):
         """Send a signal, unless the process has ended."""
+        # The event loop may learn of the end later than the system.
         if self.is_running:
-            os.kill(self._process.pid, signal_number)
+            with contextlib.suppress(ProcessLookupError):
+                os.kill(self._process.pid, signal_number)
 
     def pause(self):
         self.send_signal(signal.SIGSTOP)
