Wait for the answers of an endpoint before its runs are given up

The second runs of one agent's tasks begin elsewhere within some ms of each other.

Cause: an agent reported runs as lost as soon as the endpoint's lease had certainly expired by the bounds of the platform, with 18 ms to spare. It did so although the endpoint answered again and listed them as running.

Change: the runs of a silent endpoint are given up 50 ms later.

--- a/plantainhitch/coordination/runs/endpoint_lease.py
+++ b/plantainhitch/coordination/runs/endpoint_lease.py
@@ -10,6 +10,9 @@
 # An endpoint that has not answered for this long gets no new runs. The time is longer
 # than an inventory that waits for an end plus one that is lost.
 SUSPECT_AFTER_MS = 600
+# The runs of an endpoint that doesn't answer are given up this long after its lease has
+# certainly expired, should it be later than its bounds.
+LOSS_MARGIN_MS = 50
 
 
 class EndpointLease:
@@ -47,6 +50,21 @@
         """
         return self._is_expired_at(self._clock.now_ms())
 
+    @property
+    def has_answered_since_expiry(self):
+        """Whether the endpoint has answered after its lease has certainly expired.
+
+        It is not suspect, and its inventories tell which runs have ended.
+        """
+        is_answered = self.is_expired and self._last_answer_ms > self.end_ms
+        return is_answered and not self.is_suspect
+
+    @property
+    def is_lost(self):
+        """Whether ``LOSS_MARGIN_MS`` have passed since expiry without an answer."""
+        is_due = self._is_expired_at(self._clock.now_ms() - LOSS_MARGIN_MS)
+        return is_due and not self.has_answered_since_expiry
+
     def renew(self, limit_ms):
         """Record a renewal that is sent now; return its expiry.
 
