Leave what the end of a fleet soak causes out of its findings

Cause: the endpoint processes are ended one after another; agents of those that had ended found nothing listening, and their tasks were placed at those still there.

Change: runs count until the moment before the first process is ended.

--- a/tests/fleet_soak.py
+++ b/tests/fleet_soak.py
@@ -138,11 +138,12 @@
     """Return the overlaps of runs, by the begin of the second one.
 
     ``lateness`` has for each endpoint the pairs of time and lateness in s of its
-    process; a run that has not ended counts until ``end_s``.
+    process. Nothing that happens after ``end_s`` counts.
     """
     overlaps = []
+    runs = [run for run in runs if run.began_s < end_s]
     for first, second in overlapping_pairs(runs):
-        ended_s = end_s if first.ended_s is None else first.ended_s
+        ended_s = end_s if first.ended_s is None else min(first.ended_s, end_s)
         due_s = ended_s if first.due_s is None else min(first.due_s, ended_s)
         late = [
             late_s
@@ -181,6 +182,8 @@
         self._options = options
         self._folder = folder
         self.events = []
+        # What happens later may come of the end of the soak.
+        self.observed_until_s = None
         self.entries = [
             self._node("deployed-entry", f"entry-{n}", n)
             for n in range(options.entries)
@@ -285,7 +288,7 @@
         for worker in self._caller_workers:
             worker.send({"traffic": False})
         await asyncio.sleep(SETTLING_S)
-        # Endpoints first, so that the end of the programs is no fault to them.
+        self.observed_until_s = time.monotonic()
         endpoint_records = [await worker.finish() for worker in self.endpoint_workers]
         caller_records = [await worker.finish() for worker in self._caller_workers]
         return endpoint_records, caller_records
@@ -468,7 +471,6 @@
         names = options.faults or [fault.__name__ for fault in FAULTS]
         faults = [fault for fault in FAULTS if fault.__name__ in names]
         endpoint_records, caller_records = await fleet.run(faults)
-        end_s = time.monotonic()
     runs, lateness = [], {}
     for worker, records in zip(fleet.endpoint_workers, endpoint_records, strict=True):
         runs += [ObservedRun(**row) for row in records["runs"]]
@@ -477,7 +479,7 @@
     submissions = [
         ObservedSubmission(**row) for r in caller_records for row in r["submissions"]
     ]
-    overlaps = find_overlaps(runs, lateness, end_s)
+    overlaps = find_overlaps(runs, lateness, fleet.observed_until_s)
     groups = group_overlaps(overlaps)
     lines = [line for g in groups for line in describe(g, fleet, submissions, folder)]
     lines += _contradicted(submissions, runs)
--- a/tests/test_fleet_soak.py
+++ b/tests/test_fleet_soak.py
@@ -56,6 +56,12 @@
         ]
         self.assertEqual([], find_overlaps(runs, {}, 30.0))
 
+    def test_runs_after_the_end_of_the_soak_do_not_count(self):
+        # Endpoints that had been ended one by one made overlaps of the last runs.
+        first = observed_run("a.0.0.0", "i-1", 10.0, None)
+        second = observed_run("a.0.0.0", "i-2", 12.0, 13.0)
+        self.assertEqual([], find_overlaps([first, second], {}, 11.5))
+
     def test_second_runs_of_one_round_are_one_group(self):
         # The shape of the record: second runs of several tasks in the same ms.
         runs = []
