Run two endpoints a process in the fleet soak

Eight in a process needed about 0.15 of a core, estimated from 0.07 of a core for four, which is the fair share of a process at a load of 55 on 8 cores; their event loops were late.

--- a/tests/fleet_soak.py
+++ b/tests/fleet_soak.py
@@ -34,7 +34,7 @@
 from .harness import ROOT
 
 ZONES = ("z1", "z2", "z3")
-AGENTS_PER_WORKER = 8
+AGENTS_PER_WORKER = 2
 CALLER_WORKERS = 3
 FAULT_TRACKS = 3
 FAULT_INTERVAL_S = (0.1, 1.2)
