Draw fewer other faults beside hosts that fail in the soak

What was missing: with lost owners, lost stops or broken callers and up to two other faults at once, few long runs are left that could overlap.

Change: seeds above 4,000 draw at most one other fault, and lost owners, stops and callers in three of four seeds.

--- a/tests/deployed_soak.py
+++ b/tests/deployed_soak.py
@@ -319,6 +319,12 @@
 # Seeds after that fail as hosts do as well; every fourth uses ``LARGEST_WORLD``.
 LAST_SEED_WITH_LOST_OWNERS = 4_000
 LARGEST_WORLD = {"entries": 6, "agents": 22}
+LOSSES_BESIDE_HOSTS = (
+    (),
+    (lose_entries_and_agents,),
+    (lose_entries_and_agents, lose_stops),
+    (lose_entries_and_agents, break_callers_of_paused_entries),
+)
 ZONES = ("z1", "z2")
 
 
@@ -498,12 +504,14 @@
     Copies the logs to the folder ``keep`` where there are violations.
     """
     rng = random.Random(seed)
-    if faults is None and seed > LAST_SEED_WITH_SILENCE:
+    if faults is None and seed > LAST_SEED_WITH_LOST_OWNERS:
+        # With few other faults, as many at once leave few runs that could overlap.
+        faults = rng.sample(ALL_FAULTS, rng.choice((0, 0, 1)))
+        faults += [fail_as_hosts_do, *rng.choice(LOSSES_BESIDE_HOSTS)]
+    elif faults is None and seed > LAST_SEED_WITH_SILENCE:
         faults = rng.sample(ALL_FAULTS, rng.choice((0, 1, 1, 2)))
         faults.append(lose_entries_and_agents)
         faults.append(rng.choice((lose_stops, break_callers_of_paused_entries)))
-        if seed > LAST_SEED_WITH_LOST_OWNERS:
-            faults.append(fail_as_hosts_do)
     elif faults is None and seed > LAST_SEED_OF_FIRST_FAULTS:
         faults = rng.sample(ALL_FAULTS, rng.choice((1, 2, 2, 3)))
         if seed > LAST_SEED_WITH_EVACUATION:
