Show in the soak how late its own event loop was

Change: the line of a seed says by how much the loop was late at most, and the history when it was by more than 0.3 s. No check takes it into account.

--- a/tests/deployed_soak.py
+++ b/tests/deployed_soak.py
@@ -528,7 +528,8 @@
         print(
             f"seed {seed}: {' + '.join(fault_names)}; {len(answers)} jobs, "
             f"{answered_share:.2f} answered, {time.monotonic() - began_s:.1f} s, "
-            f"{len(violations)} violations",
+            f"{len(violations)} violations, "
+            f"own loop late by up to {world.max_loop_delay_s:.2f} s",
             flush=True,
         )
         for violation in violations:
--- a/tests/deployed_world.py
+++ b/tests/deployed_world.py
@@ -61,6 +61,8 @@
 # Nothing starts in a zone from this long after its row was stored.
 EVACUATE_S = 5.0
 START_CHECK_INTERVAL_S = 0.02
+LOOP_CHECK_INTERVAL_S = 0.05
+REPORTED_LOOP_DELAY_S = 0.3
 # For many processes on a busy machine.
 START_TIMEOUT_S = 60.0
 
@@ -319,6 +321,8 @@
         self.problems = []
         # Faults as (time in s of the monotonic clock, text).
         self.events = []
+        # The longest delay of the stand-ins' and callers' own event loop.
+        self.max_loop_delay_s = 0.0
         self.version = 1
         self._folder = tempfile.TemporaryDirectory(prefix="plantainhitch-soak-")
         folder = Path(self._folder.name)
@@ -378,7 +382,17 @@
             for at_s, text in sorted(events)
         )
 
+    async def _watch_loop(self):
+        while True:
+            due_s = time.monotonic() + LOOP_CHECK_INTERVAL_S
+            await asyncio.sleep(LOOP_CHECK_INTERVAL_S)
+            delay_s = time.monotonic() - due_s
+            self.max_loop_delay_s = max(self.max_loop_delay_s, delay_s)
+            if delay_s > REPORTED_LOOP_DELAY_S:
+                self.add_event(f"the world's own event loop was {delay_s:.2f} s late")
+
     async def __aenter__(self):
+        self._tasks.append(asyncio.create_task(self._watch_loop()))
         self.configure()
         store = await self._serve(self.store)
         seeds = [entry.address(4) for entry in self.entries]
