Take no order that was not sent for an answer of a refusing endpoint

The result of a start that could not be sent, or was withdrawn, carries no clock and ended the refusal: the endpoint was ready again, and its lease was recorded as renewed. An answer has a clock. The test fails without the change.

--- a/plantainhitch/coordination/runs/run_controller.py
+++ b/plantainhitch/coordination/runs/run_controller.py
@@ -592,7 +592,8 @@
     # Internal methods
 
     def _record_answer(self, clock_ms, fence):
-        if self._fence.is_valid(fence):
+        """Record the result of an order; without a clock it is none of the endpoint."""
+        if clock_ms and self._fence.is_valid(fence):
             self._endpoint_answered(clock_ms)
 
     def _endpoint_answered(self, clock_ms):
--- a/tests/test_run_controller.py
+++ b/tests/test_run_controller.py
@@ -852,6 +852,17 @@
         self.controller.connection_refused()
         self.assertEqual(2, self.controller.crash_count)
 
+    def test_a_start_that_was_not_sent_is_no_answer(self):
+        # Guards against a renewal that is recorded for an endpoint that still refuses.
+        for reason in (Rejection.UNREACHABLE, Rejection.WITHDRAWN):
+            start = run_start(f"{reason.value}.0.0.0")
+            self.send_orders(start)
+            self.controller.connection_refused()
+            self.controller.handle_start_result(start.key, Rejected(reason))
+            self.assertFalse(self.controller.is_ready)
+            self.assertIsNone(self.controller.renew_lease())
+            self.deliver_inventory([self.run_start.key])
+
     def test_it_gets_no_new_run(self):
         self.controller.connection_refused()
         refused = run_start("other.0.0.0")
