--- a/plantainhitch/coordination/runs/endpoint_lease.py
+++ b/plantainhitch/coordination/runs/endpoint_lease.py
@@ -72,10 +72,15 @@
         is_answered = self.is_expired and self._last_answer_ms > self.end_ms
         return is_answered and not self.is_suspect
 
+    @property
+    def may_have_runs(self):
+        """Whether less than ``LOSS_MARGIN_MS`` have passed since its certain expiry."""
+        return self._clock.now_ms() <= self.end_ms + LOSS_MARGIN_MS
+
     @property
     def is_lost(self):
         """Whether ``LOSS_MARGIN_MS`` have passed since expiry without an answer."""
-        is_due = self._is_expired_at(self._clock.now_ms() - LOSS_MARGIN_MS)
+        is_due = self.is_expired and not self.may_have_runs
         return is_due and not self.has_answered_since_expiry
 
     def renew(self, limit_ms):
--- a/plantainhitch/coordination/runs/run_controller.py
+++ b/plantainhitch/coordination/runs/run_controller.py
@@ -856,13 +856,13 @@
 
         The runs that it has begun have ended then, unless it answers: its inventories
         tell when they have. One whose start was not answered may begin as soon as the
-        lease is renewed. An endpoint that has refused connections until then has ended.
+        lease is renewed.
         """
         if self._lease.has_answered_since_expiry:
             for run in self._runs.values():
                 if run.phase in (Phase.STARTING, Phase.RUNNING):
                     self._stop_run(run, "the lease has expired")
-        elif self._is_refusing and self._clock.now_ms() > self._lease.end_ms:
+        elif self._is_refusing and not self._lease.may_have_runs:
             self._endpoint_ended(
                 "connections refused for longer than the lease",
                 self._runs_that_may_begin_later(),
