--- a/plantainhitch/commands/deployed.py
+++ b/plantainhitch/commands/deployed.py
@@ -37,7 +37,10 @@
     gc.enable()
     clock = Clock()
     process = role(deployment, member, clock, lifecycle.StopSignals.install)
-    return uvloop.run(_profile(process, clock) if is_profiled else process)
+    try:
+        return uvloop.run(_profile(process, clock) if is_profiled else process)
+    finally:
+        logs.flush_events()
 
 
 async def _profile(process, clock):
--- a/plantainhitch/coordination/jobs/agent_connections.py
+++ b/plantainhitch/coordination/jobs/agent_connections.py
@@ -67,6 +67,7 @@
         while True:
             await self._clock.sleep_ms(UPDATE_INTERVAL_MS)
             self.update()
+            self._events.flush_if_due()
 
     def _select(self):
         region = self._own_member.region
--- a/plantainhitch/coordination/runs/agent_node.py
+++ b/plantainhitch/coordination/runs/agent_node.py
@@ -260,6 +260,7 @@
                     controller.owners.link_closed(incarnation)
             case TimerTicked():
                 incarnations_with_runs = {run.owner for run in controller.runs.values()}
+                self._events.flush_if_due()
                 self._record_echoes(incarnations_with_runs)
                 controller.owners.remove_expired(incarnations_with_runs)
 
--- a/plantainhitch/coordination/runs/lifetime_check.py
+++ b/plantainhitch/coordination/runs/lifetime_check.py
@@ -61,6 +61,7 @@
 
     def begin(self, report):
         """Check the lifetime of an ``EndpointReport``, unless that is under way."""
+        self._events.flush_if_due()
         known = self._reports.get(report.lifetime)
         if known is None or known.sequence <= report.sequence:
             self._reports[report.lifetime] = report
--- a/plantainhitch/logs.py
+++ b/plantainhitch/logs.py
@@ -8,11 +8,15 @@
 import logging
 import os
 import sys
+import weakref
 
 import logbook
 import logbook.compat
 import msgspec
 
+# All event logs of the process that are in use.
+_event_logs = weakref.WeakSet()
+
 LEVELS = ("debug", "info", "notice", "warning", "error", "critical")
 
 
@@ -78,6 +82,12 @@
     return logbook.Logger(name)
 
 
+def flush_events():
+    """Write the batches of all event logs; to be called at the end of the process."""
+    for event_log in list(_event_logs):
+        event_log.flush()
+
+
 class EventLog:
     """Writes events to a logger, in a limited number of lines a second.
 
@@ -106,6 +116,7 @@
         # By level, event and field names: the time in ms and the values of each event.
         self._batches = {}
         self._batches_due_ms = 0
+        _event_logs.add(self)
 
     def write(self, event, **fields):
         """Write ``event``, at once or in a batch, or count it as left out."""
--- a/tests/test_logs.py
+++ b/tests/test_logs.py
@@ -123,6 +123,15 @@
         self.assertEqual(-3, batch["rows"][-1][1])
         self.assertEqual(logs.MAX_BATCH_ROWS + 1, len(batch["rows"]))
 
+    def test_the_end_of_the_process_writes_what_waits_in_batches(self):
+        """Its last decisions must not be missing after an ordinary stop."""
+        with logbook.TestHandler().applicationbound() as handler:
+            events = logs.EventLog(logs.get_logger("x"), ManualClock(), per_second=0)
+            events.write("last")
+            self.assertEqual([], handler.records)
+            logs.flush_events()
+            self.assertEqual(["last"], [record.message for record in handler.records])
+
     def test_the_volume_of_a_flood_is_bounded(self):
         """Neither lines nor memory may grow with the number of events."""
 
