--- a/plantainhitch/coordination/runs/run_controller.py
+++ b/plantainhitch/coordination/runs/run_controller.py
@@ -8,7 +8,6 @@
 endpoint has accepted its stop, or any order with a higher fence than that of its start.
 """
 
-import math
 from collections import Counter
 
 from ... import logs
@@ -33,6 +32,7 @@
 from .owners import Owners
 from .recent_ends import RecentEnds
 from .run import Phase, Run, StartOrder, StopOrder, may_be_at_endpoint
+from .run_log import RunLog
 from .waiting_starts import WaitingStarts
 from .warm_up import WarmUp
 
@@ -44,8 +44,6 @@
 # Progress is listed in whole percent, so that of a long run rises rarely. A run is not
 # stalled before the time in which it should have risen by this much.
 STALL_PERCENT = 5
-# The most tasks that the log line of a crash names.
-MAX_LOGGED_TASKS = 100
 # The interval between checks of leases and wait deadlines, the shortest of which is
 # 30 ms.
 CHECK_INTERVAL_MS = 20
@@ -75,7 +73,7 @@
         self._lease = EndpointLease(clock, lease_times)
         self._fence = Fence(first_fence)
         self._owners = Owners(clock, lease_times)
-        self._events = logs.EventLog(log, clock)
+        self._run_log = RunLog(clock, self._owners, self._lease, lease_times)
         self._runs = {}
         self._waiting_starts = WaitingStarts(self._runs)
         self._used_room = Room()
@@ -323,15 +321,7 @@
             return
         self._record_end_of_lifetime("nothing listens at the endpoint")
         self._is_refusing = True
-        self._events.write_unusual(
-            "endpoint refuses connections",
-            tasks=[
-                run.start.key.task
-                for run in self._runs.values()
-                if may_be_at_endpoint(run)
-            ][:MAX_LOGGED_TASKS],
-            **self._lease_fields(),
-        )
+        self._run_log.connection_refused(self._runs.values())
         self._refuse_waiting_starts("the endpoint refuses connections")
 
     def _record_end_of_lifetime(self, reason):
@@ -360,14 +350,7 @@
         if crash.runs:
             self._crashed_lifetime = crash.lifetime
             self._owners.record_crash(crash)
-        log.warning(
-            "endpoint crashed",
-            endpoint=crash.endpoint_id,
-            born_ms=crash.born_ms,
-            why=reason,
-            runs=len(crash.runs),
-            tasks=[run.task for run in crash.runs[:MAX_LOGGED_TASKS]],
-        )
+        self._run_log.endpoint_crashed(crash, reason)
 
     def _declare_endpoint_lost(self, reason, uncertain):
         """End all runs at the endpoint as lost, except those in ``uncertain``.
@@ -531,9 +514,7 @@
         has listed no unknown run.
         """
         if inventory.born_ms and inventory.born_ms != self._endpoint.born_ms:
-            self._events.write(
-                "inventory of another lifetime ignored", born_ms=inventory.born_ms
-            )
+            self._run_log.inventory_ignored(inventory)
             return
         self._endpoint_answered(inventory.clock_ms)
         self._last_inventory_ms = self._clock.now_ms()
@@ -544,7 +525,7 @@
                 self._last_end_number = ended.number
                 self._record_end(ended)
         self._record_progress(inventory.running, inventory.clock_ms)
-        self._report_late_runs(inventory)
+        self._run_log.check_lease(inventory, self._runs)
         running_keys = {listed.key for listed in inventory.running}
         is_valid = self._fence.is_valid(fence)
         for key, run in list(self._runs.items()):
@@ -572,7 +553,7 @@
         To be called after all events received so far were handled. Each order is
         returned once: a ``StartOrder`` or a ``StopOrder``.
         """
-        self._events.flush_if_due()
+        self._run_log.flush_if_due()
         now_ms = self._clock.now_ms()
         if not any(map(may_be_at_endpoint, self._runs.values())):
             self._lease.discard_if_expired()
@@ -600,7 +581,7 @@
         self._lease.record_answer(clock_ms)
         if self._is_refusing:
             self._is_refusing = False
-            log.warning("endpoint answers again", runs=len(self._runs))
+            self._run_log.endpoint_answers_again(self._runs)
 
     def _handle_start(self, incarnation, start, echo_ms):
         key = start.key
@@ -611,12 +592,7 @@
             # stale start is that of the entry where the job was before.
             run = self._runs[key]
             if run.owner != incarnation:
-                self._events.write_unusual(
-                    "run ordered by another entry",
-                    **self._owner_fields(run),
-                    new_owner=incarnation.hex(),
-                    is_stale=is_stale,
-                )
+                self._run_log.ordered_by_other_owner(run, incarnation, is_stale)
             if not is_stale:
                 run.owner = incarnation
             return
@@ -726,12 +702,7 @@
                 self._finish(run.start.key, End.NOT_STARTED, reason)
             case Phase.STARTING | Phase.RUNNING:
                 run.phase = Phase.STOPPING
-                self._events.write_unusual(
-                    "run being stopped",
-                    **self._owner_fields(run),
-                    why=reason,
-                    **self._lease_fields(),
-                )
+                self._run_log.being_stopped(run, reason)
                 self._order_stop(run)
 
     def _unlisted_runs(self):
@@ -791,12 +762,7 @@
     def _record_end(self, ended):
         run = self._runs.get(ended.key)
         if run is None:
-            self._events.write_unusual(
-                "end of an unknown run",
-                task=ended.key.task,
-                run=ended.key.run,
-                end=ended.end.name,
-            )
+            self._run_log.unknown_run_ended(ended)
             return
         self._finish(ended.key, ended.end, run.stop_reason, ended.checkpoint)
 
@@ -887,53 +853,6 @@
             if run.phase is Phase.WAITING:
                 self._finish(key, End.NOT_STARTED, reason)
 
-    def _report_late_runs(self, inventory):
-        """Log the runs that an inventory lists although its lease has ended."""
-        if not self._is_past_lease(inventory):
-            return
-        for listed in inventory.running:
-            run = self._runs.get(listed.key)
-            if run is not None:
-                self._events.warn(
-                    "run listed after its lease",
-                    **self._owner_fields(run),
-                    late_ms=inventory.clock_ms - self._lease.expiry_clock_ms,
-                    **self._lease_fields(),
-                )
-
-    def _is_past_lease(self, inventory):
-        """Return whether the endpoint's clock is past its lease in an inventory."""
-        expiry_clock_ms = self._lease.expiry_clock_ms
-        return (
-            expiry_clock_ms is not None
-            and inventory.clock_ms > expiry_clock_ms + self._lease_times.lapse_ms
-            and self._clock.now_ms() > self._lease.end_ms
-        )
-
-    def _owner_fields(self, run):
-        """Return the log fields of a run, its owner and the owner's last contact."""
-        contact_ms = self._owners.last_contact_ms(run.owner)
-        is_known = contact_ms > -math.inf
-        return {
-            "task": run.start.key.task,
-            "run": run.start.key.run,
-            "owner": run.owner.hex(),
-            "owner_heard_ms_ago": (
-                self._clock.now_ms() - contact_ms if is_known else None
-            ),
-        }
-
-    def _lease_fields(self):
-        """Return the log fields of the endpoint's lease, relative to now."""
-        now_ms, renewed_ms = self._clock.now_ms(), self._lease.renewed_ms
-        is_known = self._lease.end_ms > -math.inf
-        return {
-            "renewed_ms_ago": None if renewed_ms is None else now_ms - renewed_ms,
-            "lease_ends_in_ms": round(self._lease.end_ms - now_ms)
-            if is_known
-            else None,
-        }
-
     def _finish(self, key, end, reason="", checkpoint=""):
         run = self._runs.pop(key)
         self._isolated_count -= run.start.is_isolated
@@ -948,15 +867,4 @@
         self._recent_ends.add(run_end)
         self._owners.get_or_create(run.owner).unsent_ends.append(run_end)
         if end is not End.DONE or run.stop_reason:
-            is_ordinary = not may_be_at_endpoint(run)
-            write = self._events.write if is_ordinary else self._events.write_unusual
-            write(
-                "run ended",
-                **self._owner_fields(run),
-                **self._lease_fields(),
-                end=end.name,
-                why=reason,
-                percent=run.percent,
-                run_ms=run_ms,
-                free_millis=self.free_room.cpu_millis,
-            )
+            self._run_log.ended(run, run_end, self.free_room.cpu_millis)
