Withdraw the report of a crash when the endpoint answers again

What callers may see: a sound job that is answered as failed, as one that crashes its endpoints.

Change: the report is made at once, as before, since floods are contained too late otherwise, and withdrawn by one of the same lifetime without runs.

The new tests name what did not exist before, so they could not run there.

--- a/plantainhitch/coordination/runs/owners.py
+++ b/plantainhitch/coordination/runs/owners.py
@@ -109,6 +109,23 @@
             if owner.is_linked:
                 owner.unsent_crashes.append(noticed)
 
+    def withdraw_crash(self, crash):
+        """Report that a crash that was recorded has not happened.
+
+        A report without runs withdraws the one of its lifetime, see ``CrashHistory``.
+        """
+        noticed = self._clock.now_ms(), replace(crash, runs=())
+        self._recent_crashes = collections.deque(
+            (
+                noticed if kept.lifetime == crash.lifetime else (kept_ms, kept)
+                for kept_ms, kept in self._recent_crashes
+            ),
+            maxlen=MAX_KEPT_CRASHES,
+        )
+        for owner in self._owners.values():
+            if owner.is_linked:
+                owner.unsent_crashes.append(noticed)
+
     def link_resynced(self, incarnation, echo_ms):
         """Renew the lease by the echo of a resync, and by the frames after it.
 
--- a/plantainhitch/run_metrics.py
+++ b/plantainhitch/run_metrics.py
@@ -14,6 +14,7 @@
     text.gauges("runs", "phase", phases)
     text.counters("run_ends_total", "end", controller.end_counts)
     text.counter("endpoint_crashes_total", controller.crash_count)
+    text.counter("endpoint_refusals_total", controller.refusal_count)
     text.counter("late_runs_total", controller.late_run_count)
     text.gauge("ready", int(controller.is_ready))
     text.gauge("zone_evacuated", int(controller.is_evacuated))
--- a/plantainhitch/state/crashes.py
+++ b/plantainhitch/state/crashes.py
@@ -38,6 +38,7 @@
 class EndpointCrash:
     """The end of one lifetime of an endpoint without notice.
 
+    Without ``runs`` it withdraws the report of that lifetime.
     ``endpoint_id`` and ``born_ms`` identify the lifetime, and ``age_ms`` is how long
     ago its end was noticed when the crash was reported.
     """
@@ -69,7 +70,14 @@
         self._single_job_counts = {}
 
     def record(self, crash):
-        """Record an ``EndpointCrash``; return False if it was known."""
+        """Record an ``EndpointCrash``; return False if it was known.
+
+        One without runs withdraws that of its lifetime: the endpoint is at work.
+        """
+        if not crash.runs:
+            if (withdrawn := self._crashes.pop(crash.lifetime, None)) is not None:
+                self._add(withdrawn, -1)
+            return False
         if crash.lifetime in self._crashes:
             return False
         self._crashes[crash.lifetime] = crash
--- a/tests/test_crash_proofs.py
+++ b/tests/test_crash_proofs.py
@@ -48,6 +48,16 @@
         self.assertTrue(self.history.needs_isolation("a.0.0.0"))
         self.assertFalse(self.history.is_proven("a.0.0.0"))
 
+    def test_a_crash_without_runs_withdraws_that_of_its_lifetime(self):
+        # Guards against proofs by endpoints that only refused connections.
+        for number in (1, 2):
+            self.history.record(crash(number, "a.0.0.0"))
+            self.assertFalse(self.history.record(crash(number)))
+            self.assertFalse(self.history.record(crash(number)))
+        self.assertEqual(0, self.history.count("a.0.0.0"))
+        self.assertFalse(self.history.is_proven("a.0.0.0"))
+        self.assertTrue(self.history.record(crash(2, "a.0.0.0")))
+
     def test_one_crash_proves_nothing(self):
         self.history.record(crash(1, "a.0.0.0"))
         self.assertFalse(self.history.is_proven("a.0.0.0"))
