Draw no conclusion from an end that a full list may leave out

An endpoint lists 500 ends at a time. A run whose stop it had accepted, and which the list named neither as running nor as ended, was reported as lost; its end, also as done, could be among the later ones. The test fails without the change.

--- a/plantainhitch/coordination/runs/run_controller.py
+++ b/plantainhitch/coordination/runs/run_controller.py
@@ -528,7 +528,7 @@
         running_keys = {listed.key for listed in inventory.running}
         is_valid = self._fence.is_valid(fence)
         for key, run in list(self._runs.items()):
-            if key not in running_keys:
+            if key not in running_keys and not inventory.has_more_ends:
                 self._check_absent_run(key, run, inventory.clock_ms, fence)
         unknown_keys = [key for key in running_keys if key not in self._runs]
         if is_valid:
--- a/plantainhitch/platform/endpoint.py
+++ b/plantainhitch/platform/endpoint.py
@@ -33,6 +33,8 @@
 IDLE_LIMIT_MS = 600_000
 # A connection within one machine is established in well under a millisecond.
 CONNECT_TIMEOUT_S = 0.3
+# An endpoint lists at most so many ends at a time.
+MAX_LISTED_ENDS = 500
 _HEARTBEAT_STATES = {"ready": False, "draining": True}
 _ENDS = {
     "done": End.DONE,
@@ -263,6 +265,7 @@
             )
             for row in model.finished
         ),
+        has_more_ends=len(model.finished) >= MAX_LISTED_ENDS,
     )
 
 
--- a/plantainhitch/state/endpoints.py
+++ b/plantainhitch/state/endpoints.py
@@ -86,12 +86,16 @@
 
 @dataclass(frozen=True, slots=True)
 class Inventory:
-    """All runs in progress at an endpoint, and the ends not yet acknowledged."""
+    """All runs in progress at an endpoint, and the ends not yet acknowledged.
+
+    With ``has_more_ends`` the later ones of these are left out.
+    """
 
     clock_ms: int
     born_ms: int
     running: tuple[ActiveRun, ...]
     ended: tuple[EndedRun, ...]
+    has_more_ends: bool = False
 
 
 class Rejection(enum.Enum):
--- a/tests/test_odd_input.py
+++ b/tests/test_odd_input.py
@@ -19,7 +19,7 @@
 )
 from plantainhitch.json_input import decode_json
 from plantainhitch.platform import configuration, jobs
-from plantainhitch.platform.endpoint import EndpointClient
+from plantainhitch.platform.endpoint import MAX_LISTED_ENDS, EndpointClient
 from plantainhitch.platform.job_app import DEFAULT_CALLER_TIMEOUT_MS, _caller_timeout_ms
 from plantainhitch.platform.store import RowStore
 from plantainhitch.protocol import messages as m
@@ -280,6 +280,13 @@
         found = await self.inventory(msgspec.json.encode(INVENTORY))
         self.assertEqual(expected, found)
 
+    async def test_a_full_list_of_ends_may_have_more(self):
+        for count in (MAX_LISTED_ENDS - 1, MAX_LISTED_ENDS):
+            rows = [[number + 1, *ENDED_ROW[1:]] for number in range(count)]
+            body = msgspec.json.encode(INVENTORY | {"finished": rows})
+            found = await self.inventory(body)
+            self.assertEqual(count == MAX_LISTED_ENDS, found.has_more_ends)
+
     async def test_odd_bodies_of_accepted_orders(self):
         # The status says that the order was carried out; the clock is not known then.
         for what, body in odd_documents({"clock_ms": 5}):
--- a/tests/test_run_controller.py
+++ b/tests/test_run_controller.py
@@ -984,6 +984,20 @@
         self.controller.handle_inventory(self.older)
         self.assertEqual({}, self.reported_ends())
 
+    def test_a_stopped_run_may_be_among_ends_that_are_left_out(self):
+        # Guards against a run that was done and is reported as lost.
+        key = self.run_start.key
+        self.send_orders(stops=[key])
+        self.controller.handle_stop_result(key, Accepted(self.clock.now_ms()))
+        self.clock.advance(50)
+        others = [EndedRun(1, RunKey("other.0.0.0", 1), End.DONE, "")]
+        inventory = Inventory(self.clock.now_ms(), 1, (), tuple(others), True)
+        self.controller.handle_inventory(inventory)
+        self.assertEqual({}, self.reported_ends())
+        self.clock.advance(50)
+        self.deliver_inventory(ended=[EndedRun(2, key, End.DONE, "")])
+        self.assertEqual({key: End.DONE}, self.reported_ends())
+
     def test_a_run_that_newer_inventories_do_not_list_is_lost(self):
         self.pass_time(LEASE_MS + 50, [], [OWNER])
         self.assertEqual({self.run_start.key: End.LOST}, self.reported_ends())
