--- a/plantainhitch/coordination/runs/agent_node.py
+++ b/plantainhitch/coordination/runs/agent_node.py
@@ -11,35 +11,29 @@
 from ... import logs
 from ...protocol import messages as m
 from ...state.endpoints import (
-    Accepted,
     EndpointReport,
     Inventory,
     NoAnswer,
-    OrderResult,
     Rejected,
     Rejection,
 )
 from ...state.evacuations import EvacuatedZones
-from ...state.jobs import RunKey
 from ...transport import links
 from ..agent_links import exchange_hellos
-from ..background import run_until_first_completed, spawn
+from ..background import run_until_first_completed
 from ..inbox import Inbox
+from .endpoint_session import (
+    EndpointSession,
+    InventoryResultReceived,
+    StartResultReceived,
+    StopResultReceived,
+)
 from .lifetime_check import FenceRejected, LifetimeCheck, LifetimeConfirmed
 from .report_pacer import ReportPacer
-from .run import StartOrder, StopOrder
 
 TICK_INTERVAL_MS = 50
 # The interval while the endpoint has no runs.
 IDLE_TICK_INTERVAL_MS = 200
-# The time for which an inventory waits for an end while there are runs: no end is known
-# before the next inventory if the answer of this one is lost.
-INVENTORY_WAIT_MS = 100
-# The time without runs. It is a third of the endpoint's lease, so that one lost answer
-# does not let the lease expire.
-IDLE_INVENTORY_WAIT_MS = 250
-# The delay between inventories while the endpoint does not answer.
-INVENTORY_RETRY_DELAY_MS = 50
 # An agent sends heartbeats on all links, so that entries place runs only at agents that
 # are alive. An entry answers them where it has runs, which renews its lease; on other
 # links nothing depends on it, and it sends few frames.
@@ -85,33 +79,6 @@
     envelope: m.Envelope
 
 
-@dataclass(frozen=True, slots=True)
-class StartResultReceived:
-    """The call that orders a start returned; ``result`` may be ``NoAnswer``."""
-
-    key: RunKey
-    result: OrderResult
-    fence: int
-
-
-@dataclass(frozen=True, slots=True)
-class StopResultReceived:
-    """The call that orders a stop returned; ``result`` may be ``NoAnswer``."""
-
-    key: RunKey
-    result: OrderResult
-    fence: int
-
-
-@dataclass(frozen=True, slots=True)
-class InventoryResultReceived:
-    """The call for an inventory of a lifetime, (endpoint id, born_ms), returned."""
-
-    endpoint: tuple[str, int]
-    result: Inventory | OrderResult
-    fence: int
-
-
 @dataclass(frozen=True, slots=True)
 class TimerTicked:
     """A tick interval has passed."""
@@ -136,9 +103,7 @@
         )
         # The present link of each owner, see ``_add_link``.
         self._links = {}
-        self._endpoint_client = None
-        self._lease_task = None
-        self._tasks = set()
+        self._session = EndpointSession(clock, controller, self._inbox)
         self._last_status = None
         self._report_pacer = ReportPacer(clock)
         self._events = logs.EventLog(log, clock)
@@ -189,15 +154,14 @@
             self._post_ticks(),
             self._drain_after_stop(stop),
         )
-        await run_until_first_completed(coroutines, self._tasks)
+        await run_until_first_completed(coroutines, self._session.tasks)
 
     async def aclose(self):
         """Close all links and the connections to the endpoint."""
         self._lifetime_check.close()
         for link in self._links.values():
             link.close("agent is closing")
-        if self._endpoint_client is not None:
-            self._endpoint_client.close()
+        self._session.close()
 
     def status(self):
         """Return the numbers of runs and links, for the log."""
@@ -214,9 +178,9 @@
             if self._controller.runs:
                 self._busy_event.set()
             for order in self._controller.next_orders():
-                spawn(self._send_order(order), self._tasks)
+                self._session.send(order)
             if self._controller.take_inventory_request():
-                spawn(self._request_inventory(), self._tasks)
+                self._session.request_inventory()
             self._send_new_reports()
 
     def _record_echoes(self, incarnations):
@@ -327,7 +291,7 @@
             client.close()  # it was confirmed twice
             return
         self._on_report(report)
-        self._start_lease_renewal(report, client)
+        self._session.begin(report, client)
 
     def _handle_inventory_result(self, endpoint, result, fence):
         current = self._controller.endpoint
@@ -343,75 +307,6 @@
             case NoAnswer():
                 self._controller.inventory_not_answered(fence)
 
-    def _start_lease_renewal(self, report, client):
-        """Renew the lease of a new lifetime of the endpoint from now on."""
-        if self._lease_task is not None:
-            self._lease_task.cancel()
-        self._endpoint_client = client
-        self._lease_task = spawn(self._renew_lease(report, client), self._tasks)
-
-    async def _renew_lease(self, report, endpoint_client):
-        """Renew the endpoint's lease and post its inventories, until cancelled."""
-        lifetime = report.lifetime
-        wait_ms = 0
-        with contextlib.closing(endpoint_client):
-            while True:
-                controller = self._controller
-                fence = controller.fence
-                result = await endpoint_client.inventory(
-                    fence,
-                    controller.last_end_number,
-                    controller.renew_lease(),
-                    wait_ms,
-                )
-                self._inbox.post(InventoryResultReceived(lifetime, result, fence))
-                if isinstance(result, Inventory):
-                    await asyncio.sleep(0)  # let the controller handle it first
-                    wait_ms = (
-                        INVENTORY_WAIT_MS if controller.runs else IDLE_INVENTORY_WAIT_MS
-                    )
-                else:
-                    wait_ms = 0
-                    await self._clock.sleep_ms(INVENTORY_RETRY_DELAY_MS)
-
-    async def _request_inventory(self):
-        """Request an inventory besides the one that waits for an end."""
-        controller = self._controller
-        endpoint = controller.endpoint
-        if endpoint is None or self._endpoint_client is None:
-            return
-        fence = controller.fence
-        result = await self._endpoint_client.inventory(
-            fence, controller.last_end_number, None, 0
-        )
-        self._inbox.post(InventoryResultReceived(endpoint.lifetime, result, fence))
-
-    async def _send_order(self, order):
-        controller = self._controller
-        fence = controller.fence
-        match order:
-            case StartOrder(start) if not controller.may_send_start(start.key):
-                result = Rejected(Rejection.WITHDRAWN)
-                self._inbox.post(StartResultReceived(start.key, result, fence))
-            case StartOrder(start):
-                controller.record_start_sent(start.key, fence)
-                result = await self._endpoint_client.start(
-                    start.key,
-                    start.payload,
-                    controller.renew_lease() or 0,
-                    fence,
-                    start.checkpoint,
-                )
-                received = StartResultReceived(start.key, result, fence)
-                if isinstance(result, Accepted):
-                    # Nothing is to be decided until the next event.
-                    self._inbox.post_without_waking(received)
-                else:
-                    self._inbox.post(received)
-            case StopOrder(key):
-                result = await self._endpoint_client.stop(key, fence)
-                self._inbox.post(StopResultReceived(key, result, fence))
-
     def _send_new_reports(self):
         """Send a changed status to all owners, and reports to those due for one.
 
--- a/tests/fleet_sim.py
+++ b/tests/fleet_sim.py
@@ -14,7 +14,7 @@
 from plantainhitch.coordination.jobs.agent_subset import AgentSubset
 from plantainhitch.coordination.jobs.outcomes import Ended, JobState
 from plantainhitch.coordination.jobs.scheduler import Scheduler
-from plantainhitch.coordination.runs.agent_node import INVENTORY_WAIT_MS
+from plantainhitch.coordination.runs.endpoint_session import INVENTORY_WAIT_MS
 from plantainhitch.coordination.runs.report_pacer import ReportPacer
 from plantainhitch.coordination.runs.run import StartOrder, StopOrder
 from plantainhitch.coordination.runs.run_controller import RunController
--- a/tests/test_agent_node.py
+++ b/tests/test_endpoint_session.py
@@ -4,7 +4,12 @@
 import unittest
 
 from plantainhitch.clock import ManualClock
-from plantainhitch.coordination.runs import agent_node
+from plantainhitch.coordination.inbox import Inbox
+from plantainhitch.coordination.runs.endpoint_session import (
+    IDLE_INVENTORY_WAIT_MS,
+    INVENTORY_WAIT_MS,
+    EndpointSession,
+)
 from plantainhitch.coordination.runs.run_controller import RunController
 from plantainhitch.protocol import messages as m
 from plantainhitch.state.endpoints import EndpointReport, Inventory
@@ -41,18 +46,18 @@
         self.clock = ManualClock(10_000)
         self.controller = RunController(self.clock, LEASE_TIMES, first_fence=1)
         self.client = InventoryClient()
-        hello = m.Hello(m.ROLE_AGENT, b"agent", "agent")
-        self.node = agent_node.RunAgentNode(
-            hello, self.clock, self.controller, lambda endpoint_id: self.client
-        )
+        session = EndpointSession(self.clock, self.controller, Inbox())
         report = EndpointReport("e-1", 1, 1, "pool", False, CAPACITY)
         self.controller.handle_heartbeat(report)
         self.controller.handle_inventory(Inventory(1, 1, (), ()))
-        self.task = asyncio.create_task(self.node._renew_lease(report, self.client))
+        session.begin(report, self.client)
+        self.tasks = session.tasks
 
     async def asyncTearDown(self):
-        self.task.cancel()
-        await asyncio.gather(self.task, return_exceptions=True)
+        tasks = list(self.tasks)
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
 
     async def next_wait_ms(self):
         """Return the wait of the inventory after the next."""
@@ -62,7 +67,7 @@
         return self.client.waits_ms[-1]
 
     async def test_an_idle_agent_asks_rarely(self):
-        self.assertEqual(agent_node.IDLE_INVENTORY_WAIT_MS, await self.next_wait_ms())
+        self.assertEqual(IDLE_INVENTORY_WAIT_MS, await self.next_wait_ms())
 
     async def test_an_agent_with_runs_asks_often(self):
         # No end is known before the next inventory if the answer of one is lost.
@@ -70,8 +75,8 @@
         start = m.RunStart(RunKey("job.0.0.0", 1), "", Room(1, 1, 0), 100, 100)
         orders = m.RunOrders(1, [start], is_resync=True)
         self.controller.handle_orders(OWNER, orders, self.clock.now_ms())
-        self.assertEqual(agent_node.INVENTORY_WAIT_MS, await self.next_wait_ms())
-        self.assertLess(agent_node.INVENTORY_WAIT_MS, 150)
+        self.assertEqual(INVENTORY_WAIT_MS, await self.next_wait_ms())
+        self.assertLess(INVENTORY_WAIT_MS, 150)
 
 
 if __name__ == "__main__":
--- a/tests/test_unexpected_errors.py
+++ b/tests/test_unexpected_errors.py
@@ -115,7 +115,7 @@
         self.node = agent_node.RunAgentNode(
             hello, self.clock, self.controller, lambda endpoint_id: self.client
         )
-        self.node._endpoint_client = self.client
+        self.node._session._client = self.client
 
     async def test_an_error_in_an_event_leaves_the_agent_running(self):
         task = asyncio.create_task(self.node._process_events())
@@ -129,7 +129,9 @@
     async def test_a_start_decided_before_a_pause_is_not_sent_after_it(self):
         # The owner's lease has run out meanwhile; it is unknown here after that.
         start = m.RunStart(RunKey("job.0.0.0", 1), "", Room(1, 1, 0))
-        await self.node._send_order(StartOrder(start))
+        session = self.node._session
+        session.send(StartOrder(start))
+        await asyncio.gather(*session.tasks)
         self.assertEqual([], self.client.started)
 
 
