Move the passes over waiting jobs out of the scheduler

No change of behaviour. The scheduler accepts and ends jobs and handles the events of agents; PlacementPasses decides in which order jobs are placed.

--- a/plantainhitch/coordination/jobs/scheduler.py
+++ b/plantainhitch/coordination/jobs/scheduler.py
@@ -5,7 +5,6 @@
 expected to have room. The agent decides whether a start is accepted.
 """
 
-import math
 import random
 
 from ... import logs
@@ -17,19 +16,17 @@
 from .demand import Demand
 from .fleet import Fleet
 from .job import Job
-from .job_admission import SHORTAGE_REASON, Cause, JobAdmission
+from .job_admission import SHORTAGE_REASON, JobAdmission
 from .job_registry import JobRegistry
 from .outcomes import Ended, GaveUp, JobState, NeverRan
 from .pending_orders import PendingOrders
 from .placement import AGENT_WAIT_MS, ISOLATION_WAIT_MS, Placement
+from .placement_passes import PlacementPasses
 from .retry_slots import NO_ENDPOINT_RETRY_MS, RetrySlots
 
 # Interval of the checks of agents' leases and callers' deadlines; callers wait for
 # hundreds of ms.
 CHECK_INTERVAL_MS = 20
-# Interval of the passes over all waiting jobs: below the age of what is known of the
-# agents' free room.
-FULL_PASS_INTERVAL_MS = 8
 # The most tasks that a log line of an agent names.
 MAX_LOGGED_TASKS = 100
 
@@ -74,17 +71,23 @@
         )
         self._retry_slots = RetrySlots(clock)
         self._checked_ms = 0
-        self._full_pass_ms = 0
-        # Jobs with tasks that became ready after the last pass; a dict without values.
-        self._newly_ready = {}
-        # Rank and due time of the first job that the last full pass left waiting.
-        self._first_waiting = (math.inf, 0.0)
         self._jobs = self._registry.jobs
         self._orders = PendingOrders()
         self._demand = Demand(clock)
         self._containment = Containment(clock, self._fleet, self._demand)
         self._admission = JobAdmission(self._events, self._demand, self._fleet)
         self._placement = Placement(clock, self._fleet, self._demand)
+        self._passes = PlacementPasses(
+            clock,
+            self._jobs,
+            section_of=self._containment.section,
+            placement=self._placement,
+            demand=self._demand,
+            admission=self._admission,
+            retry_slots=self._retry_slots,
+            order_start=self._order_start,
+            cancel_job=self._cancel_job,
+        )
 
     @property
     def fleet(self):
@@ -161,7 +164,7 @@
             self._registry.refuse(job, outcome, on_end)
             return
         self._registry.add(job, on_end)
-        self._newly_ready[job] = None
+        self._passes.add_ready(job)
         self._contain(job)
 
     def detach_caller(self, job_id, on_end, reason):
@@ -223,7 +226,7 @@
         """
         self._events.flush_if_due()
         self._check_deadlines()
-        self._place_tasks()
+        self._passes.run()
         messages = self._orders.take_messages()
         if self._demand.begin_report_if_due():
             messages.extend(self._load_messages())
@@ -375,7 +378,7 @@
                 self._record_run_time(agent, task, end)
                 self._fleet.record_success(agent)
                 job.mark_done(task)
-                self._newly_ready[job] = None
+                self._passes.add_ready(job)
                 if job.is_done:
                     self._finish_job(job, Ended(JobState.COMPLETED))
                 return
@@ -398,7 +401,7 @@
 
     def _mark_ready(self, task):
         task.job.mark_ready(task)
-        self._newly_ready[task.job] = None
+        self._passes.add_ready(task.job)
 
     def _record_run_time(self, agent, task, end):
         """Update the speed estimates, without the factor for remote data."""
@@ -457,78 +460,9 @@
                 self._orders.add_stop(agent, task.key)
 
     def _finish_job(self, job, outcome):
-        self._newly_ready.pop(job, None)
+        self._passes.discard(job)
         self._registry.finish(job, outcome)
 
-    def _place_tasks(self):
-        """Start the tasks that find room, in the order of the jobs' ranks.
-
-        Between full passes, only jobs with newly ready tasks are considered.
-        """
-        now_ms = self._clock.now_ms()
-        is_full_pass = now_ms - self._full_pass_ms >= FULL_PASS_INTERVAL_MS
-        if is_full_pass:
-            self._full_pass_ms = now_ms
-        jobs = self._jobs.values() if is_full_pass else self._newly_ready
-        waiting = [job for job in jobs if job.has_ready_tasks]
-        self._newly_ready = {}
-        if not waiting:
-            if is_full_pass:
-                self._record_waiting([])
-            return
-        placement = self._placement
-        rounds = {}
-        ranked = [(placement.rank(job), job.due_ms, job) for job in waiting]
-        for rank, due_ms, job in sorted(ranked, key=lambda item: item[:2]):
-            if not is_full_pass and (rank, due_ms) > self._first_waiting:
-                continue  # more urgent work found no room in the last full pass
-            if not job.has_started and placement.is_too_late(job):
-                self._cancel_job(job, "too late to be of use")
-                continue
-            key = job.route.pool, self._containment.section(job)
-            if key not in rounds:
-                rounds[key] = placement.begin_round(*key)
-            self._place_job(job, rank, rounds[key], is_full_pass)
-        if is_full_pass:
-            self._record_waiting(ranked)
-
-    def _record_waiting(self, ranked):
-        """Record the work of the jobs that wait and have not started, by queue."""
-        waiting = {}
-        self._first_waiting = (math.inf, 0.0)
-        for rank, due_ms, job in ranked:
-            if not job.has_started and job.job_id in self._jobs:
-                self._first_waiting = min(self._first_waiting, (rank, due_ms))
-                name = job.route.name
-                waiting[name] = waiting.get(name, 0.0) + job.work_core_ms
-                if not job.is_delayed:
-                    job.is_delayed = True
-                    self._admission.count(job, Cause.DELAYED)
-        self._demand.record_waiting(waiting)
-
-    def _place_job(self, job, rank, placement_round, is_full_pass):
-        is_late = self._placement.is_demoted(job)
-        for task, candidate in placement_round.select(job, rank):
-            self._order_start(task, candidate, is_late)
-        if job.has_started or not is_full_pass:
-            return  # only a full pass knows the work ahead of a job
-        if placement_round.is_infeasible(job):
-            for task, candidate in placement_round.select_late(job):
-                self._order_start(task, candidate, is_late=True)
-            if not job.has_started:
-                wait_ms = placement_round.service_time_ms(
-                    job, placement_round.work_ahead
-                )
-                self._admission.refused_waiting(job, wait_ms)
-                retry_after_s = self._retry_slots.reserve(
-                    job.route.name,
-                    wait_ms,
-                    placement_round.service_time_ms(job, job.work_core_ms),
-                )
-                self._cancel_job(job, "too much is waiting", retry_after_s)
-        else:
-            placement_round.work_ahead += job.work_core_ms
-
     def _order_start(self, task, candidate, is_late):
         agent, now_ms = candidate.agent, self._clock.now_ms()
         due_in_ms = round(task.job.due_ms - now_ms)
