--- a/plantainhitch/coordination/jobs/scheduler.py
+++ b/plantainhitch/coordination/jobs/scheduler.py
@@ -17,6 +17,7 @@
 from .fleet import Fleet
 from .job import Job
 from .job_admission import SHORTAGE_REASON, JobAdmission
+from .job_log import JobLog
 from .job_registry import JobRegistry
 from .outcomes import Ended, GaveUp, JobState, NeverRan
 from .pending_orders import PendingOrders
@@ -27,8 +28,6 @@
 # Interval of the checks of agents' leases and callers' deadlines; callers wait for
 # hundreds of ms.
 CHECK_INTERVAL_MS = 20
-# The most tasks that a log line of an agent names.
-MAX_LOGGED_TASKS = 100
 
 log = logs.get_logger("jobs")
 
@@ -55,10 +54,10 @@
     ):
         self._clock = clock
         self._evacuations = evacuations or no_evacuations(clock)
-        self._events = logs.EventLog(log, clock)
+        self._job_log = JobLog(clock)
         self._registry = JobRegistry(
             clock,
-            self._events,
+            self._job_log.events,
             on_outcome or (lambda queue, outcome, took_ms: None),
         )
         self._fleet = Fleet(
@@ -75,7 +74,7 @@
         self._orders = PendingOrders()
         self._demand = Demand(clock)
         self._containment = Containment(clock, self._fleet, self._demand)
-        self._admission = JobAdmission(self._events, self._demand, self._fleet)
+        self._admission = JobAdmission(self._job_log.events, self._demand, self._fleet)
         self._placement = Placement(clock, self._fleet, self._demand)
         self._passes = PlacementPasses(
             clock,
@@ -145,14 +144,8 @@
             fields = {}
             if reason == ALL_EVACUATED_REASON:
                 fields["zones"] = sorted(self._evacuations.zones)
-            self._events.write(
-                "job refused",
-                job=spec.job_id,
-                queue=route.name,
-                why=reason,
-                agents_usable=len(self._fleet.usable_agents(route.pool)),
-                **fields,
-            )
+            usable_agents = len(self._fleet.usable_agents(route.pool))
+            self._job_log.job_refused(job, reason, usable_agents, **fields)
             retry_after_s = self._retry_slots.reserve(
                 route.name, NO_ENDPOINT_RETRY_MS, 0
             )
@@ -183,7 +176,7 @@
     def agent_linked(self, hello, link):
         """Handle a new link to an agent: the next orders name all its runs."""
         agent = self._fleet.add_link(hello, link)
-        log.info("agent linked", agent=agent.name, runs=len(agent.tasks))
+        self._job_log.agent_linked(agent)
         self._orders.add_resync(agent)
 
     def agent_unlinked(self, incarnation, link):
@@ -191,14 +184,14 @@
         agent = self._fleet.get(incarnation)
         if agent is not None and agent.link is link:
             self._fleet.remove_link(agent)
-            log.warning("agent unlinked", **self._runs_at(agent))
+            self._job_log.agent_unlinked(agent)
 
     def agent_presumed_dead(self, incarnation):
         """Record that an agent's address refuses connections, or is another's now."""
         agent = self._fleet.get(incarnation)
         if agent is not None and not agent.is_presumed_dead:
             agent.is_presumed_dead = True
-            log.warning("agent presumed dead", **self._runs_at(agent))
+            self._job_log.agent_presumed_dead(agent)
 
     def handle_agent_message(self, incarnation, message):
         """Handle a status, a report or the total queue loads from an agent."""
@@ -224,7 +217,7 @@
 
         They are pairs of an ``AgentView`` and a message.
         """
-        self._events.flush_if_due()
+        self._job_log.flush_if_due()
         self._check_deadlines()
         self._passes.run()
         messages = self._orders.take_messages()
@@ -234,31 +227,6 @@
 
     # Internals
 
-    def _heard_ms_ago(self, agent):
-        heard_ms = agent.last_contact_ms
-        if agent.link is not None:
-            heard_ms = max(heard_ms, agent.link.last_received_ms)
-        return self._clock.now_ms() - heard_ms
-
-    def _runs_at(self, agent):
-        """Return the log fields of an agent's runs and of its last sign of life."""
-        return {
-            "agent": agent.name,
-            "runs": len(agent.tasks),
-            "heard_ms_ago": self._heard_ms_ago(agent),
-            "tasks": list(agent.tasks)[:MAX_LOGGED_TASKS],
-        }
-
-    def _log_given_up(self, task, agent, reason):
-        self._events.write_unusual(
-            "run given up",
-            task=task.name,
-            run=task.run_number,
-            agent=agent.name,
-            why=reason,
-            heard_ms_ago=self._heard_ms_ago(agent),
-        )
-
     def _load_messages(self):
         """Yield the messages that report this entry's queue loads to each agent."""
         linked = [agent for agent in self._fleet.agents.values() if agent.is_ready]
@@ -305,9 +273,9 @@
         """
         tasks = list(agent.tasks.values())
         if tasks:
-            log.warning("runs lost", **self._runs_at(agent), why=why)
+            self._job_log.runs_lost(agent, why)
         for task in tasks:
-            self._log_given_up(task, agent, why)
+            self._job_log.run_given_up(task, agent, why)
             self._requeue(task, agent)
         for task in tasks:
             self._run_lost(task)
@@ -358,20 +326,8 @@
         job = task.job
         job.has_run = job.has_run or end.end is not End.NOT_STARTED
         if end.end is not End.DONE:
-            is_ordinary = end.end is End.NOT_STARTED
-            write = self._events.write if is_ordinary else self._events.write_unusual
-            write(
-                "run not completed",
-                task=task.name,
-                run=task.run_number,
-                agent=agent.name,
-                end=end.end.name,
-                why=end.reason,
-                run_ms=end.run_ms,
-                failures=task.failures,
-                lost_runs=task.lost_runs,
-                crashes=self._containment.crash_count(task),
-            )
+            crash_count = self._containment.crash_count(task)
+            self._job_log.run_not_completed(task, agent, end, crash_count)
         agent.remove_task(task)
         match end.end:
             case End.DONE:
@@ -455,7 +411,7 @@
         for task in job.placed_tasks():
             agent = self._fleet.get(task.agent)
             if agent is not None:
-                self._log_given_up(task, agent, reason)
+                self._job_log.run_given_up(task, agent, reason)
                 agent.remove_task(task)
                 self._orders.add_stop(agent, task.key)
 
@@ -464,25 +420,14 @@
         self._registry.finish(job, outcome)
 
     def _order_start(self, task, candidate, is_late):
-        agent, now_ms = candidate.agent, self._clock.now_ms()
-        due_in_ms = round(task.job.due_ms - now_ms)
+        agent = candidate.agent
+        due_in_ms = round(task.job.due_ms - self._clock.now_ms())
         task.job.mark_placed(task, agent.incarnation)
         agent.add_task(task)
         agent.unreported_orders.append(
             (agent.last_order_number + 1, task.step_spec.room)
         )
-        is_ordinary = task.run_number == 1
-        write = self._events.write if is_ordinary else self._events.write_unusual
-        write(
-            "run placed",
-            task=task.name,
-            run=task.run_number,
-            agent=agent.name,
-            heard_ms_ago=now_ms - agent.last_contact_ms,
-            expected_wait_ms=candidate.wait_ms,
-            expected_run_ms=round(candidate.run_ms),
-            due_in_ms=due_in_ms,
-        )
+        self._job_log.run_placed(task, candidate, due_in_ms)
         self._orders.add_start(
             agent,
             m.RunStart(
--- a/plantainhitch/coordination/runs/recent_ends.py
+++ b/plantainhitch/coordination/runs/recent_ends.py
@@ -8,14 +8,11 @@
 from collections import OrderedDict
 from dataclasses import dataclass
 
-from ... import logs
 from ...protocol import messages as m
 
 # The number of ends that are kept.
 MAX_KEPT_ENDS = 2_000
 
-log = logs.get_logger("runs")
-
 
 @dataclass(slots=True)
 class _RecentEnd:
@@ -31,10 +28,14 @@
 
 
 class RecentEnds:
-    """The last ``max_ends`` ends by the key of their runs."""
+    """The last ``max_ends`` ends by the key of their runs.
+
+    ``run_log`` is the ``RunLog``.
+    """
 
-    def __init__(self, clock, max_ends=MAX_KEPT_ENDS):
+    def __init__(self, clock, run_log, max_ends=MAX_KEPT_ENDS):
         self._clock = clock
+        self._run_log = run_log
         self._max_ends = max_ends
         self._ends = OrderedDict()
         # The lifetime and the clock of the newest inventory.
@@ -80,11 +81,5 @@
             if lifetime != listed_lifetime or clock_ms > listed_clock_ms:
                 recent.is_late = True
                 self._late_count += 1
-                log.warning(
-                    "run at work after its end",
-                    task=key.task,
-                    run=key.run,
-                    end=recent.run_end.end.name,
-                    why=recent.run_end.reason,
-                    late_ms=self._clock.now_ms() - recent.decided_ms,
-                )
+                late_ms = self._clock.now_ms() - recent.decided_ms
+                self._run_log.at_work_after_end(recent.run_end, late_ms)
--- a/plantainhitch/coordination/runs/run_controller.py
+++ b/plantainhitch/coordination/runs/run_controller.py
@@ -85,7 +85,7 @@
         # The processor of the start that was received last.
         self._last_start_millis = 0
         self._last_check_ms = 0
-        self._recent_ends = RecentEnds(clock)
+        self._recent_ends = RecentEnds(clock, self._run_log)
         self._end_counts = Counter()
         self._refusal_count = 0
         self._endpoint = None
@@ -458,7 +458,7 @@
                 # Only the answer was lost: the endpoint has listed the run as running.
                 run.phase = Phase.RUNNING
             case NoAnswer():
-                log.warning("start not answered", task=key.task, run=key.run)
+                self._run_log.start_not_answered(run)
                 self._stop_unconfirmed(run)
             case Rejected(Rejection.NOT_LISTENING):
                 self._finish(key, End.NOT_STARTED, "not_listening")
--- a/plantainhitch/coordination/runs/run_log.py
+++ b/plantainhitch/coordination/runs/run_log.py
@@ -68,6 +68,12 @@
             is_stale=is_stale,
         )
 
+    def start_not_answered(self, run):
+        """Write that the endpoint may or may not have begun a run."""
+        self._events.warn(
+            "start not answered", **self._owner_fields(run), **self._lease_fields()
+        )
+
     def being_stopped(self, run, reason):
         """Write that the stop of a run at the endpoint is ordered."""
         self._events.write_unusual(
@@ -101,6 +107,17 @@
             free_millis=free_millis,
         )
 
+    def at_work_after_end(self, run_end, late_ms):
+        """Warn of a run that the endpoint lists as running after its ``RunEnd``."""
+        self._events.warn(
+            "run at work after its end",
+            task=run_end.key.task,
+            run=run_end.key.run,
+            end=run_end.end.name,
+            why=run_end.reason,
+            late_ms=late_ms,
+        )
+
     def check_lease(self, inventory, runs):
         """Warn of the runs that an ``Inventory`` lists although its lease has ended.
 
--- a/plantainhitch/explain.py
+++ b/plantainhitch/explain.py
@@ -81,7 +81,7 @@
     def from_lines(cls, job, lines):
         """Return the explanation of ``job`` from the lines of all logs."""
         job_lines = sorted(
-            (line for line in _expand(lines, job) if _concerns(line, job)),
+            (line for line in _expand(lines) if _concerns(line, job)),
             key=lambda line: line.time,
         )
         explanation = cls(job, job_lines)
@@ -119,8 +119,8 @@
     return lines, unreadable
 
 
-def _expand(lines, job):
-    """Yield the lines, and for one that is a batch the rows that name the job."""
+def _expand(lines):
+    """Yield the lines, and for one that is a batch each of its rows."""
     for line in lines:
         if "rows" not in line.fields:
             yield line
@@ -130,14 +130,13 @@
             fields = _Fields(zip(columns, row, strict=True))
             age = timedelta(milliseconds=fields.pop("ms_ago"))
             time = datetime.fromisoformat(line.time) - age
-            if _names_job(fields, job):
-                yield LogLine(
-                    time.isoformat(timespec="milliseconds"),
-                    line.source,
-                    line.event,
-                    fields,
-                    line.incarnation,
-                )
+            yield LogLine(
+                time.isoformat(timespec="milliseconds"),
+                line.source,
+                line.event,
+                fields,
+                line.incarnation,
+            )
 
 
 def _names_job(fields, job):
--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -166,6 +166,22 @@
         self.assertIn("10:54:53.818 entry-1 placed run 1 on agent-2, last heard", out)
         self.assertNotIn("ff.0.0.0", out)
 
+    def test_a_batch_of_lost_agents_is_read_as_well(self):
+        """Many agents lost at once must not hide which of them had the job's runs."""
+        columns = ["ms_ago", "agent", "runs", "heard_ms_ago", "tasks"]
+        rows = [
+            [5, "agent-1", 1, 40, ["ff.0.0.0"]],
+            [4, "agent-2", 1, 41, [PLACED["task"]]],
+        ]
+        batch = {key: PLACED[key] for key in ENVELOPE} | {
+            "message": "agent unlinked",
+            "columns": columns,
+            "rows": rows,
+        }
+        _, out, _ = self.run_command(JOB, self.write("entry.log", PLACED, batch))
+        self.assertIn("agent unlinked, agent-2, last heard from 41 ms before", out)
+        self.assertNotIn("agent-1", out)
+
     def test_who_ordered_a_run_and_why_it_was_given_up(self):
         """Both sides of a second run: the entry's reason and the agent's lease."""
         given_up = {
--- a/tests/test_run_controller.py
+++ b/tests/test_run_controller.py
@@ -4,10 +4,10 @@
 import random
 import unittest
 from dataclasses import replace
-from unittest import mock
+
+import logbook
 
 from plantainhitch.clock import ManualClock
-from plantainhitch.coordination.runs import recent_ends
 from plantainhitch.coordination.runs.crash_suspects import CRASH_DELAY_MS
 from plantainhitch.coordination.runs.endpoint_lease import (
     LOSS_MARGIN_MS,
@@ -1014,25 +1014,24 @@
         self.run_start = run_start()
         self.start_runs(self.run_start)
 
-    def assert_warns(self, logged, late_ms):
-        (fields,) = [
-            call.kwargs
-            for call in logged.warning.call_args_list
-            if call.args == ("run at work after its end",)
-        ]
+    def assert_warns(self, handler, late_ms):
+        event = "run at work after its end"
+        (record,) = [r for r in handler.records if r.message == event]
+        self.assertEqual(logbook.WARNING, record.level)
+        key, fields = self.run_start.key, record.kwargs
         self.assertEqual(
-            (self.run_start.key.task, self.run_start.key.run, late_ms),
+            (key.task, key.run, late_ms),
             (fields["task"], fields["run"], fields["late_ms"]),
         )
 
     def test_a_run_at_work_after_the_lease_is_logged_and_counted_once(self):
         self.let_lease_end()
         self.assertEqual({self.run_start.key: End.LOST}, self.reported_ends())
-        with mock.patch.object(recent_ends, "log") as logged:
+        with logbook.TestHandler().applicationbound() as handler:
             self.clock.advance(30)
             self.deliver_inventory([self.run_start.key])
             self.deliver_inventory([self.run_start.key])
-        self.assert_warns(logged, late_ms=30)
+        self.assert_warns(handler, late_ms=30)
         self.assertEqual(1, self.controller.late_run_count)
         self.assertIn(StopOrder(self.run_start.key), self.controller.next_orders())
 
