--- a/plantainhitch/coordination/runs/run_controller.py
+++ b/plantainhitch/coordination/runs/run_controller.py
@@ -33,6 +33,7 @@
 from .recent_ends import RecentEnds
 from .run import Phase, Run, StartOrder, StopOrder, may_be_at_endpoint
 from .run_log import RunLog
+from .run_table import RunTable
 from .waiting_starts import WaitingStarts
 from .warm_up import WarmUp
 
@@ -74,11 +75,8 @@
         self._fence = Fence(first_fence)
         self._owners = Owners(clock, lease_times)
         self._run_log = RunLog(clock, self._owners, self._lease, lease_times)
-        self._runs = {}
+        self._runs = RunTable()
         self._waiting_starts = WaitingStarts(self._runs)
-        self._used_room = Room()
-        # How many of the runs need isolation.
-        self._isolated_count = 0
         self._crashes = CrashReports(clock, self._owners, self._run_log)
         self._performance = EndpointPerformance(clock)
         self._warm_up = WarmUp(clock, warm_up_limits)
@@ -182,13 +180,13 @@
     def _is_present(self):
         """Whether the present lifetime has been reached and was not lost since."""
         return self._is_reconciled or not all(
-            run.is_of_earlier_lifetime for run in self._runs_at_endpoint()
+            run.is_of_earlier_lifetime for run in self._runs.at_endpoint()
         )
 
     @property
     def _has_overdue_runs(self):
         """Whether runs may be at the endpoint although its lease has expired."""
-        return self._lease.is_expired and bool(self._runs_at_endpoint())
+        return self._lease.is_expired and bool(self._runs.at_endpoint())
 
     @property
     def is_evacuated(self):
@@ -198,7 +196,7 @@
     @property
     def used_room(self):
         """The ``Room`` of all runs that are, or may be, at the endpoint."""
-        return self._used_room
+        return self._runs.used_room
 
     @property
     def free_room(self):
@@ -206,7 +204,7 @@
 
         There is none while a run needs isolation, and less while the endpoint is cold.
         """
-        if self._endpoint is None or self._isolated_count:
+        if self._endpoint is None or self._runs.has_isolated:
             return Room()
         return self._usable_capacity() - self.used_room
 
@@ -263,7 +261,7 @@
         """Return the present ``Forecast`` of the endpoint."""
         runs, now_ms = self._runs.values(), self._clock.now_ms()
         ranks = self._waiting_starts.ranks
-        if self._isolated_count and self._endpoint is not None:
+        if self._runs.has_isolated and self._endpoint is not None:
             capacity_millis = self._endpoint.capacity.cpu_millis
             return Forecast.from_isolated_runs(runs, capacity_millis, ranks, now_ms)
         return Forecast.from_runs(runs, self.free_room, ranks, now_ms)
@@ -292,7 +290,7 @@
             is_same_id = (
                 previous is not None and previous.endpoint_id == report.endpoint_id
             )
-            unlisted = self._unlisted_runs() if is_same_id else []
+            unlisted = self._runs.unlisted() if is_same_id else []
             self._endpoint_ended("a new lifetime of the endpoint", unlisted)
             self._is_refusing = False
             if is_same_id:
@@ -331,7 +329,7 @@
         self._refusal_count += 1
         self._run_log.connection_refused(self._runs.values())
         if self._is_end_unexpected():
-            self._crashes.record_refusal(self._endpoint, self._runs_at_endpoint())
+            self._crashes.record_refusal(self._endpoint, self._runs.at_endpoint())
         self._refuse_waiting_starts("the endpoint refuses connections")
 
     def _endpoint_ended(self, reason, uncertain):
@@ -340,7 +338,7 @@
         The runs in ``uncertain`` may begin in its next lifetime.
         """
         if self._is_end_unexpected():
-            self._crashes.record_end(self._endpoint, self._runs_at_endpoint(), reason)
+            self._crashes.record_end(self._endpoint, self._runs.at_endpoint(), reason)
         for run in uncertain:
             run.is_of_earlier_lifetime = True
         self._declare_endpoint_lost(reason, uncertain)
@@ -349,9 +347,6 @@
         """Return whether the endpoint's end was neither announced nor noticed yet."""
         return self._is_present and not self._endpoint.draining
 
-    def _runs_at_endpoint(self):
-        return list(filter(may_be_at_endpoint, self._runs.values()))
-
     def _declare_endpoint_lost(self, reason, uncertain):
         """End all runs at the endpoint as lost, except those in ``uncertain``.
 
@@ -426,7 +421,7 @@
         process may be the next to die. Without a run there it isn't renewed at all, so
         that it is not too long for the next one.
         """
-        runs_at_endpoint = self._runs_at_endpoint()
+        runs_at_endpoint = self._runs.at_endpoint()
         is_renewable = self._is_reconciled and not self._is_refusing
         if not is_renewable or not runs_at_endpoint:
             return None
@@ -554,7 +549,7 @@
         """
         self._run_log.flush_if_due()
         now_ms = self._clock.now_ms()
-        if not any(map(may_be_at_endpoint, self._runs.values())):
+        if not self._runs.at_endpoint():
             self._lease.discard_if_expired()
         if now_ms - self._last_check_ms >= CHECK_INTERVAL_MS:
             self._last_check_ms = now_ms
@@ -564,7 +559,7 @@
             self._stop_stalled_runs(now_ms)
         if self.is_ready:
             capacity = self._usable_capacity()
-            for run in self._waiting_starts.select(capacity, self._used_room):
+            for run in self._waiting_starts.select(capacity, self.used_room):
                 self._begin_or_refuse(run, now_ms)
         orders, self._orders = self._orders, []
         return orders
@@ -601,9 +596,8 @@
             return
         now_ms = self._clock.now_ms()
         run = Run(incarnation, start, now_ms + start.wait_ms, now_ms + start.slack_ms)
-        self._runs[key] = run
+        self._runs.add(run)
         self._last_start_millis = start.room.cpu_millis
-        self._isolated_count += start.is_isolated
         if is_stale:
             self._finish(key, End.NOT_STARTED, "stale order")
             return
@@ -617,14 +611,10 @@
         Only an owner's own run numbers compare. A start of one that is older than
         another of its runs was delayed, for example on a link that it has replaced.
         """
-        key = new_run.start.key
-        others = [
-            other
-            for other in self._runs.values()
-            if other.start.key.task == key.task and other is not new_run
-        ]
+        others = self._runs.others_of_task(new_run)
         for other in others:
-            if other.owner == new_run.owner and other.start.key.run > key.run:
+            is_newer = other.start.key.run > new_run.start.key.run
+            if other.owner == new_run.owner and is_newer:
                 return "older than another run of the task"
         for other in others:
             self._stop_run(other, "a newer run of the task")
@@ -640,7 +630,7 @@
             return "too large"
         if run.start.is_isolated:
             return ""  # waits for the endpoint to become empty
-        if self._isolated_count and Isolation(self._runs.values()).excludes(run):
+        if self._runs.has_isolated and Isolation(self._runs.values()).excludes(run):
             return "reserved for a run that needs isolation"
         is_room_expected = self._waiting_starts.is_room_expected(run, self.forecast())
         return "" if is_room_expected else "no room soon"
@@ -657,7 +647,7 @@
         run.phase = Phase.STARTING
         run.started_ms = now_ms
         run.start_fence = self._fence.value
-        self._used_room += run.start.room
+        self._runs.take_room(run)
         self.renew_lease()  # for the order to start it
         self._orders.append(StartOrder(run.start))
 
@@ -705,21 +695,6 @@
                 self._run_log.being_stopped(run, reason)
                 self._order_stop(run)
 
-    def _unlisted_runs(self):
-        """Return the started runs that no inventory has listed as running yet.
-
-        An endpoint that restarts under the same id accepts orders that were sent to
-        its previous lifetime, so these runs may be running in the new one.
-        """
-        return [
-            run
-            for run in self._runs.values()
-            if may_be_at_endpoint(run) and not run.is_listed
-        ]
-
-    def _runs_that_may_begin_later(self):
-        return [run for run in self._runs.values() if run.may_begin_later]
-
     def _stop_unconfirmed(self, run):
         """Order the stop of a run that may or may not be at the endpoint.
 
@@ -777,7 +752,7 @@
         )
         if limit_millis >= capacity.cpu_millis:
             return capacity
-        limit_millis = max(limit_millis, self._used_room.cpu_millis)
+        limit_millis = max(limit_millis, self.used_room.cpu_millis)
         return Room(limit_millis, capacity.memory_mb, capacity.gpus)
 
     def _record_progress(self, running, clock_ms):
@@ -832,11 +807,11 @@
             if self._is_present and not self._lease.may_have_runs:
                 self._endpoint_ended(
                     "connections refused for longer than the lease",
-                    self._runs_that_may_begin_later(),
+                    self._runs.may_begin_later(),
                 )
         elif self._lease.is_lost:
             self._declare_endpoint_lost(
-                "no answer for longer than the lease", self._runs_that_may_begin_later()
+                "no answer for longer than the lease", self._runs.may_begin_later()
             )
 
     def _expire_runs(self, now_ms):
@@ -855,10 +830,8 @@
                 self._finish(key, End.NOT_STARTED, reason)
 
     def _finish(self, key, end, reason="", checkpoint=""):
-        run = self._runs.pop(key)
-        self._isolated_count -= run.start.is_isolated
+        run = self._runs.remove(key)
         if may_be_at_endpoint(run):
-            self._used_room -= run.start.room
             self._performance.record_end(run, end, reason)
             if end is not End.DONE:
                 self._crashes.run_stopped(run)
