--- a/review/stage.py
+++ b/review/stage.py
@@ -451,7 +451,9 @@
 class Stage:
     """Entries, agents, minions and the store; use it in ``async with``."""
 
-    def __init__(self, record_path, entries=2, labels=(("a", "r1"),) * 3, **options):
+    def __init__(
+        self, record_path, entries=2, labels=(("a", "r1"),) * 3, kind=Minion, **options
+    ):
         self.record = Record(record_path)
         self.runs = []
         self._temporary = tempfile.TemporaryDirectory(prefix="stage-")
@@ -460,8 +462,8 @@
         hosts = (f"{block}.{number}" for number in itertools.count(1))
         self.store = RowsStandIn()
         self.minions = [
-            Minion(self, f"i-{number}", list(kind), **options)
-            for number, kind in enumerate(labels)
+            kind(self, f"i-{number}", list(names), **options)
+            for number, names in enumerate(labels)
         ]
         self.entries = [
             Node(self, "entry", f"entry-{number}", next(hosts))
@@ -558,6 +560,23 @@
     }
 
 
+def overlaps(runs):
+    """Return a text for each pair of consecutive runs of a task that overlap."""
+    found, last = [], {}
+    for run in runs:
+        before = last.get(run.task)
+        if before is not None and (
+            before.ended_s is None or before.ended_s > run.began_s
+        ):
+            found.append(
+                f"{run.task}: run {before.number} at {before.minion} from "
+                f"{before.began_s:.3f}, run {run.number} at {run.minion} from "
+                f"{run.began_s:.3f} to {run.ended_s}"
+            )
+        last[run.task] = run
+    return found
+
+
 def run_case(main):
     """Run ``main()`` and exit with 0 if the rule held, 1 if not, and 2 without it.
 
