--- a/review/9/case.py
+++ b/review/9/case.py
@@ -12,11 +12,12 @@
 
 IS_TROUBLED = os.environ.get("TROUBLE", "1") != "0"
 WORK_MS = 200
-JOB_INTERVAL_S = 0.05
-TRAFFIC_S = 12.0
+JOB_INTERVAL_S = 0.04
+TASKS = 4
+TRAFFIC_S = 14.0
 # When each of the minions of kind a starts again, in s after the traffic.
-CRASHES_S = (2.0, 6.0)
-KINDS = (["a", "r1"], ["a", "r1"], ["a", "r1"], ["b", "r1"])
+CRASHES_S = (2.0, 5.0, 8.0, 11.0)
+KINDS = (*[["a", "r1"]] * 7, ["b", "r1"])
 IS_PROMPT = os.environ.get("PROMPT") == "1"
 
 
@@ -37,7 +38,7 @@
 
 async def submit_jobs(stage):
     """Submit jobs for minions of kind a, to each entry in turn, and await them."""
-    step = {"count": 1, "cpu": 1_000, "mem_mb": 64, "est_runtime_ms": WORK_MS}
+    step = {"count": TASKS, "cpu": 1_000, "mem_mb": 64, "est_runtime_ms": WORK_MS}
     step |= {"constraints": "a"}
     jobs = []
     for number in range(int(TRAFFIC_S / JOB_INTERVAL_S)):
@@ -48,7 +49,7 @@
 
 
 async def crash_in_turn(stage):
-    """Let two minions of kind a crash and start again as kind b."""
+    """Let four minions of kind a crash and start again as kind b."""
     began_s = stage.record.now_s()
     for minion, crash_s in zip(stage.minions, CRASHES_S, strict=False):
         await asyncio.sleep(began_s + crash_s - stage.record.now_s())
