--- a/plantainhitch/commands/deployed_agent.py
+++ b/plantainhitch/commands/deployed_agent.py
@@ -48,7 +48,7 @@
         hello,
         clock,
         controller,
-        lambda endpoint_id: EndpointClient(deployment.endpoint, clock, endpoint_id),
+        lambda lifetime: EndpointClient(deployment.endpoint, clock, lifetime),
         endpoint_record.update,
     )
     heartbeats = HeartbeatApp(deployment.pool, node.on_heartbeat, node.on_leave)
--- a/plantainhitch/coordination/jobs/scheduler.py
+++ b/plantainhitch/coordination/jobs/scheduler.py
@@ -442,5 +442,6 @@
                 is_late=is_late,
                 is_isolated=task.job.is_isolated,
                 size_ms=self._placement.size_ms(task, agent),
+                born_ms=agent.status.born_ms,
             ),
         )
--- a/plantainhitch/coordination/runs/agent_node.py
+++ b/plantainhitch/coordination/runs/agent_node.py
@@ -87,7 +87,7 @@
 class RunAgentNode:
     """One agent process of a deployment, without its listeners.
 
-    ``connect_endpoint(endpoint_id)`` returns the client of an endpoint, see
+    ``connect_endpoint(lifetime)`` returns the client of an endpoint's lifetime, see
     ``EndpointClient``. ``on_report(EndpointReport)`` is called for each heartbeat of
     the present lifetime of the endpoint.
     """
@@ -279,8 +279,7 @@
 
         Runs are not given up for a heartbeat, see docs/design/heartbeats.md.
         """
-        current = self._controller.endpoint
-        if current is None or report.lifetime != current.lifetime:
+        if not self._controller.is_present_lifetime(report.lifetime):
             self._lifetime_check.begin(report)
             return
         self._controller.handle_heartbeat(report)
@@ -302,6 +301,8 @@
                 self._controller.handle_inventory(result, fence)
             case Rejected(Rejection.NOT_LISTENING):
                 self._controller.connection_refused(fence)
+            case Rejected(Rejection.OTHER_LIFETIME, born_ms=born_ms):
+                self._controller.answered_as_other_lifetime(born_ms, fence)
             case Rejected(Rejection.FENCE):
                 self._controller.fence_rejected(fence)
             case NoAnswer():
--- a/plantainhitch/coordination/runs/lifetime_check.py
+++ b/plantainhitch/coordination/runs/lifetime_check.py
@@ -44,7 +44,7 @@
 class LifetimeCheck:
     """The lifetimes that heartbeats have named and that have not answered yet.
 
-    ``connect_endpoint(endpoint_id)`` returns an ``EndpointClient``, ``fence()`` the
+    ``connect_endpoint(lifetime)`` returns an ``EndpointClient``, ``fence()`` the
     present fence. ``post(event)`` takes a ``LifetimeConfirmed`` or ``FenceRejected``.
     """
 
@@ -80,7 +80,7 @@
 
     async def _check(self, report):
         lifetime = report.lifetime
-        client = self._connect_endpoint(report.endpoint_id)
+        client = self._connect_endpoint(lifetime)
         is_confirmed = False
         try:
             async with asyncio.timeout(CHECK_TIMEOUT_MS / 1_000):
@@ -104,8 +104,8 @@
                     if born_ms != report.born_ms:
                         self._log_denial(report, answered_born_ms=born_ms)
                     return born_ms == report.born_ms
-                case Rejected(Rejection.OTHER_LIFETIME):
-                    self._log_denial(report)
+                case Rejected(Rejection.OTHER_LIFETIME, born_ms=born_ms):
+                    self._log_denial(report, answered_born_ms=born_ms or None)
                     return False
                 case Rejected(Rejection.FENCE):
                     self._post(FenceRejected(fence))
--- a/plantainhitch/coordination/runs/run_controller.py
+++ b/plantainhitch/coordination/runs/run_controller.py
@@ -52,6 +52,8 @@
 MAX_INVENTORY_AGE_MS = 100
 # The reason of a start that could go on for too long under the endpoint's lease.
 OLD_CONTACT_REASON = "the owner's contact is too old"
+# The reason of a start that was placed by the labels and capacity of another lifetime.
+OTHER_LIFETIME_REASON = "placed for another lifetime of the endpoint"
 
 log = logs.get_logger("runs")
 
@@ -89,6 +91,8 @@
         self._endpoint = None
         # Whether its address has refused connections since its last answer.
         self._is_refusing = False
+        # Whether the endpoint has answered as a lifetime other than that of its report.
+        self._is_superseded = False
         self._is_reconciled = False
         self._last_end_number = 0
         self._last_inventory_ms = 0
@@ -208,6 +212,12 @@
             return Room()
         return self._usable_capacity() - self.used_room
 
+    def is_present_lifetime(self, lifetime):
+        """Return whether a pair (endpoint id, born_ms) is the present lifetime."""
+        endpoint = self._endpoint
+        is_known = endpoint is not None and not self._is_superseded
+        return is_known and endpoint.lifetime == lifetime
+
     def status(self):
         """Return the present ``EndpointStatus``."""
         endpoint = self._endpoint
@@ -283,19 +293,17 @@
         is_late = previous is not None and report.born_ms < previous.born_ms
         if is_late and not is_confirmed:
             return False
-        is_new_lifetime = previous is None or report.lifetime != previous.lifetime
+        is_same_lifetime = previous is not None and report.lifetime == previous.lifetime
+        # A lifetime that seemed to be over begins anew if it answers after all.
+        is_new_lifetime = not is_same_lifetime or (self._is_superseded and is_confirmed)
         if not is_new_lifetime and report.sequence < previous.sequence:
             return False
         if is_new_lifetime:
             is_same_id = (
                 previous is not None and previous.endpoint_id == report.endpoint_id
             )
-            unlisted = self._runs.unlisted() if is_same_id else []
-            self._endpoint_ended("a new lifetime of the endpoint", unlisted)
-            self._is_refusing = False
-            if is_same_id:
-                # It accepts a late order with a lease that was sent before.
-                self._lease.record_renewal()
+            self._lifetime_ended("a new lifetime of the endpoint", is_same_id)
+            self._is_refusing = self._is_superseded = False
             log.info(
                 "new endpoint lifetime",
                 endpoint=report.endpoint_id,
@@ -332,6 +340,35 @@
             self._crashes.record_refusal(self._endpoint, self._runs.at_endpoint())
         self._refuse_waiting_starts("the endpoint refuses connections")
 
+    def answered_as_other_lifetime(self, born_ms, fence=None):
+        """Handle an answer of the endpoint as another lifetime than the present one.
+
+        ``born_ms`` is the birth that it gave, 0 if it has another id. ``fence`` is that
+        of the order that it answered, by default the present one.
+
+        The present lifetime is over, and nothing is known yet of the kind and capacity
+        of the next: it gets no starts before its heartbeat.
+        """
+        if self._is_superseded or not self._fence.is_valid(fence):
+            return
+        reason = "the endpoint answers as another lifetime"
+        log.warning(
+            reason, endpoint=self._endpoint.endpoint_id, answered_born_ms=born_ms
+        )
+        self._lifetime_ended(reason, is_same_id=bool(born_ms))
+        self._is_superseded = True
+
+    def _lifetime_ended(self, reason, is_same_id):
+        """Handle the end of the present lifetime, known from another one.
+
+        If that has the same id, it may carry out late orders.
+        """
+        unlisted = self._runs.unlisted() if is_same_id else []
+        self._endpoint_ended(reason, unlisted)
+        if is_same_id:
+            # It accepts a late order with a lease that was sent before.
+            self._lease.record_renewal()
+
     def _endpoint_ended(self, reason, uncertain):
         """Handle the end of the present lifetime of the endpoint.
 
@@ -458,8 +495,9 @@
             case Rejected(Rejection.NOT_LISTENING):
                 self._finish(key, End.NOT_STARTED, "not_listening")
                 self.connection_refused(fence)
-            case Rejected(Rejection.OTHER_LIFETIME):
+            case Rejected(Rejection.OTHER_LIFETIME, born_ms=born_ms):
                 self._finish(key, End.NOT_STARTED, "other_lifetime")
+                self.answered_as_other_lifetime(born_ms, fence)
             case Rejected(Rejection.FENCE, clock_ms):
                 self._record_answer(clock_ms, fence)
                 self._fence.rejected(fence)
@@ -486,6 +524,8 @@
                 )
             case Rejected(Rejection.NOT_LISTENING):
                 self.connection_refused(fence)
+            case Rejected(Rejection.OTHER_LIFETIME, born_ms=born_ms):
+                self.answered_as_other_lifetime(born_ms, fence)
             case Rejected(Rejection.FENCE):
                 self._fence.rejected(fence)
 
@@ -509,6 +549,9 @@
         """
         if inventory.born_ms and inventory.born_ms != self._endpoint.born_ms:
             self._run_log.inventory_ignored(inventory)
+            self.answered_as_other_lifetime(inventory.born_ms, fence)
+            return
+        if self._is_superseded:
             return
         self._endpoint_answered(inventory.clock_ms)
         self._last_inventory_ms = self._clock.now_ms()
@@ -626,6 +669,8 @@
             return ZONE_EVACUATED_REASON
         if not self.is_ready:
             return "not ready"
+        if run.start.born_ms not in (0, self._endpoint.born_ms):
+            return OTHER_LIFETIME_REASON
         if not self._endpoint.capacity.can_fit(run.start.room):
             return "too large"
         if run.start.is_isolated:
--- a/plantainhitch/platform/endpoint.py
+++ b/plantainhitch/platform/endpoint.py
@@ -19,7 +19,13 @@
 )
 from ..state.jobs import Room, RunKey
 from ..transport.addresses import Address
-from ..transport.http_client import HttpClient, HttpResponse, NotSent
+from ..transport.http_client import (
+    Handshake,
+    HandshakeFailed,
+    HttpClient,
+    HttpResponse,
+    NotSent,
+)
 
 # An endpoint on the same machine answers an order within a few ms. An answer after this
 # time is treated as lost, and the run is stopped before it is placed anywhere else.
@@ -153,10 +159,17 @@
 class EndpointClient:
     """Sends orders to one lifetime of one endpoint.
 
-    Orders return an ``OrderResult``: ``Accepted``, ``Rejected`` or ``NoAnswer``.
+    ``lifetime`` is the pair of the endpoint's id and the time of its birth. Orders
+    return an ``OrderResult``: ``Accepted``, ``Rejected`` or ``NoAnswer``.
+
+    Calls name the id only, so the next lifetime under the same id would carry them out
+    as well. A connection ends with the process that accepted it. So calls are sent on
+    connections on which the endpoint has given its birth, and the first call on each
+    changes nothing at any lifetime.
     """
 
-    def __init__(self, address, clock, endpoint_id):
+    def __init__(self, address, clock, lifetime):
+        endpoint_id, self._born_ms = lifetime
         self._http = HttpClient(
             address,
             clock,
@@ -198,12 +211,7 @@
         if lease_expiry_ms is not None:
             body["deadline_ms"] = lease_expiry_ms
         answer = await self._post(b"/hold", body, wait_ms + INVENTORY_MARGIN_MS)
-        if not isinstance(answer, HttpResponse) or answer.status != 200:
-            return _to_order_result(answer)
-        try:
-            return _to_inventory(decode_json(answer.body, _InventoryModel))
-        except ValueError as error:
-            return NoAnswer(f"unreadable inventory: {error}")
+        return _to_inventory_result(answer)
 
     def close(self):
         """Close the connections."""
@@ -215,11 +223,56 @@
     async def _post(self, path, body, timeout_ms):
         data = msgspec.json.encode(body)
         return await self._http.request(
-            b"POST", path, data, self._headers, timeout_ms=timeout_ms
+            b"POST",
+            path,
+            data,
+            self._headers,
+            timeout_ms=timeout_ms,
+            handshake=self._handshake(body["fence"]),
+        )
+
+    def _handshake(self, fence):
+        """Return the ``Handshake``: an inventory that discards no end."""
+        body = {"fence": fence, "last_seen": 0, "wait_ms": 0}
+        return Handshake(
+            b"POST",
+            b"/hold",
+            msgspec.json.encode(body),
+            self._headers,
+            INVENTORY_MARGIN_MS,
+            self._is_of_lifetime,
         )
 
+    def _is_of_lifetime(self, response):
+        result = _to_inventory_result(response)
+        return isinstance(result, Inventory) and result.born_ms == self._born_ms
+
+
+def _to_inventory_result(answer):
+    if not isinstance(answer, HttpResponse) or answer.status != 200:
+        return _to_order_result(answer)
+    try:
+        return _to_inventory(decode_json(answer.body, _InventoryModel))
+    except ValueError as error:
+        return NoAnswer(f"unreadable inventory: {error}")
+
+
+def _to_unsent_result(handshake_result):
+    """Return the result of a call that was not sent for a failed handshake.
+
+    The clock in the answer may be that of another lifetime, so it isn't passed on.
+    """
+    match _to_inventory_result(handshake_result):
+        case Inventory(born_ms=born_ms):
+            return Rejected(Rejection.OTHER_LIFETIME, born_ms=born_ms)
+        case Rejected(reason):
+            return Rejected(reason)
+    return Rejected(Rejection.UNREACHABLE)
+
 
 def _to_order_result(answer):
+    if isinstance(answer, HandshakeFailed):
+        return _to_unsent_result(answer.result)
     if isinstance(answer, NotSent):
         is_refused = answer.refused
         return Rejected(
--- a/plantainhitch/protocol/messages.py
+++ b/plantainhitch/protocol/messages.py
@@ -193,7 +193,8 @@
     ``slack_ms`` is the time until the job is due. ``estimate_ms`` is the expected run
     time at the endpoint, and ``size_ms`` that at an endpoint with a slowness of 1, 0 if
     unknown. If ``is_isolated``, the run must not be at the endpoint together with a run
-    of another job.
+    of another job. ``born_ms`` is the lifetime of the endpoint that the task was placed
+    at, by its labels and its capacity; 0 allows any.
     """
 
     key: RunKey
@@ -207,6 +208,7 @@
     is_late: bool = False
     is_isolated: bool = False
     size_ms: int = 0
+    born_ms: int = 0
 
 
 @dataclass(slots=True)
--- a/plantainhitch/protocol/run_codec.py
+++ b/plantainhitch/protocol/run_codec.py
@@ -216,6 +216,7 @@
     item.late = start.is_late
     item.isolated = start.is_isolated
     item.sizeMs = _in_range(start.size_ms, 0, MAX_UINT32)
+    item.bornMs = start.born_ms
     if start.checkpoint:
         item.checkpoint = start.checkpoint
 
@@ -233,6 +234,7 @@
         is_late=item.late,
         is_isolated=item.isolated,
         size_ms=item.sizeMs,
+        born_ms=item.bornMs,
     )
 
 
--- a/plantainhitch/protocol/wire.capnp
+++ b/plantainhitch/protocol/wire.capnp
@@ -127,6 +127,7 @@
   late @9 :Bool;          # the job can no longer end in time
   isolated @10 :Bool;     # must not run beside a run of another job
   sizeMs @11 :UInt32;     # the expected run time at a slowness of 1, 0 if unknown
+  bornMs @12 :UInt64;     # the lifetime of the endpoint that it is for, 0 for any
 }
 
 struct RunStop {
--- a/plantainhitch/standins/run_endpoint.py
+++ b/plantainhitch/standins/run_endpoint.py
@@ -4,9 +4,11 @@
 the endpoint after ``CRASH_DELAY_S`` if the payload is ``DEADLY_PAYLOAD``. Faults:
 ``fail_all`` ends each run as failed, ``unanswered_starts`` is the number of next
 start orders that are applied after ``late_order_s`` without an answer, and ``crash``
-discards all state and begins a new lifetime. A stop and a lapse take ``stop_ms``, in
-which the run is at work and listed as running; ``clock_rate`` is the speed of the
-endpoint's steady clock.
+discards all state and begins a new lifetime, which may be of another kind. As the
+connections of an endpoint end with its process, ``reset_connections`` is called
+then; whoever serves the endpoint sets it to ``HttpServer.reset_connections``. A stop
+and a lapse take ``stop_ms``, in which the run is at work and listed as running;
+``clock_rate`` is the speed of the endpoint's steady clock.
 """
 
 import asyncio
@@ -25,6 +27,8 @@
 MAX_LEASE_MS = 1_000
 DEFAULT_RUN_MS = 50
 LATE_ORDER_S = 0.3
+# The kind of machine and its rack.
+DEFAULT_LABELS = ("a", "r1-1")
 DEADLY_PAYLOAD = "deadly"
 CRASH_DELAY_S = 0.05
 _POLL_INTERVAL_S = 0.002
@@ -37,6 +41,8 @@
         self.name = name
         self.pool = pool
         self.cpu_millis = cpu_millis
+        self.labels = DEFAULT_LABELS
+        self.reset_connections = lambda: None
         self.fail_all = False
         self.poll_interval_s = _POLL_INTERVAL_S
         self.unanswered_starts = 0
@@ -52,11 +58,17 @@
         self._sequence = 0
         self._begin_lifetime()
 
-    def crash(self):
-        """Discard all runs, fence and lease, and begin a new lifetime."""
+    def crash(self, labels=None, cpu_millis=None):
+        """Discard all runs, fence and lease, and begin a new lifetime.
+
+        It has the labels and the processor of the last one where these are None.
+        """
         for handle in self._timers.values():
             handle.cancel()
+        self.labels = labels or self.labels
+        self.cpu_millis = cpu_millis or self.cpu_millis
         self._begin_lifetime()
+        self.reset_connections()
 
     def set_task_cpu(self, cpu_of_task):
         """Set the function that returns a task's CPU in millis by the task's name."""
@@ -87,7 +99,7 @@
             "state": "draining" if self.draining else "ready",
             "cold_left_ms": 0,
             "capacity": {"cpu": self.cpu_millis, "mem_mb": 4_096, "gpu": 0},
-            "labels": ["a", "r1-1"],
+            "labels": self.labels,
             "clock_ms": self._clock_ms(),
             "seq": self._sequence,
             "born": self._born,
--- a/plantainhitch/state/endpoints.py
+++ b/plantainhitch/state/endpoints.py
@@ -127,10 +127,14 @@
 
 @dataclass(frozen=True, slots=True)
 class Rejected:
-    """The order was rejected and had no effect."""
+    """The order was rejected and had no effect.
+
+    ``born_ms`` is the lifetime that rejected it as meant for another, 0 if unknown.
+    """
 
     reason: Rejection
     clock_ms: int = 0
+    born_ms: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/plantainhitch/transport/http_client.py
+++ b/plantainhitch/transport/http_client.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import collections
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
 import httptools
@@ -60,7 +61,39 @@
     """The request was written, but no complete response was received in time."""
 
 
-HttpResult = HttpResponse | NotSent | ConnectionLost | ResponseTooLarge | TimedOut
+@dataclass(frozen=True, slots=True)
+class HandshakeFailed:
+    """The handshake of the connection had this result; no byte of the request was sent.
+
+    ``result`` is any other ``HttpResult``, also a response that was not accepted.
+    """
+
+    result: "HttpResult"
+
+
+HttpResult = (
+    HttpResponse
+    | NotSent
+    | ConnectionLost
+    | ResponseTooLarge
+    | TimedOut
+    | HandshakeFailed
+)
+
+
+@dataclass(frozen=True, slots=True)
+class Handshake:
+    """A request that shows whether a new connection may carry others.
+
+    ``accepts(response)`` tells whether an ``HttpResponse`` to it shows that.
+    """
+
+    method: bytes
+    path: bytes
+    body: bytes
+    headers: tuple
+    timeout_ms: int
+    accepts: Callable[[HttpResponse], bool]
 
 
 @dataclass(slots=True)
@@ -77,6 +110,7 @@
     """A connection that carries at most one request at a time."""
 
     def __init__(self, on_idle, on_lost):
+        self.has_shaken_hands = False
         self._on_idle = on_idle
         self._on_lost = on_lost
         self._transport = None
@@ -201,25 +235,28 @@
         return self._address
 
     async def request(
-        self, method, path, body=b"", headers=(), *, timeout_ms=DEFAULT_TIMEOUT_MS
+        self,
+        method,
+        path,
+        body=b"",
+        headers=(),
+        *,
+        timeout_ms=DEFAULT_TIMEOUT_MS,
+        handshake=None,
     ) -> HttpResult:
         """Send one request; all parts are bytes, and ``headers`` are pairs of bytes.
 
         ``timeout_ms`` runs from the moment when the request is written. Cancelling
         the call closes its connection, so that a late response can't be taken for
-        that of a later request.
+        that of a later request. With a ``Handshake``, the request is written only on
+        a connection on which a handshake was accepted.
         """
+        request = self._encode_request(method, path, body, headers)
         async with self._slots:
-            connection = self._pop_idle() or await self._connect()
-            if isinstance(connection, NotSent):
+            connection = await self._acquire(handshake)
+            if not isinstance(connection, _Connection):
                 return connection
-            request = self._encode_request(method, path, body, headers)
-            waiter = connection.exchange(request, timeout_ms)
-            try:
-                return await waiter
-            except asyncio.CancelledError:
-                connection.close()
-                raise
+            return await self._exchange(connection, request, timeout_ms)
 
     async def aclose(self):
         """Close every connection; see ``close``."""
@@ -231,6 +268,39 @@
             connection.close()
         self._idle.clear()
 
+    async def _acquire(self, handshake):
+        """Return a connection for a request, or the result without one."""
+        while True:
+            connection = self._pop_idle() or await self._connect()
+            if isinstance(connection, NotSent):
+                return connection
+            if handshake is None or connection.has_shaken_hands:
+                return connection
+            failure = await self._shake_hands(connection, handshake)
+            if failure is not None:
+                return failure
+            # The connection is idle now, and may have been taken for another request.
+
+    async def _shake_hands(self, connection, handshake):
+        """Return why a connection can't carry requests, None if it can."""
+        request = self._encode_request(
+            handshake.method, handshake.path, handshake.body, handshake.headers
+        )
+        result = await self._exchange(connection, request, handshake.timeout_ms)
+        if not isinstance(result, HttpResponse) or not handshake.accepts(result):
+            return HandshakeFailed(result)
+        if not connection.is_usable:
+            return HandshakeFailed(ConnectionLost("closed after the handshake"))
+        connection.has_shaken_hands = True
+        return None
+
+    async def _exchange(self, connection, request, timeout_ms):
+        try:
+            return await connection.exchange(request, timeout_ms)
+        except asyncio.CancelledError:
+            connection.close()
+            raise
+
     def _encode_request(self, method, path, body, headers):
         lines = [b"%b %b HTTP/1.1\r\nHost: %b\r\n" % (method, path, self._host)]
         lines.extend(b"%b: %b\r\n" % pair for pair in headers)
--- a/plantainhitch/transport/http_server.py
+++ b/plantainhitch/transport/http_server.py
@@ -89,6 +89,11 @@
         """The number of requests in progress."""
         return len(self._server.server_state.tasks)
 
+    def reset_connections(self):
+        """Reset all open connections, as if the process had ended."""
+        for connection in list(self._server.server_state.connections):
+            connection.transport.abort()
+
     async def aclose(self, grace_ms=None):
         """Stop listening and wait for the requests in progress.
 
--- a/tests/deployed_world.py
+++ b/tests/deployed_world.py
@@ -167,12 +167,14 @@
                 run.ended_s, run.outcome = time.monotonic(), outcome
         super()._end(task, outcome)
 
-    def crash(self):
-        """End all runs at once and begin a new lifetime."""
+    def crash(self, labels=None, cpu_millis=None):
+        """End all runs at once and begin a new lifetime, see the base class."""
         for task in list(self._running):
             self._end(task, "crash")
         self.draining, self.draining_since = False, None
-        super().crash()
+        if cpu_millis:
+            self._capacities = [(0.0, cpu_millis)]
+        super().crash(labels, cpu_millis)
 
 
 class Node:
@@ -407,6 +409,7 @@
             await entry.prepare(store, seeds)
         for agent, endpoint in zip(self.agents, self.endpoints, strict=True):
             await agent.prepare(store, seeds, await self._serve(endpoint))
+            endpoint.reset_connections = self._servers[-1].reset_connections
             heartbeats = self._send_heartbeats(
                 endpoint, Address.from_text(agent.address(4))
             )
--- a/tests/deployment.py
+++ b/tests/deployment.py
@@ -104,10 +104,11 @@
             self.entries.append(Process(run_entry, settings))
         for number, endpoint in enumerate(self.endpoints):
             address = await self._serve(endpoint)
+            endpoint.reset_connections = self._servers[-1].reset_connections
             settings = self._settings(f"agent-{number}", store, endpoint=address)
             self.agents.append(Process(run_agent, settings))
-            heartbeats = self._send_heartbeats(endpoint, settings.heartbeats)
-            self._heartbeat_tasks.append(asyncio.create_task(heartbeats))
+            self._heartbeat_tasks.append(None)
+            self.begin_heartbeats(number)
         async with asyncio.timeout(READY_TIMEOUT_S):
             for entry in self.entries:
                 while await self.count_ready_agents(entry) < len(self.agents):
@@ -174,10 +175,20 @@
             bounds=BOUNDS,
         )
 
+    def stop_heartbeats(self, number):
+        """Let the endpoint with that number send no more heartbeats."""
+        self._heartbeat_tasks[number].cancel()
+
+    def begin_heartbeats(self, number):
+        """Let the endpoint with that number send heartbeats again."""
+        address = self.agents[number].settings.heartbeats
+        heartbeats = self._send_heartbeats(self.endpoints[number], address)
+        self._heartbeat_tasks[number] = asyncio.create_task(heartbeats)
+
     async def restart_agent(self, number, with_heartbeats=True):
         """Kill an agent and start it again with the same name and addresses."""
         if not with_heartbeats:
-            self._heartbeat_tasks[number].cancel()
+            self.stop_heartbeats(number)
         old = self.agents[number]
         await old.kill()
         self.agents[number] = Process(run_agent, old.settings)
--- a/tests/test_odd_input.py
+++ b/tests/test_odd_input.py
@@ -243,7 +243,9 @@
     async def asyncSetUp(self):
         self.endpoint = FixedAnswer()
         self.server = await serve(self.endpoint, LOOPBACK)
-        self.client = EndpointClient(self.server.address, Clock(), "e-1")
+        self.client = EndpointClient(self.server.address, Clock(), ("e-1", 1_000))
+        # Orders are sent on connections that have had a sound answer.
+        await self.inventory(msgspec.json.encode(INVENTORY))
 
     async def asyncTearDown(self):
         self.client.close()
