--- a/plantainhitch/commands/agent.py
+++ b/plantainhitch/commands/agent.py
@@ -1,7 +1,5 @@
 """``plantainhitch agent``: run the agent beside one endpoint."""
 
-import uvloop
-
 from .. import logs
 from ..agent_metrics import metrics_text
 from ..clock import Clock
@@ -20,7 +18,7 @@
     if loaded is None:
         return ExitCode.USAGE
     logs.configure(loaded.log_level)
-    return uvloop.run(run(loaded, Clock(), lifecycle.StopSignals.install))
+    return lifecycle.run_process(run(loaded, Clock(), lifecycle.StopSignals.install))
 
 
 async def run(settings, clock, install_signals, announce=lifecycle.print_ready):
--- a/plantainhitch/commands/deployed.py
+++ b/plantainhitch/commands/deployed.py
@@ -8,8 +8,6 @@
 import sys
 from dataclasses import fields
 
-import uvloop
-
 from .. import logs
 from ..clock import Clock
 from ..platform import settings as platform_settings
@@ -38,7 +36,9 @@
     clock = Clock()
     process = role(deployment, member, clock, lifecycle.StopSignals.install)
     try:
-        return uvloop.run(_profile(process, clock) if is_profiled else process)
+        return lifecycle.run_process(
+            _profile(process, clock) if is_profiled else process
+        )
     finally:
         logs.flush_events()
 
--- a/plantainhitch/commands/entry.py
+++ b/plantainhitch/commands/entry.py
@@ -1,7 +1,5 @@
 """``plantainhitch entry``: run an entry process."""
 
-import uvloop
-
 from .. import logs
 from ..clock import Clock
 from ..coordination.entry import BoundAddresses, EntryNode
@@ -21,7 +19,7 @@
     if loaded is None:
         return ExitCode.USAGE
     logs.configure(loaded.log_level)
-    return uvloop.run(run(loaded, Clock(), lifecycle.StopSignals.install))
+    return lifecycle.run_process(run(loaded, Clock(), lifecycle.StopSignals.install))
 
 
 async def run(settings, clock, install_signals, announce=lifecycle.print_ready):
--- a/plantainhitch/commands/lifecycle.py
+++ b/plantainhitch/commands/lifecycle.py
@@ -5,7 +5,9 @@
 import signal
 import sys
 
-from .. import logs
+import uvloop
+
+from .. import logs, signal_mask
 from ..settings import Settings
 from ..transport import links
 from ..transport.addresses import Address
@@ -34,6 +36,22 @@
     return asyncio.create_task(coroutine)
 
 
+def run_process(coroutine):
+    """Run the coroutine of a long-running command in a new loop; return its result.
+
+    Signals that come once it has ended are held back: the handlers go with the loop,
+    and the default action would change the exit code.
+    """
+    return uvloop.run(_hold_signals_after(coroutine))
+
+
+async def _hold_signals_after(coroutine):
+    try:
+        return await coroutine
+    finally:
+        signal_mask.block()
+
+
 class NodeProxy:
     """Passes links and calls on to a node that is created after its listeners.
 
@@ -103,7 +121,11 @@
 
     @classmethod
     def install(cls):
-        """Install the signal handlers in the running loop; return their events."""
+        """Install the signal handlers in the running loop; return their events.
+
+        Signals are held back until ``run_until_stopped`` where the process has blocked
+        them.
+        """
         signals = cls()
         loop = asyncio.get_running_loop()
         for number in (signal.SIGTERM, signal.SIGINT):
@@ -122,8 +144,11 @@
     """Run ``node`` until it has drained; return whether the drain was cut short.
 
     The first stop signal starts the drain. A second signal ends it, and so does the
-    end of ``drain_ms``.
+    end of ``drain_ms``. Signals that were held back are delivered from now on.
     """
+    # Threads inherit the mask: those of the event loop, which its first look-up of an
+    # address has started, get no signals, so that blocking them here is enough.
+    signal_mask.unblock()
     running = asyncio.create_task(node.run(signals.drain))
     aborted = asyncio.create_task(signals.abort.wait())
     draining = asyncio.create_task(signals.drain.wait())
--- a/tests/deployed_process.py
+++ b/tests/deployed_process.py
@@ -6,22 +6,25 @@
 
 import sys
 
-from plantainhitch.__main__ import main
-from plantainhitch.transport import links
-from plantainhitch.transport.addresses import Address
+from plantainhitch import __main__ as program
 
 LINK_PORT_OFFSET = 8
 
-_original_listen = links.listen
 
+def shift_links():
+    """Make the program listen ``LINK_PORT_OFFSET`` ports above the announced port."""
+    from plantainhitch.transport import links
+    from plantainhitch.transport.addresses import Address
 
-async def listen(address, *rest):
-    """Listen ``LINK_PORT_OFFSET`` ports above the announced port."""
-    return await _original_listen(
-        Address(address.host, address.port + LINK_PORT_OFFSET), *rest
-    )
+    original_listen = links.listen
 
+    async def listen(address, *rest):
+        return await original_listen(
+            Address(address.host, address.port + LINK_PORT_OFFSET), *rest
+        )
 
-if __name__ == "__main__":
     links.listen = listen
-    sys.exit(main())
+
+
+if __name__ == "__main__":
+    sys.exit(program.main(prepare=shift_links))
--- a/tools/boot.py
+++ b/tools/boot.py
@@ -76,6 +76,10 @@
 
 
 if __name__ == "__main__":
+    # Before anything is unpacked. The package itself can be imported from the file.
+    from plantainhitch import signal_mask
+
+    signal_mask.block_for_command(sys.argv[1:])
     boot(sys.path[0])
     from plantainhitch.commands.main import main
 
