--- a/tests/model_endpoint.py
+++ b/tests/model_endpoint.py
@@ -26,10 +26,10 @@
         self.asked_ids = []
         self.open_clients = 0
 
-    def connect(self, endpoint_id):
-        """Return a client whose calls name this id."""
+    def connect(self, lifetime):
+        """Return a client whose calls are for this lifetime, (endpoint id, born_ms)."""
         self.open_clients += 1
-        return ModelClient(self, endpoint_id)
+        return ModelClient(self, *lifetime)
 
     def restart(self, endpoint_id, born_ms):
         """Begin a new lifetime."""
@@ -38,11 +38,12 @@
 
 
 class ModelClient:
-    """The client of one endpoint id."""
+    """The client of one lifetime of an endpoint."""
 
-    def __init__(self, endpoint, endpoint_id):
+    def __init__(self, endpoint, endpoint_id, born_ms):
         self._endpoint = endpoint
         self._endpoint_id = endpoint_id
+        self._born_ms = born_ms
         self._is_open = True
 
     async def inventory(self, fence, last_end_number, lease_expiry_ms, wait_ms):
@@ -57,6 +58,9 @@
         if fence < endpoint.fence:
             return Rejected(Rejection.FENCE)
         endpoint.fence = fence
+        if self._born_ms != endpoint.born_ms:
+            # Its connection isn't one to the lifetime that it is for.
+            return Rejected(Rejection.OTHER_LIFETIME, born_ms=endpoint.born_ms)
         running = tuple(ActiveRun(key, "", 50) for key in endpoint.running)
         return Inventory(5, endpoint.born_ms, running, ())
 
