Let the soak change the kinds of endpoints and signal processes that start

Seeds above 5,000 crash endpoints that are back as another kind or with less room, with a heartbeat up to 1.5 s later and some twice before it, while most jobs need a label; and send SIGHUP to processes that load. A run at an endpoint without the label of its job is a violation, and so is a process that SIGHUP ended.

The excuse for a process that SIGTERM ended is narrower: only in the interpreter's own start, no longer until it has started.

test_signals read the exit code 255 once beside a soak, and 2 of 3 times beside six busy processes: sending a signal by the subprocess object takes the exit code from the event loop.

--- a/tests/deployed_soak.py
+++ b/tests/deployed_soak.py
@@ -7,6 +7,7 @@
 
 import argparse
 import asyncio
+import contextlib
 import itertools
 import random
 import signal
@@ -38,6 +39,14 @@
 # A connection that was silent delivers at most this much later.
 MAX_LATENESS_S = 0.6
 STOP_TIMEOUT_S = 8.0
+KIND_CHANGES = (2, 4)
+KIND_CHANGE_INTERVAL_S = (0.6, 1.5)
+KINDS = (("a", "r1-1"), ("a", "r1-1"), ("b", "r1-1"))
+# From a crash to the first heartbeat of the next lifetime.
+HEARTBEAT_PAUSE_S = (0.0, 1.5)
+SIGNAL_CHECK_INTERVAL_S = 0.002
+# Jobs whose tasks need an endpoint of the first kind.
+LABELLED_SHARE = 2 / 3
 
 
 async def kill_entry(world, rng, duration_s):
@@ -70,7 +79,7 @@
     nodes = rng.sample(world.nodes, rng.randint(1, 3))
     for node in nodes:
         node.heal()
-        had_started = node.has_started
+        could_handle_it = node.handles_signals
         node.process.terminate()
         try:
             code = await node.process.wait(STOP_TIMEOUT_S)
@@ -79,9 +88,9 @@
                 f"{node.name} still runs {STOP_TIMEOUT_S} s after SIGTERM"
             )
             code = await node.process.kill()
-        # Another fault may have killed it; SIGTERM may arrive before it is handled.
+        # Another fault may have killed it; SIGTERM may arrive before it can be handled.
         is_expected = code in (0, -signal.SIGKILL)
-        if not is_expected and not (code == -signal.SIGTERM and not had_started):
+        if not is_expected and (code != -signal.SIGTERM or could_handle_it):
             world.problems.append(
                 f"{node.name} ended with exit code {code} after SIGTERM"
             )
@@ -219,6 +228,49 @@
     endpoint.crash()
 
 
+async def restart_as_other_kind(world, rng, duration_s):
+    """Crash endpoints in series; each is back as another kind, or with other room.
+
+    The heartbeat comes later, and some crash again before.
+    """
+    for _ in range(rng.randint(*KIND_CHANGES)):
+        endpoint = rng.choice(world.endpoints)
+        endpoint.silent_until_s = time.monotonic() + rng.uniform(*HEARTBEAT_PAUSE_S)
+        for _ in range(rng.choice((1, 1, 2))):
+            labels = rng.choice(KINDS)
+            cpu_millis = rng.choice((1_000, 2_000, CPU_MILLIS, CPU_MILLIS))
+            world.add_event(f"{endpoint.name} restarts as {labels}, {cpu_millis}")
+            endpoint.crash(labels, cpu_millis)
+            await asyncio.sleep(rng.uniform(0, 0.3))
+        await asyncio.sleep(rng.uniform(*KIND_CHANGE_INTERVAL_S))
+    for endpoint in world.endpoints:
+        endpoint.resize(CPU_MILLIS)
+        if KINDS[0][0] not in endpoint.labels:
+            endpoint.crash(KINDS[0])
+
+
+async def signal_while_starting(world, rng, duration_s):
+    """Stop or kill processes in turn, and send each SIGHUP while it starts again."""
+    for node in rng.sample(world.nodes, rng.randint(2, 4)):
+        node.heal()
+        if rng.random() < 0.5:
+            node.process.terminate()
+            with contextlib.suppress(TimeoutError):
+                await node.process.wait(STOP_TIMEOUT_S)
+        await node.process.kill()
+        await node.start()
+        process = node.process
+        while process.is_running and not node.is_loading:
+            await asyncio.sleep(SIGNAL_CHECK_INTERVAL_S)
+        world.add_event(f"SIGHUP to {node.name}")
+        for _ in range(rng.randint(1, 8)):
+            process.send_signal(signal.SIGHUP)
+            await asyncio.sleep(rng.uniform(0, 0.1))
+        if not process.is_running and await process.wait() == -signal.SIGHUP:
+            world.problems.append(f"{node.name} was ended by SIGHUP")
+            await node.start()
+
+
 async def configuration_storm(world, rng, duration_s):
     """Change the configuration five times in quick succession."""
     for _ in range(5):
@@ -319,6 +371,10 @@
 # Seeds after that fail as hosts do as well; every fourth uses ``LARGEST_WORLD``.
 LAST_SEED_WITH_LOST_OWNERS = 4_000
 LARGEST_WORLD = {"entries": 6, "agents": 22}
+# Seeds after that change the kinds of endpoints during all other faults, while many
+# jobs need the first kind, and signal processes that start; every fourth uses
+# ``LARGE_WORLD``.
+LAST_SEED_WITH_HOST_FAILURES = 5_000
 LOSSES_BESIDE_HOSTS = (
     (),
     (lose_entries_and_agents,),
@@ -457,6 +513,12 @@
     return await world.submit(entry, run_ms=run_ms, next_entry=next_entry)
 
 
+async def _submit_labelled(world):
+    """Submit a job, often one whose tasks need an endpoint of the first kind."""
+    label = KINDS[0][0] if world.rng.random() < LABELLED_SHARE else ""
+    return await world.submit(run_ms=world.rng.choice((30, 80, 200)), label=label)
+
+
 async def run_schedule(world, rng, faults=None):
     """Run one schedule; return the names of its faults and the violations.
 
@@ -476,6 +538,8 @@
     submit, jobs_per_s = World.submit, JOBS_PER_S
     if lose_entries_and_agents in faults or fail_as_hosts_do in faults:
         submit, jobs_per_s = _submit_long, LONG_JOBS_PER_AGENT_S * len(world.agents)
+    elif restart_as_other_kind in faults:
+        submit, jobs_per_s = _submit_labelled, 2 * JOBS_PER_S
     end_s = time.monotonic() + TRAFFIC_DURATION_S
     while (
         time.monotonic() < end_s
@@ -495,7 +559,8 @@
 def _world_size(seed):
     if seed <= LAST_SEED_WITH_SILENCE or seed % 4:
         return {}
-    return LARGE_WORLD if seed <= LAST_SEED_WITH_LOST_OWNERS else LARGEST_WORLD
+    is_largest = LAST_SEED_WITH_LOST_OWNERS < seed <= LAST_SEED_WITH_HOST_FAILURES
+    return LARGEST_WORLD if is_largest else LARGE_WORLD
 
 
 async def run_seed(seed, faults=None, keep=None):
@@ -504,7 +569,10 @@
     Copies the logs to the folder ``keep`` where there are violations.
     """
     rng = random.Random(seed)
-    if faults is None and seed > LAST_SEED_WITH_LOST_OWNERS:
+    if faults is None and seed > LAST_SEED_WITH_HOST_FAILURES:
+        faults = rng.sample(ALL_FAULTS, rng.choice((0, 1, 1, 2)))
+        faults += [restart_as_other_kind, signal_while_starting]
+    elif faults is None and seed > LAST_SEED_WITH_LOST_OWNERS:
         # With few other faults, as many at once leave few runs that could overlap.
         faults = rng.sample(ALL_FAULTS, rng.choice((0, 0, 1)))
         faults += [fail_as_hosts_do, *rng.choice(LOSSES_BESIDE_HOSTS)]
--- a/tests/deployed_world.py
+++ b/tests/deployed_world.py
@@ -6,9 +6,11 @@
 """
 
 import asyncio
+import contextlib
 import copy
 import itertools
 import os
+import re
 import signal
 import sys
 import tempfile
@@ -65,6 +67,10 @@
 REPORTED_LOOP_DELAY_S = 0.3
 # For many processes on a busy machine.
 START_TIMEOUT_S = 60.0
+# The programs load this long before their event loop runs.
+EARLY_LIBRARY = "msgspec"
+# Of SIGHUP in the masks of a process.
+SIGNAL_BIT = 1 << signal.SIGHUP - 1
 
 
 @dataclass(eq=False)
@@ -81,6 +87,8 @@
     began_s: float
     ended_s: float | None = None
     outcome: str = ""
+    # Of the endpoint's lifetime in which it began.
+    labels: tuple = ()
 
 
 @dataclass(eq=False)
@@ -101,6 +109,8 @@
     tasks: int
     statuses: list[int] = field(default_factory=list)
     state: str = ""
+    # The label that its tasks need, if any.
+    label: str = ""
     # The entry of the latest submission.
     entry: "Node | None" = None
 
@@ -109,7 +119,8 @@
     """An endpoint that records when each run began and ended.
 
     ``unanswered_stops`` is the number of next stop orders that are applied after
-    ``late_stop_s`` without an answer.
+    ``late_stop_s`` without an answer. No heartbeats are sent before ``silent_until_s``,
+    in s of the monotonic clock.
     """
 
     def __init__(self, name, zone="z1"):
@@ -124,6 +135,7 @@
         self.excess_starts = []
         self.unanswered_stops = 0
         self.late_stop_s = 0.0
+        self.silent_until_s = 0.0
         self._capacities = [(0.0, CPU_MILLIS)]
 
     async def __call__(self, scope, receive, send):
@@ -156,7 +168,8 @@
         now, since = time.monotonic(), self.draining_since
         if since is not None and now > since + BOUNDS.drain_ms / 1_000:
             self.late_starts.append(task)
-        self.runs.append(TaskRun(task, run, payload, self.name, now))
+        task_run = TaskRun(task, run, payload, self.name, now, labels=self.labels)
+        self.runs.append(task_run)
         super()._start(task, run, payload)
         if 1_000 * len(self._running) > self._counting_capacity(now):
             self.excess_starts.append(task)
@@ -251,6 +264,23 @@
         forwarders = (self.link, self.front, self.store, self.endpoint)
         return [forwarder for forwarder in forwarders if forwarder is not None]
 
+    @property
+    def handles_signals(self):
+        """Whether the latest process has got beyond the interpreter's own start."""
+        with contextlib.suppress(OSError):
+            status = Path(f"/proc/{self.process.pid}/status").read_text("ascii")
+            masks = re.findall(r"^Sig(?:Blk|Cgt):\s*(\w+)", status, re.MULTILINE)
+            return any(int(mask, 16) & SIGNAL_BIT for mask in masks)
+        return False
+
+    @property
+    def is_loading(self):
+        """Whether the latest process has begun to load its libraries."""
+        with contextlib.suppress(OSError):
+            maps = Path(f"/proc/{self.process.pid}/maps").read_text("utf-8")
+            return EARLY_LIBRARY in maps
+        return False
+
     @property
     def has_started(self):
         """Whether the latest process has logged that it started."""
@@ -465,18 +495,23 @@
         prefix="/queue/",
         is_deadly=False,
         next_entry=None,
+        label="",
     ):
         """Submit a job as a caller does, with resubmissions; return its record.
 
         Resubmissions go to ``next_entry`` if given, else to ``entry`` or, without that,
-        to any. Each task of a deadly job crashes the endpoints that start it.
+        to any. Each task of a deadly job crashes the endpoints that start it. Its tasks
+        need an endpoint with ``label``, if given.
         """
         tasks = tasks or self.rng.choice((1, 1, 2, 4))
         run_ms = run_ms or self.rng.choice((30, 80, 200, 700))
         payload = DEADLY_PAYLOAD if is_deadly else str(run_ms)
-        job = Submission(f"{self.rng.getrandbits(64):016x}", payload, tasks)
+        job_id = f"{self.rng.getrandbits(64):016x}"
+        job = Submission(job_id, payload, tasks, label=label)
         self.submissions.append(job)
         step = {"count": tasks, "cpu": 1_000, "mem_mb": 10, "est_runtime_ms": run_ms}
+        if label:
+            step["constraints"] = label
         body = {"spec": job.payload, "steps": [step], "best_effort": True}
         for _ in range(SUBMIT_ATTEMPTS):
             target = job.entry = entry or self.rng.choice(self.entries)
@@ -576,6 +611,8 @@
     async def _send_heartbeats(self, endpoint, address):
         client = HttpClient(address, Clock())
         while True:
+            while (silent_s := endpoint.silent_until_s - time.monotonic()) > 0:
+                await asyncio.sleep(silent_s)
             path, body = endpoint.heartbeat()
             is_draining = endpoint.draining
             answer = await client.request(
@@ -646,7 +683,13 @@
 
 
 def contradictions(job, runs):
-    """Yield a text for each answer to a job that its runs contradict."""
+    """Yield a text for each run that a job doesn't allow, or its answers contradict."""
+    for run in runs:
+        if job.label and job.label not in run.labels:
+            yield (
+                f"{run.task}, run {run.run}, needs {job.label!r} and was started at "
+                f"{run.endpoint}, {run.labels}"
+            )
     if any(run.payload != job.payload for run in runs):
         yield f"{job.job_id} ran with another payload"
     if runs and job.statuses and all(status == 503 for status in job.statuses):
--- a/tests/harness.py
+++ b/tests/harness.py
@@ -96,6 +96,11 @@
             )
         return cls(name, process, json.loads(line), log_path)
 
+    @property
+    def pid(self):
+        """The process id."""
+        return self._process.pid
+
     @property
     def is_running(self):
         return self._process.returncode is None
--- a/tests/test_deployed_soak.py
+++ b/tests/test_deployed_soak.py
@@ -50,6 +50,7 @@
 REPLACED_LINK_SEED = 2_001
 LOST_OWNERS_SEED = 3_002
 HOST_FAILURES_SEED = 4_023
+KINDS_SEED = 5_005
 HOLD_ATTEMPTS = 3
 # Within the lease of the owner of an agent's runs.
 LOSS_BEHIND_S = 0.75
@@ -103,6 +104,11 @@
         faults = (soak.fail_as_hosts_do,)
         self.assertEqual([], await soak.run_seed(HOST_FAILURES_SEED, faults))
 
+    async def test_endpoints_of_other_kinds_and_signals_to_starting_processes(self):
+        # Review cases 9 and 10: tasks began at endpoints without their label, and
+        # SIGHUP ended processes that had just been started.
+        self.assertEqual([], await soak.run_seed(KINDS_SEED))
+
 
 class LateStartTests(ProcessTestCase):
     """Starts that a connection or an endpoint holds up and that arrive late."""
@@ -477,6 +483,7 @@
             Submission("a", "30", 1, [200], "completed"),
             Submission("a", "30", 1, [200], "failed"),
             Submission("a", "31", 1, [0]),
+            Submission("a", "30", 1, [0], label="b"),
         ):
             self.assertEqual(1, len(list(contradictions(job, [run]))), job)
         self.assertEqual([], list(contradictions(Submission("a", "30", 1, [0]), [run])))
--- a/tests/test_signals.py
+++ b/tests/test_signals.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import contextlib
 import json
 import os
 import signal
@@ -17,14 +18,14 @@
 from plantainhitch import signal_mask
 from plantainhitch.commands import lifecycle
 
+from .deployed_world import EARLY_LIBRARY
 from .loopback import HOSTS
 
 ROOT = Path(__file__).resolve().parent.parent
 ROLES = ("deployed-entry", "deployed-agent")
-# A library that the programs load long before their event loop runs.
-EARLY_LIBRARY = "msgspec"
 POLL_S = 0.002
 TIMEOUT_S = 20.0
+START_ATTEMPTS = 5
 SETTINGS = """
 changed = 0
 node = "node-1"
@@ -81,9 +82,13 @@
         self._settings.write_text(content.replace(text, replacement))
 
     def send(self, *numbers):
-        """Send signals."""
+        """Send signals, unless the process has ended.
+
+        The method of the subprocess would take the exit code of one that has.
+        """
         for number in numbers:
-            self._process.send_signal(number)
+            with contextlib.suppress(ProcessLookupError):
+                os.kill(self._process.pid, number)
 
     @property
     def is_running(self):
@@ -102,8 +107,10 @@
 
     def lines(self, message):
         """Return the lines of the log with a message, decoded."""
-        texts = self._log.read_text().splitlines()
-        lines = [json.loads(text) for text in texts if text.startswith("{")]
+        texts, _, _ = self._log.read_text().rpartition("\n")
+        lines = [
+            json.loads(text) for text in texts.splitlines() if text.startswith("{")
+        ]
         return [line for line in lines if line["message"] == message]
 
     async def wait(self):
@@ -135,12 +142,15 @@
 
     async def start(self, role):
         """Start a program and return it while it loads its modules."""
-        program = Program(role, self.folder)
-        self.addAsyncCleanup(program.kill)
-        await program.start()
-        await program.wait_for_library(EARLY_LIBRARY)
-        self.assertEqual([], program.lines("started"))
-        return program
+        for _ in range(START_ATTEMPTS):
+            program = Program(role, self.folder)
+            self.addAsyncCleanup(program.kill)
+            await program.start()
+            await program.wait_for_library(EARLY_LIBRARY)
+            if not program.lines("started"):
+                return program
+            await program.kill()  # this process was held up meanwhile
+        raise AssertionError("each program had started before it was seen to load")
 
     async def test_a_change_of_the_settings_ends_no_process_and_is_noticed(self):
         for role in ROLES:
