Start the soak's programs without a hook in the entry point

`main(prepare)` of __main__ was there for the soak alone. Its launcher blocks the signals itself now, as the program does.

--- a/plantainhitch/__main__.py
+++ b/plantainhitch/__main__.py
@@ -5,13 +5,10 @@
 from . import signal_mask
 
 
-def main(prepare=lambda: None):
-    """Run the command line of the process, ``prepare()`` first; return the exit code.
-
-    Everything else is imported once the signals are held back, as it takes long.
-    """
+def main():
+    """Run the command line of the process; return the exit code."""
     signal_mask.block_for_command(sys.argv[1:])
-    prepare()
+    # Imported with the signals held back, as it takes long.
     from .commands.main import main as run_command
 
     return run_command()
--- a/tests/deployed_process.py
+++ b/tests/deployed_process.py
@@ -6,7 +6,7 @@
 
 import sys
 
-from plantainhitch import __main__ as program
+from plantainhitch import __main__ as program, signal_mask
 
 LINK_PORT_OFFSET = 8
 
@@ -27,4 +27,7 @@
 
 
 if __name__ == "__main__":
-    sys.exit(program.main(prepare=shift_links))
+    # As the program does, before it imports anything else.
+    signal_mask.block_for_command(sys.argv[1:])
+    shift_links()
+    sys.exit(program.main())
