Restore the signal mask after a command in place of blocking

Traced: tests that run a command in their own process left threads of its event loop, and the signal to the process went to one of these; reproduced with seven test modules in one process, where the closed loop's handler was still installed. The test sends its signals to its own thread now.

The mask is put back to what it was before the command; the program's own has them blocked there, so that nothing changes for it.

--- a/plantainhitch/commands/lifecycle.py
+++ b/plantainhitch/commands/lifecycle.py
@@ -39,17 +39,17 @@
 def run_process(coroutine):
     """Run the coroutine of a long-running command in a new loop; return its result.
 
-    Signals that come once it has ended are held back: the handlers go with the loop,
-    and the default action would change the exit code.
+    Signals that were held back before are so again once it has ended: the handlers go
+    with the loop, and the default action would change the exit code.
     """
-    return uvloop.run(_hold_signals_after(coroutine))
+    return uvloop.run(_restore_mask_after(coroutine, signal_mask.current()))
 
 
-async def _hold_signals_after(coroutine):
+async def _restore_mask_after(coroutine, mask):
     try:
         return await coroutine
     finally:
-        signal_mask.block()
+        signal_mask.restore(mask)
 
 
 class NodeProxy:
--- a/plantainhitch/signal_mask.py
+++ b/plantainhitch/signal_mask.py
@@ -27,6 +27,16 @@
     signal.pthread_sigmask(signal.SIG_UNBLOCK, HANDLED_SIGNALS)
 
 
+def current():
+    """Return the set of all signals that are held back."""
+    return signal.pthread_sigmask(signal.SIG_BLOCK, ())
+
+
+def restore(mask):
+    """Hold back the signals of a ``mask`` from ``current``, and no others."""
+    signal.pthread_sigmask(signal.SIG_SETMASK, mask)
+
+
 def block_for_command(arguments):
     """Hold back the signals if a command line, without the program, needs it.
 
--- a/tests/test_signals.py
+++ b/tests/test_signals.py
@@ -11,6 +11,7 @@
 import signal
 import sys
 import tempfile
+import threading
 import unittest
 from pathlib import Path
 from unittest import mock
@@ -199,7 +200,9 @@
     async def test_a_signal_that_was_held_back_is_delivered(self):
         signal_mask.block()
         self.addCleanup(signal_mask.unblock)
-        os.kill(os.getpid(), signal.SIGHUP)
+        # Threads of earlier tests would take a signal to the process.
+        this_thread = threading.get_ident()
+        signal.pthread_kill(this_thread, signal.SIGHUP)
         self.assertIn(signal.SIGHUP, signal.sigpending())
         signals = lifecycle.StopSignals.install()
         await asyncio.sleep(0)
@@ -210,7 +213,7 @@
         async with asyncio.timeout(TIMEOUT_S):
             await signals.reload.wait()
         self.assertFalse(signals.drain.is_set())
-        os.kill(os.getpid(), signal.SIGTERM)
+        signal.pthread_kill(this_thread, signal.SIGTERM)
         self.assertFalse(await task)
         for number in signal_mask.HANDLED_SIGNALS:
             asyncio.get_running_loop().remove_signal_handler(number)
@@ -225,15 +228,27 @@
     def test_short_commands_can_be_interrupted_while_they_load(self):
         for arguments in ([], ["submit"], ["--help"], ["demo", "entry"]):
             signal_mask.block_for_command(arguments)
-            blocked = signal.pthread_sigmask(signal.SIG_BLOCK, ())
+            blocked = signal_mask.current()
             self.assertEqual(set(), blocked & signal_mask.HANDLED_SIGNALS)
 
     def test_long_running_commands_hold_signals_back(self):
         for command in signal_mask.LONG_RUNNING_COMMANDS:
             signal_mask.unblock()
             signal_mask.block_for_command([command, "--settings=x"])
-            blocked = signal.pthread_sigmask(signal.SIG_BLOCK, ())
-            self.assertLessEqual(signal_mask.HANDLED_SIGNALS, blocked)
+            self.assertLessEqual(signal_mask.HANDLED_SIGNALS, signal_mask.current())
+
+    def test_the_mask_is_as_before_once_a_process_has_run(self):
+        # Guards against a program that runs a command itself, as these tests do, and
+        # can't be interrupted any more.
+        for block in (signal_mask.unblock, signal_mask.block):
+            block()
+            before = signal_mask.current()
+            lifecycle.run_process(self.serve())
+            self.assertEqual(before, signal_mask.current())
+
+    async def serve(self):
+        """Do what a command does with the mask."""
+        signal_mask.unblock()
 
 
 if __name__ == "__main__":
