Import the signal mask of the single-file program from a copy

`make binary` on: the program ends with "File not found: .../wire.capnp". Since its start imported signal_mask from the package before the packages were unpacked, so that the package itself was the one in the zip file, where its data files can't be opened. No test covered it, as the binary is built by hand.

The archive has a copy of the module beside its __main__ now.

--- a/tools/boot.py
+++ b/tools/boot.py
@@ -76,8 +76,8 @@
 
 
 if __name__ == "__main__":
-    # Before anything is unpacked. The package itself can be imported from the file.
-    from plantainhitch import signal_mask
+    # A copy in the file: the package itself is imported once it has been unpacked.
+    import signal_mask
 
     signal_mask.block_for_command(sys.argv[1:])
     boot(sys.path[0])
--- a/tools/make_binary.py
+++ b/tools/make_binary.py
@@ -17,6 +17,11 @@
 OUTPUT = ROOT / "dist" / "plantainhitch"
 SHEBANG = b"#!/usr/bin/env python3.11\n"
 MANIFEST = "unpack.txt"
+# Files that run before the packages are unpacked, by their names in the archive.
+START_FILES = {
+    "__main__.py": "tools/boot.py",
+    "signal_mask.py": "plantainhitch/signal_mask.py",
+}
 # A constant modification time, so that builds of equal contents are identical.
 FILE_TIME = (2020, 1, 1, 0, 0, 0)
 # Packages that open their data files by path, which fails inside a zip file.
@@ -169,9 +174,8 @@
                     digest.update(name.encode() + b"\0" + data)
             lines = "\n".join((digest.hexdigest(), *manifest))
             _write_file(archive, MANIFEST, lines.encode())
-            _write_file(
-                archive, "__main__.py", (ROOT / "tools" / "boot.py").read_bytes()
-            )
+            for name, path in START_FILES.items():
+                _write_file(archive, name, (ROOT / path).read_bytes())
     output.chmod(0o755)
     return output
 
