Forget at the entry what was true of an earlier lifetime

What callers may have seen: tasks placed at an endpoint that had begun anew with less room, and refused there; or waiting elsewhere beside one that was empty. Expected run times of the kind that it was before.

Cause: an entry kept the free room, the forecast, the pace, the failures and the hold that an agent had reported of the lifetime before, until the next report, and the speed of the endpoint's id whatever its kind.

Four new tests in tests.test_next_lifetimes fail on the code before: an endpoint with room got no task and one without got four; a hold and a slowness of 4 outlived the lifetime; 2.72 in place of 1.0 after a change of kind; the agent reported 4,000 free before the heartbeat.

Change: the first status of another lifetime resets them; the lifetime begins without runs, so all of its room is free. A speed is forgotten with the kind. An agent whose present lifetime isn't known has no free room.

--- a/plantainhitch/coordination/jobs/fleet.py
+++ b/plantainhitch/coordination/jobs/fleet.py
@@ -110,6 +110,22 @@
         is_near = not step.data_rack or step.data_rack == self.status.rack
         return 1.0 if is_near else self.remote_factor
 
+    def begin_lifetime(self):
+        """Forget what was reported of an earlier lifetime of the endpoint.
+
+        The one in ``status`` begins without runs, and the agent refuses the starts that
+        were sent for the other.
+        """
+        self.free_room = self.status.capacity
+        self.expected_free_millis = (self.free_room.cpu_millis,) * len(
+            m.FORECAST_HORIZONS_MS
+        )
+        self.waiting_by_rank = ()
+        self.unreported_orders.clear()
+        self.pace = 1.0
+        self.reported_slowness, self.reported_samples = 0.0, 0
+        self.consecutive_failures = self.held_until_ms = 0
+
     def attach_link(self, link):
         """Record the link that is open from now on."""
         self.link = link
@@ -250,7 +266,9 @@
         agent.last_contact_ms = self._clock.now_ms()
         match message:
             case m.EndpointStatus():
-                agent.status = message
+                previous, agent.status = agent.status, message
+                if previous is not None and previous.lifetime != message.lifetime:
+                    agent.begin_lifetime()
                 self.speeds.register_endpoint(message)
                 self._pool_views.clear()
             case m.RunReports(orders_seen=orders_seen):
--- a/plantainhitch/coordination/jobs/speeds.py
+++ b/plantainhitch/coordination/jobs/speeds.py
@@ -44,8 +44,14 @@
         self._size_by_queue = {}
 
     def register_endpoint(self, status):
-        """Record the kind of machine of an endpoint, from its ``EndpointStatus``."""
-        self._kind_by_endpoint[status.endpoint_id] = (status.pool, status.kind)
+        """Record the kind of machine of an endpoint, from its ``EndpointStatus``.
+
+        What was learnt of the endpoint while it was of another kind is forgotten.
+        """
+        endpoint_id, kind = status.endpoint_id, (status.pool, status.kind)
+        if self._kind_by_endpoint.get(endpoint_id, kind) != kind:
+            self._slowness_by_endpoint.pop(endpoint_id, None)
+        self._kind_by_endpoint[endpoint_id] = kind
 
     def slowness(self, endpoint_id):
         """Return a task's expected run time there as a multiple of its size."""
--- a/plantainhitch/coordination/runs/run_controller.py
+++ b/plantainhitch/coordination/runs/run_controller.py
@@ -206,9 +206,11 @@
     def free_room(self):
         """The ``Room`` that no run takes up; starts may be waiting for it.
 
-        There is none while a run needs isolation, and less while the endpoint is cold.
+        There is none while a run needs isolation or the present lifetime isn't known,
+        and less while the endpoint is cold.
         """
-        if self._endpoint is None or self._runs.has_isolated:
+        is_known = self._endpoint is not None and not self._is_superseded
+        if not is_known or self._runs.has_isolated:
             return Room()
         return self._usable_capacity() - self.used_room
 
--- a/plantainhitch/protocol/messages.py
+++ b/plantainhitch/protocol/messages.py
@@ -323,6 +323,11 @@
     labels: tuple[str, ...] = ()
     cold_for_ms: int = 0
 
+    @property
+    def lifetime(self):
+        """The pair (``endpoint_id``, ``born_ms``)."""
+        return self.endpoint_id, self.born_ms
+
 
 @dataclass(frozen=True, slots=True)
 class Evacuations:
--- a/tests/test_next_lifetimes.py
+++ b/tests/test_next_lifetimes.py
@@ -19,7 +19,7 @@
     Rejected,
     Rejection,
 )
-from plantainhitch.state.jobs import Room, RunKey
+from plantainhitch.state.jobs import Room, RunKey, StepSpec
 from plantainhitch.transport.addresses import Address
 from plantainhitch.transport.asgi import (
     Reply,
@@ -191,6 +191,12 @@
         self.assertEqual({}, self.reported_ends())
         self.assertEqual(1, self.controller.crash_count)
 
+    def test_nothing_is_free_before_the_next_heartbeat(self):
+        self.answer_as_other_lifetime()
+        self.assertEqual(0, self.controller.free_room.cpu_millis)
+        report = self.controller.next_report(OWNER)
+        self.assertEqual((0,) * 6, tuple(report.expected_free_millis))
+
     def test_an_inventory_of_another_lifetime_ends_the_present_one(self):
         self.deliver_inventory(born_ms=2)
         self.assertFalse(self.controller.is_ready)
@@ -255,7 +261,54 @@
 
 
 class EntryTests(SchedulerCase):
-    """What an entry tells of the lifetime for which it has placed a task."""
+    """What an entry holds of a lifetime, and tells of the one it placed a task at."""
+
+    def begin_lifetime(self, agent, born_ms, **fields):
+        """Let an agent report that its endpoint has begun a lifetime."""
+        fields = {"capacity": CAPACITY, "kind": "a"} | fields
+        text = f"e-{agent.decode()}"
+        status = m.EndpointStatus(text, born_ms, "pool", True, **fields)
+        self.scheduler.handle_agent_message(agent, status)
+
+    def view(self, agent):
+        return self.scheduler._fleet.get(agent)
+
+    def test_the_room_of_an_earlier_lifetime_is_forgotten(self):
+        # Guards against tasks that are placed by it until the next report: refused for
+        # want of room, or waiting elsewhere while an endpoint has begun anew and empty.
+        self.report(b"one", free=Room(0, 0, 0))
+        self.begin_lifetime(b"one", 2)
+        self.begin_lifetime(b"two", 2, capacity=Room(1_000, 1_000, 0))
+        steps = [StepSpec(6, Room(1_000, 10, 0), 200)]
+        agents = [agent for agent, _ in self.submit(steps=steps)]
+        self.assertEqual([b"one"] * 4 + [b"two"], sorted(agents))
+
+    def test_a_further_status_of_a_lifetime_changes_no_room(self):
+        self.begin_lifetime(b"one", 1, cold_for_ms=5)
+        self.assertEqual(CAPACITY, self.view(b"one").free_room)
+
+    def test_failures_and_pace_of_an_earlier_lifetime_are_forgotten(self):
+        agent = self.view(b"one")
+        report = m.RunReports(1, 99, [], CAPACITY, (), pace=0.2)
+        report.slowness, report.slowness_samples, report.failures = 4.0, 50, 9
+        self.scheduler.handle_agent_message(b"one", report)
+        self.assertTrue(agent.is_held_back)
+        self.begin_lifetime(b"one", 2)
+        self.assertFalse(agent.is_held_back)
+        self.assertEqual(1.0, self.scheduler._fleet.current_slowness(agent))
+
+    def test_the_speed_of_another_kind_is_forgotten(self):
+        speeds = self.scheduler._fleet.speeds
+        self.begin_lifetime(b"one", 2, kind="a")
+        self.begin_lifetime(b"two", 2, kind="b")
+        for _ in range(50):
+            speeds.observe("e-one", "queue", 100, 300)
+            speeds.observe("e-two", "queue", 100, 100)
+        slow, fast = speeds.slowness("e-one"), speeds.slowness("e-two")
+        self.begin_lifetime(b"one", 3, kind="a")
+        self.assertEqual(slow, speeds.slowness("e-one"))
+        self.begin_lifetime(b"one", 4, kind="b")
+        self.assertAlmostEqual(fast, speeds.slowness("e-one"))
 
     def test_a_start_names_the_lifetime_that_it_is_for(self):
         for born_ms in (7, 8):
