--- a/plantainhitch/coordination/runs/agent_node.py
+++ b/plantainhitch/coordination/runs/agent_node.py
@@ -279,7 +279,7 @@
 
         Runs are not given up for a heartbeat, see docs/design/heartbeats.md.
         """
-        if not self._controller.is_present_lifetime(report.lifetime):
+        if not self._controller.lifetime.is_present(report.lifetime):
             self._lifetime_check.begin(report)
             return
         self._controller.handle_heartbeat(report)
--- a/plantainhitch/coordination/runs/endpoint_session.py
+++ b/plantainhitch/coordination/runs/endpoint_session.py
@@ -105,7 +105,7 @@
                 fence = controller.fence
                 result = await client.inventory(
                     fence,
-                    controller.last_end_number,
+                    controller.lifetime.last_end_number,
                     controller.renew_lease(),
                     wait_ms,
                 )
@@ -124,7 +124,7 @@
         endpoint = controller.endpoint
         fence = controller.fence
         result = await self._client.inventory(
-            fence, controller.last_end_number, None, 0
+            fence, controller.lifetime.last_end_number, None, 0
         )
         self._inbox.post(InventoryResultReceived(endpoint.lifetime, result, fence))
 
--- a/plantainhitch/coordination/runs/run_controller.py
+++ b/plantainhitch/coordination/runs/run_controller.py
@@ -21,14 +21,15 @@
     Rejected,
     Rejection,
 )
-from ...state.jobs import Room
 from ..evacuation import ZONE_EVACUATED_REASON, EvacuationState
 from .crash_reports import CrashReports
 from .endpoint_lease import EndpointLease
+from .endpoint_lifetime import EndpointLifetime, HeartbeatEffect
 from .endpoint_performance import STALLED_REASON, EndpointPerformance
+from .endpoint_room import EndpointRoom
 from .fence import Fence
-from .forecast import Forecast
 from .isolation import Isolation
+from .owner_reports import OwnerReports
 from .owners import Owners
 from .recent_ends import RecentEnds
 from .run import Phase, Run, StartOrder, StopOrder, may_be_at_endpoint
@@ -82,25 +83,16 @@
         self._crashes = CrashReports(clock, self._owners, self._run_log)
         self._performance = EndpointPerformance(clock)
         self._warm_up = WarmUp(clock, warm_up_limits)
-        # The processor of the start that was received last.
-        self._last_start_millis = 0
+        self._lifetime = EndpointLifetime()
+        self._room = EndpointRoom(clock, self._lifetime, self._runs, self._warm_up)
+        self._reports = OwnerReports(self._lifetime, self._owners, self._performance)
         self._last_check_ms = 0
         self._recent_ends = RecentEnds(clock, self._run_log)
         self._end_counts = Counter()
-        self._refusal_count = 0
-        self._endpoint = None
-        # Whether its address has refused connections since its last answer.
-        self._is_refusing = False
-        # Whether the endpoint has answered as a lifetime other than that of its report.
-        self._is_superseded = False
-        self._is_reconciled = False
-        self._last_end_number = 0
         self._last_inventory_ms = 0
         self._needs_inventory = False
         self._is_stopping = False
         self._orders = []
-        # The last status, and the report and the readiness that it was built from.
-        self._status = self._status_inputs = None
 
     @property
     def owners(self):
@@ -122,20 +114,20 @@
         """The number of times that the endpoint ended without notice."""
         return self._crashes.count
 
-    @property
-    def refusal_count(self):
-        """The number of times that the endpoint began to refuse connections."""
-        return self._refusal_count
-
     @property
     def late_run_count(self):
         """The number of runs that were listed as running after their end."""
         return self._recent_ends.late_count
 
+    @property
+    def lifetime(self):
+        """The ``EndpointLifetime``; not to be changed."""
+        return self._lifetime
+
     @property
     def endpoint(self):
         """The newest ``EndpointReport``, or None."""
-        return self._endpoint
+        return self._lifetime.report
 
     @property
     def fence(self):
@@ -146,11 +138,6 @@
         """
         return self._fence.value
 
-    @property
-    def last_end_number(self):
-        """The number of the last end taken from an inventory, 0 before the first."""
-        return self._last_end_number
-
     @property
     def lease(self):
         """The ``EndpointLease``."""
@@ -170,10 +157,7 @@
     def is_ready(self):
         """Whether starts are accepted."""
         return (
-            self._endpoint is not None
-            and self._is_reconciled
-            and not self._is_refusing
-            and not self._endpoint.draining
+            self._lifetime.is_serving
             and not self._is_stopping
             and not self.is_evacuated
             and not self._lease.is_suspect
@@ -183,7 +167,7 @@
     @property
     def _is_present(self):
         """Whether the present lifetime has been reached and was not lost since."""
-        return self._is_reconciled or not all(
+        return self._lifetime.is_reconciled or not all(
             run.is_of_earlier_lifetime for run in self._runs.at_endpoint()
         )
 
@@ -200,50 +184,16 @@
     @property
     def used_room(self):
         """The ``Room`` of all runs that are, or may be, at the endpoint."""
-        return self._runs.used_room
+        return self._room.used
 
     @property
     def free_room(self):
-        """The ``Room`` that no run takes up; starts may be waiting for it.
-
-        There is none while a run needs isolation or the present lifetime isn't known,
-        and less while the endpoint is cold.
-        """
-        is_known = self._endpoint is not None and not self._is_superseded
-        if not is_known or self._runs.has_isolated:
-            return Room()
-        return self._usable_capacity() - self.used_room
-
-    def is_present_lifetime(self, lifetime):
-        """Return whether a pair (endpoint id, born_ms) is the present lifetime."""
-        endpoint = self._endpoint
-        is_known = endpoint is not None and not self._is_superseded
-        return is_known and endpoint.lifetime == lifetime
+        """The ``Room`` that no run takes up, see ``EndpointRoom``."""
+        return self._room.free
 
     def status(self):
         """Return the present ``EndpointStatus``."""
-        endpoint = self._endpoint
-        if endpoint is None:
-            return m.EndpointStatus("", 0, "", ready=False)
-        inputs = endpoint, self.is_ready
-        if inputs != self._status_inputs:
-            self._status_inputs = inputs
-            self._status = self._build_status(endpoint)
-        return self._status
-
-    def _build_status(self, endpoint):
-        return m.EndpointStatus(
-            endpoint_id=endpoint.endpoint_id,
-            born_ms=endpoint.born_ms,
-            pool=endpoint.pool,
-            ready=self.is_ready,
-            draining=endpoint.draining,
-            capacity=endpoint.capacity,
-            kind=endpoint.kind,
-            rack=endpoint.rack,
-            labels=endpoint.labels,
-            cold_for_ms=endpoint.cold_for_ms,
-        )
+        return self._reports.status(self.is_ready)
 
     def next_report(self, incarnation, forecast=None):
         """Return the next ``RunReports`` for an owner.
@@ -251,32 +201,11 @@
         ``forecast`` is the present ``Forecast``; it is computed if left out. The ends
         in the report are kept until the owner acknowledges it.
         """
-        owner = self._owners.get_or_create(incarnation)
-        number, ends = self._owners.take_unsent_ends(owner)
-        forecast = forecast or self.forecast()
-        crashes = self._owners.take_unsent_crashes(owner)
-        return m.RunReports(
-            number,
-            owner.orders_seen,
-            ends,
-            forecast.free,
-            forecast.expected_free_millis,
-            forecast.waiting_by_rank,
-            forecast.pace,
-            crashes,
-            self._performance.slowness,
-            round(self._performance.sample_count),
-            self._performance.consecutive_failures,
-        )
+        return self._reports.next_report(incarnation, forecast or self.forecast())
 
     def forecast(self):
         """Return the present ``Forecast`` of the endpoint."""
-        runs, now_ms = self._runs.values(), self._clock.now_ms()
-        ranks = self._waiting_starts.ranks
-        if self._runs.has_isolated and self._endpoint is not None:
-            capacity_millis = self._endpoint.capacity.cpu_millis
-            return Forecast.from_isolated_runs(runs, capacity_millis, ranks, now_ms)
-        return Forecast.from_runs(runs, self.free_room, ranks, now_ms)
+        return self._room.forecast(self._waiting_starts.ranks)
 
     # Event handlers
 
@@ -291,38 +220,30 @@
         Heartbeats older than the newest one are ignored, unless the endpoint has
         confirmed that this is its present lifetime.
         """
-        previous = self._endpoint
-        is_late = previous is not None and report.born_ms < previous.born_ms
-        if is_late and not is_confirmed:
-            return False
-        is_same_lifetime = previous is not None and report.lifetime == previous.lifetime
-        # A lifetime that seemed to be over begins anew if it answers after all.
-        is_new_lifetime = not is_same_lifetime or (self._is_superseded and is_confirmed)
-        if not is_new_lifetime and report.sequence < previous.sequence:
-            return False
-        if is_new_lifetime:
-            is_same_id = (
-                previous is not None and previous.endpoint_id == report.endpoint_id
-            )
-            self._lifetime_ended("a new lifetime of the endpoint", is_same_id)
-            self._is_refusing = self._is_superseded = False
-            log.info(
-                "new endpoint lifetime",
-                endpoint=report.endpoint_id,
-                born_ms=report.born_ms,
-                cpu_millis=report.capacity.cpu_millis,
-                kind=report.kind,
-                rack=report.rack,
-            )
-            self._performance.begin_lifetime()
-        self._endpoint = report
+        previous = self._lifetime.report
+        match self._lifetime.effect_of(report, is_confirmed=is_confirmed):
+            case HeartbeatEffect.IGNORED:
+                return False
+            case HeartbeatEffect.UPDATE:
+                is_new_lifetime = False
+                self._lifetime.report = report
+            case HeartbeatEffect.NEW_LIFETIME:
+                is_new_lifetime = True
+                self._begin_lifetime(report)
         self._warm_up.record(report.cold_for_ms, is_new_lifetime)
         if report.draining:
-            if previous is None or is_new_lifetime or not previous.draining:
+            if is_new_lifetime or not previous.draining:
                 log.info("endpoint draining", remaining_ms=report.remaining_ms)
             self._refuse_waiting_starts("draining")
         return is_new_lifetime
 
+    def _begin_lifetime(self, report):
+        previous = self._lifetime.report
+        is_same_id = previous is not None and previous.endpoint_id == report.endpoint_id
+        self._lifetime_ended("a new lifetime of the endpoint", is_same_id)
+        self._lifetime.begin(report)
+        self._performance.begin_lifetime()
+
     def connection_refused(self, fence=None):
         """Handle a refused connection to the endpoint.
 
@@ -333,13 +254,12 @@
         runs go on. So they are lost only with the lease, which isn't renewed until the
         endpoint answers, or once it has answered as its next lifetime.
         """
-        if self._is_refusing or not self._fence.is_valid(fence):
+        if self._lifetime.is_refusing or not self._fence.is_valid(fence):
             return
-        self._is_refusing = True
-        self._refusal_count += 1
+        self._lifetime.refused()
         self._run_log.connection_refused(self._runs.values())
         if self._is_end_unexpected():
-            self._crashes.record_refusal(self._endpoint, self._runs.at_endpoint())
+            self._crashes.record_refusal(self.endpoint, self._runs.at_endpoint())
         self._refuse_waiting_starts("the endpoint refuses connections")
 
     def answered_as_other_lifetime(self, born_ms, fence=None):
@@ -351,14 +271,11 @@
         The present lifetime is over, and nothing is known yet of the kind and capacity
         of the next: it gets no starts before its heartbeat.
         """
-        if self._is_superseded or not self._fence.is_valid(fence):
+        if self._lifetime.is_superseded or not self._fence.is_valid(fence):
             return
+        self._lifetime.replaced(born_ms)
         reason = "the endpoint answers as another lifetime"
-        log.warning(
-            reason, endpoint=self._endpoint.endpoint_id, answered_born_ms=born_ms
-        )
         self._lifetime_ended(reason, is_same_id=bool(born_ms))
-        self._is_superseded = True
 
     def _lifetime_ended(self, reason, is_same_id):
         """Handle the end of the present lifetime, known from another one.
@@ -377,14 +294,14 @@
         The runs in ``uncertain`` may begin in its next lifetime.
         """
         if self._is_end_unexpected():
-            self._crashes.record_end(self._endpoint, self._runs.at_endpoint(), reason)
+            self._crashes.record_end(self.endpoint, self._runs.at_endpoint(), reason)
         for run in uncertain:
             run.is_of_earlier_lifetime = True
         self._declare_endpoint_lost(reason, uncertain)
 
     def _is_end_unexpected(self):
         """Return whether the endpoint's end was neither announced nor noticed yet."""
-        return self._is_present and not self._endpoint.draining
+        return self._is_present and not self.endpoint.draining
 
     def _declare_endpoint_lost(self, reason, uncertain):
         """End all runs at the endpoint as lost, except those in ``uncertain``.
@@ -399,11 +316,8 @@
             elif may_be_at_endpoint(run):
                 self._finish(key, End.LOST, reason)
         self._fence.endpoint_lost()
-        if self._is_reconciled:
-            log.warning("endpoint lost", why=reason, unconfirmed=len(uncertain_keys))
-        self._is_reconciled = False
+        self._lifetime.lost(reason, len(uncertain_keys))
         self._crashes.begin_lifetime()
-        self._last_end_number = 0
         self._lease.reset()
         self._refuse_waiting_starts("endpoint lost")
 
@@ -461,7 +375,8 @@
         that it is not too long for the next one.
         """
         runs_at_endpoint = self._runs.at_endpoint()
-        is_renewable = self._is_reconciled and not self._is_refusing
+        lifetime = self._lifetime
+        is_renewable = lifetime.is_reconciled and not lifetime.is_refusing
         if not is_renewable or not runs_at_endpoint:
             return None
         return self._lease.renew(min(map(self._latest_end_ms, runs_at_endpoint)))
@@ -549,20 +464,18 @@
         orders runs that are unknown here to stop. The agent is ready once an inventory
         has listed no unknown run.
         """
-        if inventory.born_ms and inventory.born_ms != self._endpoint.born_ms:
+        if inventory.born_ms and inventory.born_ms != self.endpoint.born_ms:
             self._run_log.inventory_ignored(inventory)
             self.answered_as_other_lifetime(inventory.born_ms, fence)
             return
-        if self._is_superseded:
+        if self._lifetime.is_superseded:
             return
         self._endpoint_answered(inventory.clock_ms)
         self._last_inventory_ms = self._clock.now_ms()
-        lifetime = self._endpoint.lifetime
+        lifetime = self.endpoint.lifetime
         self._recent_ends.record_inventory(lifetime, inventory.clock_ms)
-        for ended in inventory.ended:
-            if ended.number > self._last_end_number:
-                self._last_end_number = ended.number
-                self._record_end(ended)
+        for ended in self._lifetime.new_ends(inventory.ended):
+            self._record_end(ended)
         self._record_progress(inventory.running, inventory.clock_ms)
         self._run_log.check_lease(inventory, self._runs)
         running_keys = {listed.key for listed in inventory.running}
@@ -574,9 +487,8 @@
         if is_valid:
             self._recent_ends.check_running(lifetime, inventory.clock_ms, unknown_keys)
         self._orders.extend(map(StopOrder, unknown_keys))
-        if is_valid and not self._is_reconciled and not unknown_keys:
-            self._is_reconciled = True
-            log.info("endpoint reconciled", last_end_number=self._last_end_number)
+        if is_valid and not unknown_keys:
+            self._lifetime.reconciled()
 
     def take_inventory_request(self):
         """Return whether to request an inventory now, and clear the request.
@@ -603,8 +515,7 @@
             self._retry_stops(now_ms)
             self._stop_stalled_runs(now_ms)
         if self.is_ready:
-            capacity = self._usable_capacity()
-            for run in self._waiting_starts.select(capacity, self.used_room):
+            for run in self._waiting_starts.select(self._room.usable, self.used_room):
                 self._begin_or_refuse(run, now_ms)
         orders, self._orders = self._orders, []
         return orders
@@ -618,8 +529,8 @@
 
     def _endpoint_answered(self, clock_ms):
         self._lease.record_answer(clock_ms)
-        if self._is_refusing:
-            self._is_refusing = False
+        if self._lifetime.is_refusing:
+            self._lifetime.is_refusing = False
             self._crashes.record_answer()
             self._run_log.endpoint_answers_again(self._runs)
 
@@ -642,7 +553,7 @@
         now_ms = self._clock.now_ms()
         run = Run(incarnation, start, now_ms + start.wait_ms, now_ms + start.slack_ms)
         self._runs.add(run)
-        self._last_start_millis = start.room.cpu_millis
+        self._room.record_start(start)
         if is_stale:
             self._finish(key, End.NOT_STARTED, "stale order")
             return
@@ -671,9 +582,9 @@
             return ZONE_EVACUATED_REASON
         if not self.is_ready:
             return "not ready"
-        if run.start.born_ms not in (0, self._endpoint.born_ms):
+        if run.start.born_ms not in (0, self.endpoint.born_ms):
             return OTHER_LIFETIME_REASON
-        if not self._endpoint.capacity.can_fit(run.start.room):
+        if not self.endpoint.capacity.can_fit(run.start.room):
             return "too large"
         if run.start.is_isolated:
             return ""  # waits for the endpoint to become empty
@@ -788,20 +699,6 @@
             return
         self._finish(ended.key, ended.end, run.stop_reason, ended.checkpoint)
 
-    def _usable_capacity(self):
-        """Return the ``Room`` of the endpoint, limited while it is cold.
-
-        It is at least what the present runs use.
-        """
-        capacity = self._endpoint.capacity
-        limit_millis = self._warm_up.limit_millis(
-            capacity.cpu_millis, self._last_start_millis
-        )
-        if limit_millis >= capacity.cpu_millis:
-            return capacity
-        limit_millis = max(limit_millis, self.used_room.cpu_millis)
-        return Room(limit_millis, capacity.memory_mb, capacity.gpus)
-
     def _record_progress(self, running, clock_ms):
         now_ms = self._clock.now_ms()
         for listed in running:
@@ -850,7 +747,7 @@
             for run in self._runs.values():
                 if run.phase in (Phase.STARTING, Phase.RUNNING):
                     self._stop_run(run, "the lease has expired")
-        elif self._is_refusing:
+        elif self._lifetime.is_refusing:
             if self._is_present and not self._lease.may_have_runs:
                 self._endpoint_ended(
                     "connections refused for longer than the lease",
--- a/tests/fleet_sim.py
+++ b/tests/fleet_sim.py
@@ -288,7 +288,7 @@
         ended = tuple(
             e
             for e in self.unacknowledged_ends
-            if e.number > self.controller.last_end_number
+            if e.number > self.controller.lifetime.last_end_number
         )
         self.controller.handle_inventory(
             Inventory(now_ms + 1, self.born_ms, active, ended)
@@ -296,7 +296,7 @@
         self.unacknowledged_ends = [
             e
             for e in self.unacknowledged_ends
-            if e.number > self.controller.last_end_number
+            if e.number > self.controller.lifetime.last_end_number
         ]
 
     def execute_orders(self):
--- a/tests/test_late_starts.py
+++ b/tests/test_late_starts.py
@@ -239,7 +239,7 @@
 
     def _request_inventory(self, until_ms):
         controller, fence = self._controller, self._controller.fence
-        endpoint, last_seen = controller.endpoint, controller.last_end_number
+        endpoint, last_seen = controller.endpoint, controller.lifetime.last_end_number
         is_renewal = self._is_inventory_under_way
 
         def handle(result):
--- a/tests/test_link_random.py
+++ b/tests/test_link_random.py
@@ -147,7 +147,10 @@
         self.node._send_new_reports()
 
     def _inventory(self, until_ms):
-        fence, last_seen = self.controller.fence, self.controller.last_end_number
+        fence, last_seen = (
+            self.controller.fence,
+            self.controller.lifetime.last_end_number,
+        )
         return self.endpoint.inventory(fence, last_seen, until_ms)
 
     def _handle(self, end, envelope):
--- a/tests/test_next_lifetimes.py
+++ b/tests/test_next_lifetimes.py
@@ -190,6 +190,7 @@
         self.controller.handle_heartbeat(heartbeat(born_ms=3))
         self.assertEqual({}, self.reported_ends())
         self.assertEqual(1, self.controller.crash_count)
+        self.assertEqual(1, self.controller.lifetime.replacement_count)
 
     def test_nothing_is_free_before_the_next_heartbeat(self):
         self.answer_as_other_lifetime()
@@ -212,7 +213,7 @@
 
     def test_a_late_heartbeat_of_the_lifetime_that_is_over_begins_nothing(self):
         self.answer_as_other_lifetime()
-        self.assertFalse(self.controller.is_present_lifetime(("e-1", 1)))
+        self.assertFalse(self.controller.lifetime.is_present(("e-1", 1)))
         self.assertFalse(self.controller.handle_heartbeat(heartbeat(sequence=9)))
         self.deliver_inventory()
         self.assertFalse(self.controller.is_ready)
--- a/tests/test_run_controller.py
+++ b/tests/test_run_controller.py
@@ -687,7 +687,7 @@
             self.controller.connection_refused()
             self.clock.advance(CHECK_INTERVAL_MS)
             self.controller.next_orders()
-        self.assertEqual(1, self.controller.refusal_count)
+        self.assertEqual(1, self.controller.lifetime.refusal_count)
         self.assertEqual(1, self.controller.crash_count)
 
     def test_an_endpoint_that_ends_as_announced_or_is_silent_has_not_crashed(self):
@@ -776,7 +776,7 @@
         ended = EndedRun(1, start.key, End.DONE, "")
         self.deliver_inventory(ended=[ended], born_ms=2)
         self.assertEqual({}, self.reported_ends())
-        self.assertEqual(0, self.controller.last_end_number)
+        self.assertEqual(0, self.controller.lifetime.last_end_number)
 
     def test_runs_of_the_old_lifetime_are_lost_when_a_new_one_begins(self):
         first = run_start()
@@ -784,7 +784,7 @@
         self.deliver_inventory(running=[first.key])
         self.assertTrue(self.controller.handle_heartbeat(heartbeat(born_ms=2)))
         self.assertEqual({first.key: End.LOST}, self.reported_ends())
-        self.assertEqual(0, self.controller.last_end_number)
+        self.assertEqual(0, self.controller.lifetime.last_end_number)
 
 
 class RefusedConnectionTests(RunControllerCase):
