Move owners' orders and the changes of runs out of RunController

OwnerOrders carries out starts, stops and resyncs; RunChanges stops and ends runs, tells their owners and collects the orders for the endpoint. No decision is changed.

--- a/plantainhitch/coordination/runs/run_controller.py
+++ b/plantainhitch/coordination/runs/run_controller.py
@@ -8,8 +8,6 @@
 endpoint has accepted its stop, or any order with a higher fence than that of its start.
 """
 
-from collections import Counter
-
 from ... import logs
 from ...protocol import messages as m
 from ...state.endpoints import (
@@ -29,17 +27,16 @@
 from .endpoint_room import EndpointRoom
 from .fence import Fence
 from .isolation import Isolation
+from .owner_orders import OwnerOrders
 from .owner_reports import OwnerReports
 from .owners import Owners
-from .recent_ends import RecentEnds
-from .run import Phase, Run, StartOrder, StopOrder, may_be_at_endpoint
+from .run import Phase, StartOrder, StopOrder, may_be_at_endpoint
+from .run_changes import RunChanges
 from .run_log import RunLog
 from .run_table import RunTable
 from .waiting_starts import WaitingStarts
 from .warm_up import WarmUp
 
-# An order to stop is sent again if the run has not ended after this long.
-STOP_RETRY_MS = 100
 # A run whose progress has not risen for this long is stalled: a healthy short run has
 # progressed in each inventory, and inventories arrive at least every 300 ms.
 STALL_TIMEOUT_MS = 700
@@ -86,13 +83,29 @@
         self._lifetime = EndpointLifetime()
         self._room = EndpointRoom(clock, self._lifetime, self._runs, self._warm_up)
         self._reports = OwnerReports(self._lifetime, self._owners, self._performance)
+        self._changes = RunChanges(
+            clock,
+            self._runs,
+            self._owners,
+            self._fence,
+            run_log=self._run_log,
+            performance=self._performance,
+            crashes=self._crashes,
+            room=self._room,
+        )
+        self._owner_orders = OwnerOrders(
+            clock,
+            self._runs,
+            self._owners,
+            self._changes,
+            run_log=self._run_log,
+            room=self._room,
+            start_refusal=self._start_refusal,
+        )
         self._last_check_ms = 0
-        self._recent_ends = RecentEnds(clock, self._run_log)
-        self._end_counts = Counter()
         self._last_inventory_ms = 0
         self._needs_inventory = False
         self._is_stopping = False
-        self._orders = []
 
     @property
     def owners(self):
@@ -107,7 +120,7 @@
     @property
     def end_counts(self):
         """The number of ended runs by the lower-case name of their ``End``."""
-        return self._end_counts
+        return self._changes.end_counts
 
     @property
     def crash_count(self):
@@ -117,7 +130,7 @@
     @property
     def late_run_count(self):
         """The number of runs that were listed as running after their end."""
-        return self._recent_ends.late_count
+        return self._changes.recent_ends.late_count
 
     @property
     def lifetime(self):
@@ -212,7 +225,7 @@
     def stop_accepting_starts(self):
         """Refuse waiting and new starts; runs at the endpoint continue."""
         self._is_stopping = True
-        self._refuse_waiting_starts("agent stops")
+        self._changes.refuse_waiting_starts("agent stops")
 
     def handle_heartbeat(self, report: EndpointReport, *, is_confirmed=False):
         """Record a heartbeat; return whether it begins a new lifetime.
@@ -234,7 +247,7 @@
         if report.draining:
             if is_new_lifetime or not previous.draining:
                 log.info("endpoint draining", remaining_ms=report.remaining_ms)
-            self._refuse_waiting_starts("draining")
+            self._changes.refuse_waiting_starts("draining")
         return is_new_lifetime
 
     def _begin_lifetime(self, report):
@@ -260,7 +273,7 @@
         self._run_log.connection_refused(self._runs.values())
         if self._is_end_unexpected():
             self._crashes.record_refusal(self.endpoint, self._runs.at_endpoint())
-        self._refuse_waiting_starts("the endpoint refuses connections")
+        self._changes.refuse_waiting_starts("the endpoint refuses connections")
 
     def answered_as_other_lifetime(self, born_ms, fence=None):
         """Handle an answer of the endpoint as another lifetime than the present one.
@@ -312,29 +325,18 @@
         uncertain_keys = {run.start.key for run in uncertain}
         for key, run in list(self._runs.items()):
             if key in uncertain_keys:
-                self._stop_unconfirmed(run)
+                self._changes.stop_unconfirmed(run)
             elif may_be_at_endpoint(run):
-                self._finish(key, End.LOST, reason)
+                self._changes.finish(key, End.LOST, reason)
         self._fence.endpoint_lost()
         self._lifetime.lost(reason, len(uncertain_keys))
         self._crashes.begin_lifetime()
         self._lease.reset()
-        self._refuse_waiting_starts("endpoint lost")
+        self._changes.refuse_waiting_starts("endpoint lost")
 
     def handle_orders(self, incarnation, orders: m.RunOrders, echo_ms):
         """Carry out an owner's orders, received in a frame that echoes ``echo_ms``."""
-        owner = self._owners.get_or_create(incarnation)
-        owner.orders_seen = orders.number
-        if orders.is_resync:
-            self._stop_unnamed_runs(incarnation, orders, echo_ms)
-            self._owners.link_resynced(incarnation, echo_ms)
-        for key in orders.expected_runs:
-            if key not in self._runs:
-                self._resend_end(incarnation, key)
-        for start in orders.starts:
-            self._handle_start(incarnation, start, echo_ms)
-        for key in orders.stops:
-            self._stop_for_owner(incarnation, key, echo_ms)
+        self._owner_orders.handle(incarnation, orders, echo_ms)
 
     def handle_queue_loads(self, incarnation, loads):
         """Record the loads of an owner's queues.
@@ -349,7 +351,7 @@
     def handle_evacuations(self, evacuated):
         """Record an owner's ``EvacuatedZones``; any owner may send the newest."""
         if self._evacuations.apply(evacuated) and self.is_evacuated:
-            self._refuse_waiting_starts(ZONE_EVACUATED_REASON)
+            self._changes.refuse_waiting_starts(ZONE_EVACUATED_REASON)
 
     def may_send_start(self, key):
         """Return whether the order to start a run may still be sent to the endpoint.
@@ -408,20 +410,20 @@
                 run.phase = Phase.RUNNING
             case NoAnswer():
                 self._run_log.start_not_answered(run)
-                self._stop_unconfirmed(run)
+                self._changes.stop_unconfirmed(run)
             case Rejected(Rejection.NOT_LISTENING):
-                self._finish(key, End.NOT_STARTED, "not_listening")
+                self._changes.finish(key, End.NOT_STARTED, "not_listening")
                 self.connection_refused(fence)
             case Rejected(Rejection.OTHER_LIFETIME, born_ms=born_ms):
-                self._finish(key, End.NOT_STARTED, "other_lifetime")
+                self._changes.finish(key, End.NOT_STARTED, "other_lifetime")
                 self.answered_as_other_lifetime(born_ms, fence)
             case Rejected(Rejection.FENCE, clock_ms):
                 self._record_answer(clock_ms, fence)
                 self._fence.rejected(fence)
-                self._finish(key, End.NOT_STARTED, "fence")
+                self._changes.finish(key, End.NOT_STARTED, "fence")
             case Rejected(reason, clock_ms):
                 self._record_answer(clock_ms, fence)
-                self._finish(key, End.NOT_STARTED, reason.value)
+                self._changes.finish(key, End.NOT_STARTED, reason.value)
 
     def handle_stop_result(self, key, result, fence=None):
         """Record the ``OrderResult`` of a stop that was sent with ``fence``.
@@ -473,7 +475,7 @@
         self._endpoint_answered(inventory.clock_ms)
         self._last_inventory_ms = self._clock.now_ms()
         lifetime = self.endpoint.lifetime
-        self._recent_ends.record_inventory(lifetime, inventory.clock_ms)
+        self._changes.recent_ends.record_inventory(lifetime, inventory.clock_ms)
         for ended in self._lifetime.new_ends(inventory.ended):
             self._record_end(ended)
         self._record_progress(inventory.running, inventory.clock_ms)
@@ -485,8 +487,11 @@
                 self._check_absent_run(key, run, inventory.clock_ms, fence)
         unknown_keys = [key for key in running_keys if key not in self._runs]
         if is_valid:
-            self._recent_ends.check_running(lifetime, inventory.clock_ms, unknown_keys)
-        self._orders.extend(map(StopOrder, unknown_keys))
+            self._changes.recent_ends.check_running(
+                lifetime, inventory.clock_ms, unknown_keys
+            )
+        for key in unknown_keys:
+            self._changes.add_order(StopOrder(key))
         if is_valid and not unknown_keys:
             self._lifetime.reconciled()
 
@@ -512,13 +517,12 @@
             self._last_check_ms = now_ms
             self._check_endpoint_lease()
             self._expire_runs(now_ms)
-            self._retry_stops(now_ms)
+            self._changes.retry_stops()
             self._stop_stalled_runs(now_ms)
         if self.is_ready:
             for run in self._waiting_starts.select(self._room.usable, self.used_room):
                 self._begin_or_refuse(run, now_ms)
-        orders, self._orders = self._orders, []
-        return orders
+        return self._changes.take_orders()
 
     # Internal methods
 
@@ -534,48 +538,6 @@
             self._crashes.record_answer()
             self._run_log.endpoint_answers_again(self._runs)
 
-    def _handle_start(self, incarnation, start, echo_ms):
-        key = start.key
-        self._owners.record_frame(incarnation, echo_ms, 0)
-        is_stale = not self._owners.is_alive(incarnation)
-        if key in self._runs:
-            # The caller resubmitted its job at another entry, which owns the run now. A
-            # stale start is that of the entry where the job was before.
-            run = self._runs[key]
-            if run.owner != incarnation:
-                self._run_log.ordered_by_other_owner(run, incarnation, is_stale)
-            if not is_stale:
-                run.owner = incarnation
-            return
-        if key in self._recent_ends:
-            self._resend_end(incarnation, key)
-            return
-        now_ms = self._clock.now_ms()
-        run = Run(incarnation, start, now_ms + start.wait_ms, now_ms + start.slack_ms)
-        self._runs.add(run)
-        self._room.record_start(start)
-        if is_stale:
-            self._finish(key, End.NOT_STARTED, "stale order")
-            return
-        refusal = self._replace_older_runs(run) or self._start_refusal(run)
-        if refusal:
-            self._finish(key, End.NOT_STARTED, refusal)
-
-    def _replace_older_runs(self, new_run):
-        """Stop the other runs of a task; return why the start is refused instead.
-
-        Only an owner's own run numbers compare. A start of one that is older than
-        another of its runs was delayed, for example on a link that it has replaced.
-        """
-        others = self._runs.others_of_task(new_run)
-        for other in others:
-            is_newer = other.start.key.run > new_run.start.key.run
-            if other.owner == new_run.owner and is_newer:
-                return "older than another run of the task"
-        for other in others:
-            self._stop_run(other, "a newer run of the task")
-        return ""
-
     def _start_refusal(self, run):
         """Return why a start is refused at once, or an empty string."""
         if self.is_evacuated:
@@ -600,14 +562,14 @@
         has already, which can't be shortened.
         """
         if self._lease.end_ms > self._latest_end_ms(run):
-            self._finish(run.start.key, End.NOT_STARTED, OLD_CONTACT_REASON)
+            self._changes.finish(run.start.key, End.NOT_STARTED, OLD_CONTACT_REASON)
             return
         run.phase = Phase.STARTING
         run.started_ms = now_ms
         run.start_fence = self._fence.value
         self._runs.take_room(run)
         self.renew_lease()  # for the order to start it
-        self._orders.append(StartOrder(run.start))
+        self._changes.add_order(StartOrder(run.start))
 
     def _latest_end_ms(self, run):
         """Return when a run must have ended if its owner isn't heard from again."""
@@ -615,67 +577,6 @@
         contact_ms = min(contact_ms, run.abandoned_contact_ms)
         return contact_ms + self._lease_times.run_end_ms
 
-    def _stop_unnamed_runs(self, incarnation, orders, echo_ms):
-        """Stop the runs of an owner that its resync does not name.
-
-        The owner has abandoned them while it had no link, at any time since its last
-        contact.
-        """
-        contact_ms = min(echo_ms, self._owners.last_contact_ms(incarnation))
-        named = {*orders.expected_runs, *(start.key for start in orders.starts)}
-        for key, run in list(self._runs.items()):
-            if run.owner == incarnation and key not in named:
-                self._abandon(run, contact_ms, "not named by the owner")
-
-    def _stop_for_owner(self, incarnation, key, echo_ms):
-        run = self._runs.get(key)
-        if run is None:
-            self._resend_end(incarnation, key)
-        elif run.owner == incarnation:
-            self._abandon(run, echo_ms, "stopped by the owner")
-
-    def _abandon(self, run, contact_ms, reason):
-        """Stop a run that its owner may have given up soon after ``contact_ms``.
-
-        The owner may have ended the job with it, so what it sends later doesn't allow
-        the run to go on.
-        """
-        run.abandoned_contact_ms = min(run.abandoned_contact_ms, contact_ms)
-        self._stop_run(run, reason)
-
-    def _stop_run(self, run, reason):
-        run.stop_reason = run.stop_reason or reason
-        match run.phase:
-            case Phase.WAITING:
-                self._finish(run.start.key, End.NOT_STARTED, reason)
-            case Phase.STARTING | Phase.RUNNING:
-                run.phase = Phase.STOPPING
-                self._run_log.being_stopped(run, reason)
-                self._order_stop(run)
-
-    def _stop_unconfirmed(self, run):
-        """Order the stop of a run that may or may not be at the endpoint.
-
-        The order is repeated until there is a proof, see ``_check_absent_run``. The
-        fence is raised, so that any later order that the endpoint accepts is one, also
-        in a lifetime of which nothing is known yet.
-        """
-        run.stop_accepted_clock_ms = None
-        self._fence.raise_above(run.start_fence)
-        if run.phase is not Phase.UNCONFIRMED:
-            run.phase = Phase.UNCONFIRMED
-            self._order_stop(run)
-
-    def _order_stop(self, run):
-        run.stop_sent_ms = self._clock.now_ms()
-        self._orders.append(StopOrder(run.start.key))
-
-    def _retry_stops(self, now_ms):
-        for run in self._runs.values():
-            is_being_stopped = run.phase in (Phase.STOPPING, Phase.UNCONFIRMED)
-            if is_being_stopped and now_ms - run.stop_sent_ms >= STOP_RETRY_MS:
-                self._order_stop(run)
-
     def _stop_stalled_runs(self, now_ms):
         """Stop stalled runs, so that their owners can place them elsewhere."""
         if now_ms - self._last_inventory_ms > MAX_INVENTORY_AGE_MS:
@@ -686,18 +587,14 @@
             no_progress_since_ms = max(run.last_progress_ms, run.started_ms)
             timeout_ms = max(STALL_TIMEOUT_MS, STALL_PERCENT * run.ms_per_percent)
             if self._last_inventory_ms - no_progress_since_ms > timeout_ms:
-                self._stop_run(run, STALLED_REASON)
-
-    def _resend_end(self, incarnation, key):
-        end = self._recent_ends.get(key) or m.RunEnd(key, End.LOST, "unknown run")
-        self._owners.get_or_create(incarnation).unsent_ends.append(end)
+                self._changes.stop(run, STALLED_REASON)
 
     def _record_end(self, ended):
         run = self._runs.get(ended.key)
         if run is None:
             self._run_log.unknown_run_ended(ended)
             return
-        self._finish(ended.key, ended.end, run.stop_reason, ended.checkpoint)
+        self._changes.finish(ended.key, ended.end, run.stop_reason, ended.checkpoint)
 
     def _record_progress(self, running, clock_ms):
         now_ms = self._clock.now_ms()
@@ -727,14 +624,14 @@
                 if is_stopped or is_refused:
                     may_have_begun = run.is_of_earlier_lifetime or run.is_accepted
                     end = End.LOST if may_have_begun else End.NOT_STARTED
-                    self._finish(key, end, run.stop_reason or "no answer")
+                    self._changes.finish(key, end, run.stop_reason or "no answer")
             case Phase.RUNNING:
                 # Listed neither as running nor as ended. An inventory from before the
                 # start may arrive after its answer, and be read late.
                 run_ms = self._clock.now_ms() - run.started_ms
                 is_newer = clock_ms > run.seen_clock_ms
                 if is_newer and run_ms > self._lease_times.max_endpoint_ms:
-                    self._finish(key, End.LOST, "not listed")
+                    self._changes.finish(key, End.LOST, "not listed")
 
     def _check_endpoint_lease(self):
         """Declare the endpoint lost once its lease has certainly expired.
@@ -746,7 +643,7 @@
         if self._lease.has_answered_since_expiry:
             for run in self._runs.values():
                 if run.phase in (Phase.STARTING, Phase.RUNNING):
-                    self._stop_run(run, "the lease has expired")
+                    self._changes.stop(run, "the lease has expired")
         elif self._lifetime.is_refusing:
             if self._is_present and not self._lease.may_have_runs:
                 self._endpoint_ended(
@@ -764,25 +661,6 @@
             if run.owner not in is_owner_alive:
                 is_owner_alive[run.owner] = self._owners.is_alive(run.owner)
             if not is_owner_alive[run.owner]:
-                self._stop_run(run, "owner silent")
+                self._changes.stop(run, "owner silent")
             elif run.phase is Phase.WAITING and now_ms > run.wait_deadline_ms:
-                self._finish(key, End.NOT_STARTED, "no room in time")
-
-    def _refuse_waiting_starts(self, reason):
-        for key, run in list(self._runs.items()):
-            if run.phase is Phase.WAITING:
-                self._finish(key, End.NOT_STARTED, reason)
-
-    def _finish(self, key, end, reason="", checkpoint=""):
-        run = self._runs.remove(key)
-        if may_be_at_endpoint(run):
-            self._performance.record_end(run, end, reason)
-            if end is not End.DONE:
-                self._crashes.run_stopped(run)
-        run_ms = self._clock.now_ms() - run.started_ms if run.started_ms else 0
-        run_end = m.RunEnd(key, end, reason, checkpoint, run_ms)
-        self._end_counts[end.name.lower()] += 1
-        self._recent_ends.add(run_end)
-        self._owners.get_or_create(run.owner).unsent_ends.append(run_end)
-        if end is not End.DONE or run.stop_reason:
-            self._run_log.ended(run, run_end, self.free_room.cpu_millis)
+                self._changes.finish(key, End.NOT_STARTED, "no room in time")
--- a/tests/test_run_controller.py
+++ b/tests/test_run_controller.py
@@ -14,9 +14,9 @@
     SUSPECT_AFTER_MS,
 )
 from plantainhitch.coordination.runs.run import Phase, StartOrder, StopOrder
+from plantainhitch.coordination.runs.run_changes import STOP_RETRY_MS
 from plantainhitch.coordination.runs.run_controller import (
     CHECK_INTERVAL_MS,
-    STOP_RETRY_MS,
     RunController,
 )
 from plantainhitch.protocol import messages as m
