Ask again whether a start may be sent once its connection is there

What callers may have seen: a run that begins after its owner has given it up. Nobody has seen it; the endpoint's lease and the stop behind it bound how long it goes on.

Cause: an agent checks that a start is still wanted, then waits for a free connection, for up to 300 ms for a new one, and since for a handshake. It was then written without another look, also after a suspension in that time.

Evidence: by reading; the test fails without the second look, as the start reaches the endpoint (Accepted in place of WITHDRAWN).

Change: the condition goes down to the HTTP client, which asks right before the request is written, with no await between. The connection goes back to the pool.

--- a/plantainhitch/coordination/runs/endpoint_session.py
+++ b/plantainhitch/coordination/runs/endpoint_session.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import functools
 from dataclasses import dataclass
 
 from ...state.endpoints import (
@@ -136,6 +137,7 @@
                 result = Rejected(Rejection.WITHDRAWN)
                 self._inbox.post(StartResultReceived(start.key, result, fence))
             case StartOrder(start):
+                may_send = functools.partial(controller.may_send_start, start.key)
                 controller.record_start_sent(start.key, fence)
                 result = await self._client.start(
                     start.key,
@@ -143,6 +145,7 @@
                     controller.renew_lease() or 0,
                     fence,
                     start.checkpoint,
+                    may_send,
                 )
                 received = StartResultReceived(start.key, result, fence)
                 if isinstance(result, Accepted):
--- a/plantainhitch/platform/endpoint.py
+++ b/plantainhitch/platform/endpoint.py
@@ -25,6 +25,7 @@
     HttpClient,
     HttpResponse,
     NotSent,
+    Withdrawn,
 )
 
 # An endpoint on the same machine answers an order within a few ms. An answer after this
@@ -182,8 +183,19 @@
             (b"X-Target-Instance", endpoint_id.encode()),
         )
 
-    async def start(self, key, payload, lease_expiry_ms, fence, checkpoint=""):
-        """Order the start of a run; ``lease_expiry_ms`` is on the endpoint's clock."""
+    async def start(
+        self,
+        key,
+        payload,
+        lease_expiry_ms,
+        fence,
+        checkpoint="",
+        may_send=lambda: True,
+    ):
+        """Order the start of a run; ``lease_expiry_ms`` is on the endpoint's clock.
+
+        It is ``WITHDRAWN`` if ``may_send()`` is False once a connection is there.
+        """
         body = {
             "task": key.task,
             "run": key.run,
@@ -193,7 +205,7 @@
         }
         if checkpoint:
             body["checkpoint"] = checkpoint
-        return await self._order(b"/run-start", body)
+        return await self._order(b"/run-start", body, may_send)
 
     async def stop(self, key, fence):
         """Order the stop of a run; the endpoint refuses a start of it from then on."""
@@ -217,10 +229,12 @@
         """Close the connections."""
         self._http.close()
 
-    async def _order(self, path, body):
-        return _to_order_result(await self._post(path, body, ORDER_TIMEOUT_MS))
+    async def _order(self, path, body, may_send=lambda: True):
+        return _to_order_result(
+            await self._post(path, body, ORDER_TIMEOUT_MS, may_send)
+        )
 
-    async def _post(self, path, body, timeout_ms):
+    async def _post(self, path, body, timeout_ms, may_send=lambda: True):
         data = msgspec.json.encode(body)
         return await self._http.request(
             b"POST",
@@ -229,6 +243,7 @@
             self._headers,
             timeout_ms=timeout_ms,
             handshake=self._handshake(body["fence"]),
+            is_wanted=may_send,
         )
 
     def _handshake(self, fence):
@@ -273,6 +288,8 @@
 def _to_order_result(answer):
     if isinstance(answer, HandshakeFailed):
         return _to_unsent_result(answer.result)
+    if isinstance(answer, Withdrawn):
+        return Rejected(Rejection.WITHDRAWN)
     if isinstance(answer, NotSent):
         is_refused = answer.refused
         return Rejected(
--- a/plantainhitch/transport/http_client.py
+++ b/plantainhitch/transport/http_client.py
@@ -71,9 +71,15 @@
     result: "HttpResult"
 
 
+@dataclass(frozen=True, slots=True)
+class Withdrawn:
+    """The request was no longer wanted when its connection was there."""
+
+
 HttpResult = (
     HttpResponse
     | NotSent
+    | Withdrawn
     | ConnectionLost
     | ResponseTooLarge
     | TimedOut
@@ -243,19 +249,24 @@
         *,
         timeout_ms=DEFAULT_TIMEOUT_MS,
         handshake=None,
+        is_wanted=lambda: True,
     ) -> HttpResult:
         """Send one request; all parts are bytes, and ``headers`` are pairs of bytes.
 
         ``timeout_ms`` runs from the moment when the request is written. Cancelling
         the call closes its connection, so that a late response can't be taken for
         that of a later request. With a ``Handshake``, the request is written only on
-        a connection on which a handshake was accepted.
+        a connection on which a handshake was accepted. ``is_wanted()`` is asked right
+        before that: the process may have been suspended while it waited.
         """
         request = self._encode_request(method, path, body, headers)
         async with self._slots:
             connection = await self._acquire(handshake)
             if not isinstance(connection, _Connection):
                 return connection
+            if not is_wanted():
+                self._add_idle(connection)
+                return Withdrawn()
             return await self._exchange(connection, request, timeout_ms)
 
     async def aclose(self):
--- a/tests/model_endpoint.py
+++ b/tests/model_endpoint.py
@@ -64,7 +64,9 @@
         running = tuple(ActiveRun(key, "", 50) for key in endpoint.running)
         return Inventory(5, endpoint.born_ms, running, ())
 
-    async def start(self, key, payload, lease_expiry_ms, fence, checkpoint=""):
+    async def start(
+        self, key, payload, lease_expiry_ms, fence, checkpoint="", may_send=None
+    ):
         """Start a run."""
         self._endpoint.running.append(key)
         return Accepted(5)
--- a/tests/test_next_lifetimes.py
+++ b/tests/test_next_lifetimes.py
@@ -162,6 +162,19 @@
                 self.assertEqual(expected, result)
         self.assertEqual({"/hold"}, set(self.endpoint.paths))
 
+    async def test_it_is_not_sent_if_it_is_withdrawn_meanwhile(self):
+        # Guards against a start that waited for its connection while its owner gave the
+        # run up, as when the process was suspended.
+        self.endpoint.answers = [(200, self.SOUND), (200, b'{"clock_ms":6}')]
+        for may_send, expected in (
+            (lambda: not self.endpoint.paths, Rejected(Rejection.WITHDRAWN)),
+            (lambda: True, Accepted(6)),
+        ):
+            result = await self.client.start(KEY, "", 900, FENCE, may_send=may_send)
+            self.assertEqual(expected, result)
+        self.assertEqual(["/hold", "/run-start"], self.endpoint.paths)
+        self.assertEqual(1, len(self.server._server.server_state.connections))
+
     async def test_it_is_sent_after_a_sound_answer(self):
         self.endpoint.answers = [(200, self.SOUND), (200, b'{"clock_ms":6}')]
         self.assertEqual(Accepted(6), await self.client.start(KEY, "", 900, FENCE))
